--- /dev/null
+++ b/src/bench/main.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+	return 0;
+}
--- /dev/null
+++ b/src/entry/credential_list.h
@@ -0,0 +1,22 @@
+/** @file credential_list.h Member firms by the hash of their bearer token. */
+#ifndef CREDENTIAL_LIST_H
+#define CREDENTIAL_LIST_H
+
+#include "../program/settings.h"
+#include "../request/request_path.h"
+
+/** Credentials from the settings. Immutable, so that all lanes read it without a lock. */
+class CredentialList : public Credentials {
+public:
+	/**
+	 * @param records Records of the setting `credentials`.
+	 */
+	explicit CredentialList(const std::vector<SettingRecord> &records);
+
+	[[nodiscard]] const Credential *Find(const std::string *authorization) const override;
+
+private:
+	std::map<std::string, Credential> by_hash; ///< By hex SHA-256 of the token.
+};
+
+#endif /* CREDENTIAL_LIST_H */
--- /dev/null
+++ b/src/entry/entry_server.cpp
@@ -0,0 +1,157 @@
+/** @file entry_server.cpp The entry: carries callers' requests to endpoints. */
+#include "entry_server.h"
+
+#include "../program/logging.h"
+#include "entry_dump.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace {
+
+constexpr Millis GATE_TICK(50); ///< Time between two looks at the queues.
+constexpr Millis IDLE_TICK(50); ///< Time between two looks at what is under way during a stop.
+
+EntryIdentity IdentityOf(const Settings &settings, Millis wall_now)
+{
+	return EntryIdentity{MemberName(settings.Text("name")), ZoneName(settings.Text("zone")),
+						 Incarnation(static_cast<uint64_t>(wall_now.Value()))};
+}
+
+GateSettings GatesOf(const Settings &settings)
+{
+	GateSettings gates;
+	gates.queue_limit = static_cast<size_t>(settings.Number("queue_limit"));
+	return gates;
+}
+
+KeyLimits KeysOf(const Settings &settings)
+{
+	KeyLimits keys;
+	keys.window = settings.Duration("key_window");
+	keys.skew = settings.Duration("clock_skew");
+	return keys;
+}
+
+PathSettings PathOf(const Settings &settings)
+{
+	PathSettings path;
+	path.deadline_urgent = settings.Duration("deadline_urgent");
+	path.deadline_normal = settings.Duration("deadline_normal");
+	path.deadline_batch = settings.Duration("deadline_batch");
+	path.detach_patience = settings.Duration("detach_patience");
+	return path;
+}
+
+CallerLimits CallersOf(const Settings &settings)
+{
+	CallerLimits callers;
+	callers.http.body_bytes = static_cast<size_t>(settings.Number("body_bytes"));
+	callers.http.header_bytes = static_cast<size_t>(settings.Number("head_bytes"));
+	callers.head_wait = settings.Duration("head_wait");
+	callers.body_wait = settings.Duration("body_wait");
+	callers.idle_wait = settings.Duration("idle_wait");
+	return callers;
+}
+
+EntryCard CardOf(const Settings &settings, Incarnation incarnation)
+{
+	return EntryCard{MemberName(settings.Text("name")), RegionName(settings.Text("region")),
+					 ZoneName(settings.Text("zone")), settings.Text("peers"), incarnation};
+}
+
+} // namespace
+
+EntryServer::EntryServer(const Settings &settings)
+		: settings(settings), credentials(settings.Records("credentials")),
+		  path(IdentityOf(settings, this->scheduler.WallNow()), GatesOf(settings),
+			   LeaseTimes{settings.Duration("settle")}, KeysOf(settings), PathOf(settings), this->credentials),
+		  callers([this](qintptr descriptor) { this->Take(descriptor, false); }),
+		  peers([this](qintptr descriptor) { this->Take(descriptor, true); }),
+		  keeper(this->scheduler, this->path, settings.Addresses("keepers"),
+				 CardOf(settings, this->path.self.incarnation)),
+		  status(*this)
+{
+	DialLimits dial;
+	dial.connect_wait = settings.Duration("connect_wait");
+	const CallerLimits limits = CallersOf(settings);
+	for (int64_t i = 0; i < settings.Number("lanes"); i++) {
+		this->lanes.push_back(std::make_unique<Lane>(this->path, limits, limits, dial));
+	}
+}
+
+EntryServer::~EntryServer()
+{
+	this->callers.close();
+	this->peers.close();
+	this->lanes.clear();
+}
+
+bool EntryServer::Start()
+{
+	const NetAddress callers_at = this->settings.Address("callers");
+	const NetAddress peers_at = this->settings.Address("peers");
+	if (!this->callers.listen(callers_at.ip, callers_at.port) || !this->peers.listen(peers_at.ip, peers_at.port) ||
+		!this->status.Listen(this->settings.Address("status"))) {
+		return false;
+	}
+	this->keeper.Start();
+	this->TickGates();
+	return true;
+}
+
+void EntryServer::Take(qintptr descriptor, bool from_peer)
+{
+	this->lanes[this->next_lane++ % this->lanes.size()]->Take(descriptor, from_peer);
+}
+
+void EntryServer::TickGates()
+{
+	for (const auto &[pool, gate] : this->path.routes.Gates()) {
+		gate->Tick(this->scheduler.Now());
+	}
+	this->scheduler.After(GATE_TICK, [this] { this->TickGates(); });
+}
+
+void EntryServer::Stop(std::function<void()> done)
+{
+	/* First the health check fails and keepers are told; callers that still come are served, until the balancer has
+	 * seen it. Then nothing new is taken, and what is under way is finished. */
+	this->leaving = true;
+	this->keeper.SayLeaving();
+	this->scheduler.After(this->settings.Duration("leave_wait"), [this, done = std::move(done)]() mutable {
+		this->path.stopping = true;
+		this->callers.close();
+		this->stop_until = this->scheduler.Now() + this->settings.Duration("stop_wait");
+		this->WaitForIdle(std::move(done));
+	});
+}
+
+void EntryServer::WaitForIdle(std::function<void()> done)
+{
+	std::ranges::for_each(this->lanes, [](const auto &it) { it->CloseIdle(); });
+	const int64_t under_way = this->path.counters.open;
+	const int connections = std::accumulate(this->lanes.begin(), this->lanes.end(), 0,
+											[](int sum, const auto &it) { return sum + it->Connections(); });
+	const bool over = this->scheduler.Now() >= this->stop_until;
+	if ((under_way == 0 && connections == 0) || over) {
+		if (under_way > 0) {
+			LogEvent(LogLevel::LL_WARNING, "stop_wait_over", {{"cut", std::to_string(under_way)}});
+		}
+		done();
+		return;
+	}
+	this->scheduler.After(IDLE_TICK, [this, done = std::move(done)]() mutable { this->WaitForIdle(std::move(done)); });
+}
+
+QJsonObject EntryServer::Dump() const
+{
+	QJsonObject dump = DumpEntry(this->path, this->scheduler.Now());
+	const int connections = std::accumulate(this->lanes.begin(), this->lanes.end(), 0,
+											[](int sum, const auto &it) { return sum + it->Connections(); });
+	dump["connections"] = connections;
+	dump["keeper_connected"] = this->keeper.Connected();
+	dump["keeper_bytes"] = static_cast<qint64>(this->keeper.Bytes());
+	dump["leaving"] = this->leaving;
+	return dump;
+}
--- /dev/null
+++ b/src/fleet/budget_func.cpp
@@ -0,0 +1,176 @@
+/** @file budget_func.cpp Availability budgets: whether one more box of a pool may go down by plan. */
+#include "budget_func.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace {
+
+constexpr std::array _guards = {Guard::GD_BOX, Guard::GD_RACK, Guard::GD_ZONE}; ///< Guards that need headroom.
+
+/**
+ * @param sums Slots by failure domain.
+ * @return The largest sum.
+ */
+template <class Key>
+uint64_t LargestOf(const std::map<Key, uint64_t> &sums)
+{
+	uint64_t largest = 0;
+	for (const auto &[key, sum] : sums) {
+		largest = std::max(largest, sum);
+	}
+	return largest;
+}
+
+/** Boxes of a pool that are down, in the failure domains of one box. */
+struct DownCount {
+	uint32_t zone = 0; ///< Down in the same availability zone.
+	uint32_t rack = 0; ///< Down in the same rack.
+};
+
+/**
+ * Counts the boxes of a pool that do not take work and share a failure domain with a box.
+ * @param pool The pool.
+ * @param box The box; not counted itself.
+ * @return The counts.
+ */
+DownCount DownBeside(const PoolPicture &pool, const Box &box)
+{
+	DownCount down;
+	for (const Box &it : pool.boxes) {
+		if (it.name == box.name || TakesWork(it) || it.zone != box.zone) {
+			continue;
+		}
+		down.zone++;
+		down.rack += it.rack == box.rack ? 1 : 0;
+	}
+	return down;
+}
+
+} // namespace
+
+uint64_t PoolCapacity::LossOf(Guard guard) const
+{
+	switch (guard) {
+	case Guard::GD_BOX:
+		return this->largest_box;
+	case Guard::GD_RACK:
+		return this->largest_rack;
+	case Guard::GD_ZONE:
+		return this->largest_zone;
+	case Guard::GD_NONE:
+		break;
+	}
+	return 0;
+}
+
+bool TakesWork(const Box &box)
+{
+	return box.state == BoxState::BS_SERVING && box.health == BoxHealth::BH_UP;
+}
+
+PoolPicture PictureOf(const FleetState &fleet, const PoolName &pool)
+{
+	PoolPicture picture;
+	picture.name = pool;
+	for (const auto &[service, row] : fleet.rows) {
+		if (row.pool == pool) {
+			picture.rows.push_back(row);
+		}
+	}
+	for (const auto &[name, box] : fleet.boxes) {
+		if (box.pool == pool) {
+			picture.boxes.push_back(box);
+		}
+	}
+	return picture;
+}
+
+std::map<PoolName, PoolPicture> PicturesOf(const FleetState &fleet)
+{
+	std::map<PoolName, PoolPicture> pictures;
+	for (const auto &[service, row] : fleet.rows) {
+		pictures[row.pool].rows.push_back(row);
+	}
+	for (const auto &[name, box] : fleet.boxes) {
+		pictures[box.pool].boxes.push_back(box);
+	}
+	for (auto &[name, picture] : pictures) {
+		picture.name = name;
+	}
+	return pictures;
+}
+
+PoolCapacity CapacityOf(const PoolPicture &pool, const BoxName *without)
+{
+	PoolCapacity capacity;
+	std::map<std::pair<ZoneName, RackName>, uint64_t> racks;
+	std::map<ZoneName, uint64_t> zones;
+	for (const Box &it : pool.boxes) {
+		if (!TakesWork(it) || (without != nullptr && it.name == *without)) {
+			continue;
+		}
+		const uint64_t slots = it.slots.Value();
+		capacity.up += slots;
+		capacity.largest_box = std::max(capacity.largest_box, slots);
+		racks[{it.zone, it.rack}] += slots;
+		zones[it.zone] += slots;
+	}
+	capacity.largest_rack = LargestOf(racks);
+	capacity.largest_zone = LargestOf(zones);
+	return capacity;
+}
+
+PoolFloors FloorsOf(const PoolPicture &pool)
+{
+	PoolFloors floors;
+	for (const ServiceRow &row : pool.rows) {
+		for (int guard = 0; guard <= static_cast<int>(row.guard); guard++) {
+			floors.at_least[guard] += row.floor.Value();
+		}
+	}
+	return floors;
+}
+
+bool FloorsHold(const PoolCapacity &capacity, const PoolFloors &floors, bool with_headroom)
+{
+	if (capacity.up < floors.All()) {
+		return false;
+	}
+	return !with_headroom || std::ranges::all_of(_guards, [&](Guard guard) {
+		return capacity.up - capacity.LossOf(guard) >= floors.at_least[static_cast<int>(guard)];
+	});
+}
+
+uint64_t HeadroomOf(const PoolCapacity &capacity, const PoolFloors &floors)
+{
+	uint64_t headroom = 0;
+	for (Guard guard : _guards) {
+		if (floors.at_least[static_cast<int>(guard)] > 0) {
+			headroom = std::max(headroom, capacity.LossOf(guard));
+		}
+	}
+	return headroom;
+}
+
+Result CheckBudget(const PoolPicture &pool, const Box &box, bool urgent)
+{
+	const PoolCapacity after = CapacityOf(pool, &box.name);
+	const PoolFloors floors = FloorsOf(pool);
+	if (!FloorsHold(after, floors, !urgent)) {
+		return {ResultCode::RC_BUDGET_FLOOR, "pool " + pool.name.Value() + " would keep " + std::to_string(after.up) +
+													 " slots, floors " + std::to_string(floors.All()) +
+													 (urgent ? "" : ", and headroom for the largest domain")};
+	}
+	const DownCount down = DownBeside(pool, box);
+	for (const ServiceRow &row : pool.rows) {
+		if (row.zone_budget != 0 && down.zone + 1 > row.zone_budget) {
+			return {ResultCode::RC_BUDGET_ZONE, "service " + row.service.Value() + ", zone " + box.zone.Value()};
+		}
+		if (row.rack_budget != 0 && down.rack + 1 > row.rack_budget) {
+			return {ResultCode::RC_BUDGET_RACK, "service " + row.service.Value() + ", rack " + box.rack.Value()};
+		}
+	}
+	return {};
+}
--- /dev/null
+++ b/src/fleet/fleet_hash.cpp
@@ -0,0 +1,171 @@
+/** @file fleet_hash.cpp Hashes of the fleet's entities and of the whole state. */
+#include "fleet_hash.h"
+
+#include "table_func.h"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+namespace {
+
+/** Collects the fields of an entity in a fixed byte order. */
+class HashBytes {
+public:
+	explicit HashBytes(char kind) { this->buf.push_back(kind); }
+
+	HashBytes &Add(uint64_t n)
+	{
+		for (int i = 0; i < 8; i++) {
+			this->buf.push_back(static_cast<char>((n >> (8 * i)) & 0xFF));
+		}
+		return *this;
+	}
+
+	HashBytes &Add(const std::string &text)
+	{
+		this->Add(static_cast<uint64_t>(text.size()));
+		this->buf += text;
+		return *this;
+	}
+
+	template <class Tag, class Rep>
+	HashBytes &Add(const Strong<Tag, Rep> &value)
+	{
+		if constexpr (std::is_integral_v<Rep>) {
+			return this->Add(static_cast<uint64_t>(value.Value()));
+		} else {
+			return this->Add(value.Value());
+		}
+	}
+
+	HashBytes &Add(const std::set<std::string> &all)
+	{
+		this->Add(static_cast<uint64_t>(all.size()));
+		for (const std::string &it : all) {
+			this->Add(it);
+		}
+		return *this;
+	}
+
+	template <class Enum>
+	requires std::is_enum_v<Enum> HashBytes &Add(Enum value) { return this->Add(static_cast<uint64_t>(value)); }
+
+	[[nodiscard]] uint64_t Finish() const { return XXH3_64bits(this->buf.data(), this->buf.size()); }
+
+private:
+	std::string buf; ///< Fields so far.
+};
+
+/**
+ * Sums the hashes of a map's entities.
+ * @param map The map.
+ * @return The sum.
+ */
+template <class Key, class Value>
+uint64_t SumOf(const std::map<Key, Value> &map)
+{
+	uint64_t sum = 0;
+	for (const auto &[key, value] : map) {
+		sum += HashEntity(key, value);
+	}
+	return sum;
+}
+
+} // namespace
+
+uint64_t HashEntity(const CellKey &key, const Cell &value)
+{
+	return HashBytes('c').Add(key.service).Add(key.column).Add(value.value).Add(value.version).Finish();
+}
+
+uint64_t HashEntity(const BoxName &key, const Box &value)
+{
+	HashBytes hash('b');
+	hash.Add(key).Add(value.zone).Add(value.rack).Add(value.address).Add(value.slots).Add(value.pool).Add(value.epoch);
+	hash.Add(value.state).Add(value.health).Add(value.permit).Add(value.purpose).Add(uint64_t{value.urgent});
+	hash.Add(value.move_to).Add(value.last_maintained).Add(value.since).Add(uint64_t{value.strikes});
+	hash.Add(value.registered).Add(value.confirmed);
+	return hash.Add(value.strike_jobs).Finish();
+}
+
+uint64_t HashEntity(const MemberName &key, const Member &value)
+{
+	HashBytes hash('m');
+	hash.Add(key).Add(value.role).Add(value.region).Add(value.zone).Add(value.address).Add(value.incarnation);
+	return hash.Add(value.since).Add(uint64_t{value.rules}).Add(value.witnesses).Finish();
+}
+
+uint64_t HashEntity(const ZoneName &key, const ZoneChange &value)
+{
+	return HashBytes('z').Add(key).Add(value.changes).Add(value.last).Finish();
+}
+
+uint64_t HashEntity(const RegionName &key, const PlannerSeat &value)
+{
+	return HashBytes('p').Add(key).Add(value.member).Add(value.term).Finish();
+}
+
+uint64_t HashEntity(const std::string &key, const WriterMark &value)
+{
+	return HashBytes('w').Add(key).Add(value.incarnation).Add(value.sequence).Add(value.last).Finish();
+}
+
+uint64_t HashEntity(const TeamName &key, const uint32_t &value)
+{
+	return HashBytes('t').Add(key).Add(uint64_t{value}).Finish();
+}
+
+uint64_t HashEntity(const JobName &key, const Job &value)
+{
+	HashBytes hash('j');
+	hash.Add(key).Add(value.team).Add(value.work_class).Add(uint64_t{value.units}).Add(uint64_t{value.repeatable});
+	hash.Add(value.state).Add(value.box).Add(value.box_epoch).Add(uint64_t{value.attempt}).Add(value.failed_on);
+	return hash.Add(value.accepted).Add(value.since).Finish();
+}
+
+uint64_t FleetState::Hash() const
+{
+	return HashBytes('s')
+			.Add(this->entity_sum)
+			.Add(uint64_t{this->rule_version})
+			.Add(this->table_version)
+			.Add(this->time)
+			.Finish();
+}
+
+uint64_t FleetState::SumAll() const
+{
+	return SumOf(this->cells) + SumOf(this->boxes) + SumOf(this->members) + SumOf(this->zones) + SumOf(this->planners) +
+		   SumOf(this->writers) + SumOf(this->teams) + SumOf(this->jobs);
+}
+
+uint64_t FleetState::SlowHash() const
+{
+	FleetState copy;
+	copy.rule_version = this->rule_version;
+	copy.table_version = this->table_version;
+	copy.time = this->time;
+	copy.entity_sum = this->SumAll();
+	return copy.Hash();
+}
+
+void FleetState::Rebuild()
+{
+	this->entity_sum = this->SumAll();
+	this->team_used.clear();
+	this->box_used.clear();
+	for (const auto &[name, job] : this->jobs) {
+		this->CountJob(job, 1);
+	}
+	this->rows = CompileRows(this->cells).rows;
+}
+
+void FleetState::CountJob(const Job &job, int sign)
+{
+	/* An attempt whose holder may only be paused still uses its box and its team's quota. */
+	if (job.state != JobState::JS_PLACED && job.state != JobState::JS_UNKNOWN) {
+		return;
+	}
+	this->team_used[job.team] += static_cast<uint32_t>(sign) * job.units;
+	this->box_used[job.box] += static_cast<uint32_t>(sign) * job.units;
+}
--- /dev/null
+++ b/src/fleet/job_cmd.cpp
@@ -0,0 +1,211 @@
+/** @file job_cmd.cpp Commands on jobs: quotas, acceptance, placement, reports, cancellation. */
+#include "budget_func.h"
+#include "fleet_func.h"
+#include "fleet_hash.h"
+
+namespace {
+
+/** @return Value of a key in a derived map, 0 when it is not there. */
+template <class Key>
+uint32_t UsedOf(const std::map<Key, uint32_t> &map, const Key &key)
+{
+	const auto it = map.find(key);
+	return it == map.end() ? 0 : it->second;
+}
+
+/**
+ * Counts a failed job against the box that ran it.
+ * @param fleet The state.
+ * @param job The job.
+ */
+void Strike(FleetState &fleet, const Job &job)
+{
+	const auto old = fleet.boxes.find(job.box);
+	/* A parked job has failed on healthy boxes too: it says nothing about this one. */
+	if (old == fleet.boxes.end() || old->second.epoch != job.box_epoch || job.state == JobState::JS_PARKED) {
+		return;
+	}
+	Box box = old->second;
+	box.strike_jobs.insert(job.name.Value());
+	box.strikes = static_cast<uint32_t>(box.strike_jobs.size());
+	if (box.strikes >= STRIKES_TO_SET_ASIDE && box.state == BoxState::BS_SERVING) {
+		box.state = BoxState::BS_SET_ASIDE;
+		box.since = fleet.time;
+	}
+	fleet.Put(fleet.boxes, box.name, box);
+}
+
+/**
+ * Clears the strikes of a box on which a job succeeded.
+ * @param fleet The state.
+ * @param name The box.
+ */
+void ClearStrikes(FleetState &fleet, const BoxName &name)
+{
+	const auto old = fleet.boxes.find(name);
+	if (old == fleet.boxes.end() || old->second.strikes == 0) {
+		return;
+	}
+	Box box = old->second;
+	box.strikes = 0;
+	box.strike_jobs.clear();
+	fleet.Put(fleet.boxes, name, box);
+}
+
+/**
+ * State of a job after a report.
+ * @param job The job, its failures counted.
+ * @param outcome How the attempt ended.
+ * @return The next state.
+ */
+JobState NextState(const Job &job, JobOutcome outcome)
+{
+	switch (outcome) {
+	case JobOutcome::JO_DONE:
+		return JobState::JS_DONE;
+	case JobOutcome::JO_FAILED:
+		return !job.repeatable || job.failed_on.size() >= FAILURES_TO_PARK ? JobState::JS_PARKED : JobState::JS_WAITING;
+	case JobOutcome::JO_LAPSED:
+		return job.repeatable ? JobState::JS_WAITING : JobState::JS_UNKNOWN;
+	case JobOutcome::JO_STOPPED:
+		return job.repeatable ? JobState::JS_WAITING : JobState::JS_PARKED;
+	case JobOutcome::JO_NOT_RUN:
+	case JobOutcome::JO_CHECKPOINT:
+		break;
+	}
+	return JobState::JS_WAITING;
+}
+
+} // namespace
+
+Result CmdTeamQuota(const CommandContext &context, FleetState &fleet, const glade::wire::TeamQuotaT &it)
+{
+	if (it.team.empty()) {
+		return {ResultCode::RC_MALFORMED, "team is needed"};
+	}
+	if (context.mode == CommandMode::CM_EXECUTE) {
+		fleet.Put(fleet.teams, TeamName(it.team), it.units);
+	}
+	return {};
+}
+
+Result CmdJobAccept(const CommandContext &context, FleetState &fleet, const glade::wire::JobAcceptT &it)
+{
+	if (it.job.empty() || it.units == 0 || it.work_class > static_cast<uint8_t>(WorkClass::WC_BATCH)) {
+		return {ResultCode::RC_MALFORMED, "job name, class and at least one unit are needed"};
+	}
+	if (fleet.jobs.contains(JobName(it.job))) {
+		return {ResultCode::RC_JOB_EXISTS, it.job};
+	}
+	const auto quota = fleet.teams.find(TeamName(it.team));
+	if (quota == fleet.teams.end() || quota->second < it.units) {
+		return {ResultCode::RC_QUOTA, "team " + it.team + " could never run it"};
+	}
+	if (context.mode == CommandMode::CM_TEST) {
+		return {};
+	}
+	Job job;
+	job.name = JobName(it.job);
+	job.team = TeamName(it.team);
+	job.work_class = static_cast<WorkClass>(it.work_class);
+	job.units = it.units;
+	job.repeatable = it.repeatable;
+	job.accepted = fleet.time;
+	job.since = fleet.time;
+	fleet.Put(fleet.jobs, job.name, job);
+	return {};
+}
+
+Result CmdJobPlace(const CommandContext &context, FleetState &fleet, const glade::wire::JobPlaceT &it)
+{
+	if (Result term = CheckTerm(context, fleet); !term.Ok()) {
+		return term;
+	}
+	const auto old = fleet.jobs.find(JobName(it.job));
+	if (old == fleet.jobs.end()) {
+		return {ResultCode::RC_UNKNOWN_JOB, it.job};
+	}
+	Job job = old->second;
+	if (job.state != JobState::JS_WAITING || job.attempt + 1 != it.attempt) {
+		return {ResultCode::RC_JOB_STATE, it.job};
+	}
+	const auto box = fleet.boxes.find(BoxName(it.box));
+	if (box == fleet.boxes.end()) {
+		return {ResultCode::RC_UNKNOWN_BOX, it.box};
+	}
+	if (box->second.epoch.Value() != it.box_epoch) {
+		return {ResultCode::RC_STALE_EPOCH, it.box};
+	}
+	if (!TakesWork(box->second)) {
+		return {ResultCode::RC_WRONG_STATE, it.box};
+	}
+	if (UsedOf(fleet.box_used, box->first) + job.units > box->second.slots.Value()) {
+		return {ResultCode::RC_NO_ROOM, it.box};
+	}
+	if (UsedOf(fleet.team_used, job.team) + job.units > UsedOf(fleet.teams, job.team)) {
+		return {ResultCode::RC_QUOTA, "team " + job.team.Value()};
+	}
+	if (context.mode == CommandMode::CM_TEST) {
+		return {};
+	}
+	job.state = JobState::JS_PLACED;
+	job.box = box->first;
+	job.box_epoch = box->second.epoch;
+	job.attempt = it.attempt;
+	job.since = fleet.time;
+	fleet.Put(fleet.jobs, job.name, job);
+	return {};
+}
+
+Result CmdJobReport(const CommandContext &context, FleetState &fleet, const glade::wire::JobReportT &it)
+{
+	const auto old = fleet.jobs.find(JobName(it.job));
+	if (old == fleet.jobs.end()) {
+		return {ResultCode::RC_UNKNOWN_JOB, it.job};
+	}
+	Job job = old->second;
+	if (it.outcome > static_cast<uint8_t>(JobOutcome::JO_STOPPED)) {
+		return {ResultCode::RC_MALFORMED, "outcome " + std::to_string(it.outcome)};
+	}
+	const auto outcome = static_cast<JobOutcome>(it.outcome);
+	const bool after_lapse = job.state == JobState::JS_UNKNOWN && outcome != JobOutcome::JO_LAPSED;
+	if ((job.state != JobState::JS_PLACED && !after_lapse) || job.attempt != it.attempt) {
+		return {ResultCode::RC_JOB_STATE, it.job};
+	}
+	if (context.mode == CommandMode::CM_TEST) {
+		return {};
+	}
+	if (outcome == JobOutcome::JO_FAILED) {
+		job.failed_on.insert(job.box.Value());
+	}
+	job.state = NextState(job, outcome);
+	job.since = fleet.time;
+	fleet.Put(fleet.jobs, job.name, job);
+	if (outcome == JobOutcome::JO_FAILED) {
+		Strike(fleet, job);
+	} else if (outcome == JobOutcome::JO_DONE) {
+		ClearStrikes(fleet, job.box);
+	}
+	return {};
+}
+
+Result CmdJobCancel(const CommandContext &context, FleetState &fleet, const glade::wire::JobCancelT &it)
+{
+	if (context.mode == CommandMode::CM_TEST) {
+		return {};
+	}
+	/* A wave of cancellations is one record; jobs that are over already are left as they are, so it is idempotent. */
+	for (const std::string &name : it.jobs) {
+		const auto old = fleet.jobs.find(JobName(name));
+		if (old == fleet.jobs.end()) {
+			continue;
+		}
+		Job job = old->second;
+		if (job.state == JobState::JS_WAITING || job.state == JobState::JS_PLACED) {
+			job.state = JobState::JS_CANCELLED;
+			job.since = fleet.time;
+			fleet.Put(fleet.jobs, job.name, job);
+		}
+	}
+	return {};
+}
--- /dev/null
+++ b/src/keeper/entry_desk.cpp
@@ -0,0 +1,205 @@
+/** @file entry_desk.cpp The keeper's side of its entries. */
+#include "entry_desk.h"
+
+#include "view_func.h"
+
+#include <algorithm>
+#include <utility>
+
+using namespace glade::wire;
+
+bool EntryDesk::IsMember(const MemberName &name, Incarnation incarnation) const
+{
+	const auto it = this->core.State().members.find(name);
+	return it != this->core.State().members.end() && it->second.incarnation == incarnation;
+}
+
+void EntryDesk::OnHello(EntryChannel &channel, const EntryHelloT &hello)
+{
+	Session &session = this->sessions[&channel];
+	session.name = MemberName(hello.member);
+	session.incarnation = Incarnation(hello.incarnation);
+	session.drained.clear();
+	for (size_t i = 0; i < std::min(hello.drained_boxes.size(), hello.drained_permits.size()); i++) {
+		session.drained[BoxName(hello.drained_boxes[i])] = PermitId(hello.drained_permits[i]);
+	}
+	Heard &heard_now = this->heard[session.name];
+	if (heard_now.incarnation != session.incarnation) {
+		heard_now = Heard{session.incarnation, Millis(), false};
+	}
+	heard_now.at = this->core.scheduler.Now();
+	if (!this->core.tail.CaughtUp() && this->core.State().offset == LogOffset()) {
+		return;
+	}
+	const bool member = this->IsMember(session.name, session.incarnation);
+	if (hello.leaving) {
+		if (member) {
+			this->Leave(this->core.State().members.at(session.name), session.name);
+		}
+		return;
+	}
+	if (!member) {
+		this->Join(hello);
+		return;
+	}
+	/* A view without the entry's own joining could show a box as open that is being drained. */
+	if (hello.view_version != this->version || hello.view_hash != this->view.hash) {
+		if (hello.view_version != session.sent.version) {
+			session.sent = ViewT();
+		}
+		this->Push(channel, session);
+	}
+	this->Lease(channel, hello);
+}
+
+void EntryDesk::OnDown(EntryChannel &channel)
+{
+	this->sessions.erase(&channel);
+}
+
+void EntryDesk::Join(const EntryHelloT &hello)
+{
+	Heard &it = this->heard[MemberName(hello.member)];
+	if (it.asked) {
+		return;
+	}
+	it.asked = true;
+	MemberJoinT join;
+	join.member = hello.member;
+	join.incarnation = hello.incarnation;
+	join.role = static_cast<uint8_t>(MemberRole::MR_ENTRY);
+	join.region = hello.region;
+	join.zone = hello.zone;
+	join.address = hello.address;
+	join.rules = RULE_VERSION_NEWEST;
+	this->core.writer.Submit(
+			MakeProposal(std::move(join)), WritePriority::WP_CONFIG,
+			[this, name = MemberName(hello.member)](const Decision &) { this->heard[name].asked = false; });
+}
+
+void EntryDesk::Leave(const Member &member, const MemberName &witness)
+{
+	Heard &it = this->heard[member.name];
+	if (it.asked) {
+		return;
+	}
+	it.asked = true;
+	MemberLeaveT leave;
+	leave.member = member.name.Value();
+	leave.incarnation = member.incarnation.Value();
+	leave.witness = witness.Value();
+	this->core.writer.Submit(MakeProposal(std::move(leave)), WritePriority::WP_CONFIG,
+							 [this, name = member.name](const Decision &) { this->heard[name].asked = false; });
+}
+
+void EntryDesk::Lease(EntryChannel &channel, const EntryHelloT &hello)
+{
+	if (hello.view_version != this->version || hello.view_hash != this->view.hash) {
+		return;
+	}
+	if (!this->Fresh() || this->lapsed.contains(MemberName(hello.member))) {
+		this->core.counters.leases_refused++;
+		return;
+	}
+	this->core.counters.leases++;
+	LeaseGrantT grant;
+	grant.hello_number = hello.number;
+	grant.lease_ms = static_cast<uint32_t>(this->core.times.lease.Value());
+	grant.view_version = this->version;
+	grant.log_time = this->core.State().time.Value();
+	MessageUnion message;
+	message.Set(std::move(grant));
+	channel.Send(message);
+}
+
+void EntryDesk::Push(EntryChannel &channel, Session &session)
+{
+	MessageUnion message;
+	if (session.sent.version == 0) {
+		message.Set(CopyView(this->view));
+	} else {
+		message.Set(DiffView(session.sent, this->view));
+	}
+	session.sent = CopyView(this->view);
+	this->core.counters.views++;
+	channel.Send(message);
+}
+
+void EntryDesk::Refresh()
+{
+	ViewT next = BuildView(this->core.State(), this->core.self.zone, this->core.list);
+	if (this->version != 0 && next.hash == this->view.hash && next.zone_changes == this->view.zone_changes) {
+		return;
+	}
+	next.version = ++this->version;
+	this->view = std::move(next);
+	for (auto &[channel, session] : this->sessions) {
+		if (this->IsMember(session.name, session.incarnation)) {
+			this->Push(*channel, session);
+		}
+	}
+}
+
+void EntryDesk::OnBeat(const KeeperBeatT &beat)
+{
+	const Millis now = this->core.scheduler.Now();
+	this->keepers[MemberName(beat.member)] = KeeperNews{now, LogOffset(beat.offset), Millis(beat.log_age_ms)};
+	this->heard[MemberName(beat.member)].at = now;
+}
+
+bool EntryDesk::Fresh() const
+{
+	const Millis now = this->core.scheduler.Now();
+	if (this->core.tail.LastAnswer() + this->core.times.fresh > now) {
+		return true;
+	}
+	return std::ranges::all_of(this->core.State().members, [&](const auto &it) {
+		const Member &member = it.second;
+		if (member.role != MemberRole::MR_KEEPER || member.zone != this->core.self.zone ||
+			member.name == this->core.self.name) {
+			return true;
+		}
+		const auto news = this->keepers.find(member.name);
+		return news != this->keepers.end() && news->second.heard + this->core.times.fresh > now &&
+			   news->second.offset <= this->core.State().offset && news->second.log_age > this->core.times.fresh;
+	});
+}
+
+void EntryDesk::WatchLapses()
+{
+	const Millis now = this->core.scheduler.Now();
+	const Millis silent_since = now - this->core.times.lapse;
+	std::vector<Member> silent;
+	for (const auto &[name, member] : this->core.State().members) {
+		if (member.zone != this->core.self.zone || name == this->core.self.name) {
+			continue;
+		}
+		/* A keeper that has just started has heard nobody yet; it may not blame them. */
+		const auto it = this->heard.find(name);
+		const Millis last = it == this->heard.end() ? this->started : std::max(it->second.at, this->started);
+		const bool witnessed = member.witnesses.contains(this->core.self.name.Value());
+		if (last < silent_since && !witnessed) {
+			silent.push_back(member);
+		}
+	}
+	for (const Member &member : silent) {
+		this->lapsed[member.name] = member.incarnation;
+		this->Leave(member, this->core.self.name);
+	}
+	/* Leases are refused to a member witnessed against until it has left or joined anew. */
+	std::erase_if(this->lapsed, [&](const auto &it) { return !this->IsMember(it.first, it.second); });
+}
+
+std::map<BoxName, std::vector<MemberName>> EntryDesk::Drained() const
+{
+	std::map<BoxName, std::vector<MemberName>> drained;
+	for (const auto &[channel, session] : this->sessions) {
+		for (const auto &[box, permit] : session.drained) {
+			const auto it = this->core.State().boxes.find(box);
+			if (it != this->core.State().boxes.end() && it->second.permit == permit) {
+				drained[box].push_back(session.name);
+			}
+		}
+	}
+	return drained;
+}
--- /dev/null
+++ b/src/keeper/operator_desk.cpp
@@ -0,0 +1,143 @@
+/** @file operator_desk.cpp Operators' requests to a keeper. */
+#include "operator_desk.h"
+
+#include "../fleet/table_func.h"
+
+#include <algorithm>
+#include <memory>
+#include <ranges>
+#include <utility>
+
+using glade::wire::AskOutcomeT;
+using glade::wire::ChangeRequestT;
+using glade::wire::MessageUnion;
+using glade::wire::OutcomeT;
+using glade::wire::ProposalT;
+using glade::wire::PublishRequestT;
+using glade::wire::TableCellT;
+using glade::wire::TablePublishT;
+using glade::wire::TableReplyT;
+
+namespace {
+
+constexpr size_t RECENT_DECISIONS = 20000; ///< Decisions remembered.
+constexpr Millis OUTCOME_WAIT(5000);       ///< After this an operator is told to ask again.
+
+/** Builds the answer that carries an outcome. */
+MessageUnion OutcomeOf(const std::string &id, const Result &result, LogOffset offset)
+{
+	OutcomeT outcome;
+	outcome.id = id;
+	outcome.code = static_cast<uint32_t>(result.code);
+	outcome.offset = offset.Value();
+	outcome.message = result.detail;
+	MessageUnion message;
+	message.Set(std::move(outcome));
+	return message;
+}
+
+/** Copies a proposal through the codec. */
+Proposal CopyOf(const ProposalT &from)
+{
+	flatbuffers::FlatBufferBuilder builder;
+	builder.Finish(glade::wire::Proposal::Pack(builder, &from));
+	return Proposal(flatbuffers::GetRoot<glade::wire::Proposal>(builder.GetBufferPointer())->UnPack());
+}
+
+/** Builds the change that publishes an edit. */
+TablePublishT PublicationOf(const PublishRequestT &it)
+{
+	TablePublishT publish;
+	publish.base_version = it.base_version;
+	publish.removed_services = it.removed_services;
+	for (const auto &cell : it.cells) {
+		publish.cells.push_back(std::make_unique<TableCellT>(*cell));
+	}
+	return publish;
+}
+
+} // namespace
+
+void OperatorDesk::OnPublish(const PublishRequestT &it, const Reply &reply)
+{
+	Proposal proposal = MakeProposal(PublicationOf(it));
+	if (!it.check_only) {
+		this->Propose(std::move(proposal), reply);
+		return;
+	}
+	FleetState scratch = this->core.State();
+	CommandContext context;
+	context.mode = CommandMode::CM_TEST;
+	context.offset = LogOffset(scratch.offset.Value() + 1);
+	context.writer = this->core.self.name.Value();
+	reply(OutcomeOf("", RunCommand(context, scratch, proposal->change), scratch.offset));
+}
+
+void OperatorDesk::OnChange(const ChangeRequestT &it, const Reply &reply)
+{
+	if (!it.proposal) {
+		reply(OutcomeOf("", Result{ResultCode::RC_MALFORMED, "no change"}, LogOffset()));
+		return;
+	}
+	this->Propose(CopyOf(*it.proposal), reply);
+}
+
+void OperatorDesk::Propose(Proposal proposal, const Reply &reply)
+{
+	const auto answered = std::make_shared<bool>(false);
+	const auto done = [answered, reply](const Decision &decision) {
+		if (!std::exchange(*answered, true)) {
+			reply(OutcomeOf(decision.id.Text(), decision.result, decision.offset));
+		}
+	};
+	const auto id = this->core.writer.Submit(std::move(proposal), WritePriority::WP_CONFIG, done);
+	this->core.scheduler.After(OUTCOME_WAIT, [this, answered, reply, id] {
+		if (std::exchange(*answered, true)) {
+			return;
+		}
+		/* Not appended yet: taken back, so that the answer is certain. Else it may still take effect. */
+		const bool certain = this->core.writer.Withdraw(id);
+		const ResultCode code = certain ? ResultCode::RC_LOG_UNAVAILABLE : ResultCode::RC_OUTCOME_UNKNOWN;
+		reply(OutcomeOf(certain ? "" : id->Text(), Result{code, ""}, LogOffset()));
+	});
+}
+
+void OperatorDesk::OnAsk(const AskOutcomeT &it, const Reply &reply) const
+{
+	const auto same = [&](const Decision &decision) {
+		return decision.id.Text() == it.id && decision.result.code != ResultCode::RC_DUPLICATE;
+	};
+	const auto found = std::ranges::find_if(this->recent, same);
+	if (found == this->recent.end()) {
+		reply(OutcomeOf(it.id, Result{ResultCode::RC_OUTCOME_UNKNOWN, ""}, LogOffset()));
+		return;
+	}
+	reply(OutcomeOf(it.id, found->result, found->offset));
+}
+
+void OperatorDesk::OnTable(const Reply &reply) const
+{
+	TableReplyT table;
+	table.version = this->core.State().table_version.Value();
+	for (const auto &[key, cell] : this->core.State().cells) {
+		auto it = std::make_unique<TableCellT>();
+		it->service = key.service.Value();
+		it->column = key.column;
+		it->value = cell.value;
+		table.cells.push_back(std::move(it));
+	}
+	MessageUnion message;
+	message.Set(std::move(table));
+	reply(message);
+}
+
+void OperatorDesk::OnDecisions(const std::vector<Decision> &decisions)
+{
+	for (const Decision &it : decisions) {
+		this->recent.push_back(it);
+		(it.result.Ok() ? this->core.counters.accepted : this->core.counters.rejected)++;
+	}
+	while (this->recent.size() > RECENT_DECISIONS) {
+		this->recent.pop_front();
+	}
+}
--- /dev/null
+++ b/src/net/caller_link.cpp
@@ -0,0 +1,228 @@
+/** @file caller_link.cpp Connections of callers. */
+#include "caller_link.h"
+
+#include <QPointer>
+
+namespace {
+
+constexpr qint64 READ_BUFFER = 64 * 1024; ///< Bytes that Qt reads ahead; more stays with the caller's TCP.
+
+} // namespace
+
+CallerLink::CallerLink(QtScheduler &scheduler, RequestHandler &handler, const CallerLimits &limits,
+					   std::atomic<int> &open, qintptr descriptor)
+		: scheduler(scheduler), handler(handler), limits(limits), open(open), reader(limits.http)
+{
+	this->open++;
+	this->socket.setReadBufferSize(READ_BUFFER);
+	QObject::connect(&this->socket, &QTcpSocket::readyRead, this, [this] { this->OnReadable(); });
+	QObject::connect(&this->socket, &QTcpSocket::disconnected, this, [this] { this->OnGone(); });
+	QObject::connect(&this->socket, &QTcpSocket::bytesWritten, this, [this] {
+		if (this->served && !this->Congested()) {
+			this->served->OnCallerDrained();
+		}
+	});
+	if (!this->socket.setSocketDescriptor(descriptor)) {
+		this->deleteLater();
+		return;
+	}
+	this->socket.setSocketOption(QAbstractSocket::LowDelayOption, 1);
+	this->Arm();
+}
+
+CallerLink::~CallerLink()
+{
+	this->open--;
+	this->scheduler.Cancel(this->timer);
+	if (this->served) {
+		this->served->OnCallerGone();
+	}
+}
+
+void CallerLink::OnGone()
+{
+	if (this->served) {
+		const auto gone = std::move(this->served);
+		gone->OnCallerGone();
+	}
+	this->deleteLater();
+}
+
+void CallerLink::Arm()
+{
+	/* The wait runs from the first byte of a head, or of a body; more bytes do not stretch it. */
+	const bool for_body = this->reader.HeadDone();
+	if (this->timer != TimerId() && this->timer_for_body == for_body && this->reader.Partial()) {
+		return;
+	}
+	this->scheduler.Cancel(this->timer);
+	this->timer_for_body = for_body;
+	Millis wait = this->limits.idle_wait;
+	if (for_body) {
+		wait = this->limits.body_wait;
+	} else if (this->reader.Partial()) {
+		wait = this->limits.head_wait;
+	}
+	this->timer = this->scheduler.After(wait, [this] { this->OnWait(); });
+}
+
+void CallerLink::OnWait()
+{
+	this->timer = TimerId();
+	if (this->busy) {
+		return;
+	}
+	if (!this->reader.Partial()) {
+		this->socket.disconnectFromHost();
+		return;
+	}
+	this->RefuseBad(ResultCode::RC_CALLER_TOO_SLOW);
+}
+
+void CallerLink::OnReadable()
+{
+	if (this->busy || this->closing) {
+		return; /* What a caller sends ahead stays in the socket's buffer until its turn. */
+	}
+	const bool was_idle = !this->reader.Partial();
+	const QByteArray data = this->socket.readAll();
+	this->reader.Append(std::string_view(data.constData(), static_cast<size_t>(data.size())));
+	if (was_idle) {
+		this->scheduler.Cancel(this->timer);
+		this->timer = TimerId();
+	}
+	this->Advance();
+}
+
+void CallerLink::Advance()
+{
+	while (!this->busy && !this->closing && this->ServeNext()) {
+	}
+}
+
+bool CallerLink::ServeNext()
+{
+	switch (this->reader.Parse()) {
+	case ParseProgress::PR_MORE:
+		this->Arm();
+		return false;
+	case ParseProgress::PR_CONTINUE:
+		this->Write("HTTP/1.1 100 Continue\r\n\r\n");
+		this->Arm();
+		return false;
+	case ParseProgress::PR_BAD:
+		this->RefuseBad(this->reader.Error());
+		return false;
+	case ParseProgress::PR_READY:
+		break;
+	}
+	this->scheduler.Cancel(this->timer);
+	this->timer = TimerId();
+	CallerRequest request = this->reader.Take();
+	request.from_peer = this->limits.from_peers;
+	this->head_request = request.method == "HEAD";
+	this->busy = true;
+	this->serving = true;
+	std::shared_ptr<ServedRequest> now = this->handler.Serve(*this, std::move(request));
+	this->serving = false;
+	if (this->busy) {
+		this->served = std::move(now);
+		return false;
+	}
+	return true;
+}
+
+void CallerLink::RefuseBad(ResultCode code)
+{
+	/* After a bad request nothing on the connection can be trusted: answer and close. */
+	this->busy = true;
+	this->closing = true;
+	AnswerHead head;
+	head.status = HttpStatusOf(code);
+	head.headers.Add(std::string(HEADER_RUN), "no");
+	head.headers.Add(std::string(HEADER_CODE), std::to_string(static_cast<int>(code)));
+	head.headers.Add("Content-Type", "application/json");
+	const std::string body = std::string("{\"code\":") + std::to_string(static_cast<int>(code)) + ",\"symbol\":\"" +
+							 SymbolOf(code) + "\",\"message\":\"" + make_error_code(code).message() +
+							 "\",\"run\":\"no\"}\n";
+	head.length = body.size();
+	this->Begin(head);
+	this->Body(body);
+	this->End();
+}
+
+void CallerLink::Begin(const AnswerHead &head)
+{
+	this->closing = this->closing || !this->reader.KeepAlive() || this->handler.Closing();
+	this->head_request = this->head_request || head.no_body;
+	if (head.length || this->head_request) {
+		this->framing = BodyFraming::BF_LENGTH;
+	} else {
+		this->framing = this->reader.Chunks() ? BodyFraming::BF_CHUNKS : BodyFraming::BF_CLOSE;
+	}
+	this->closing = this->closing || this->framing == BodyFraming::BF_CLOSE;
+	this->Write(WriteAnswerHead(head, this->framing, !this->closing));
+}
+
+void CallerLink::Body(std::string_view data)
+{
+	if (data.empty() || this->head_request) {
+		return;
+	}
+	if (this->framing == BodyFraming::BF_CHUNKS) {
+		this->Write(WriteChunk(data));
+	} else {
+		this->Write(data);
+	}
+}
+
+void CallerLink::End()
+{
+	if (this->framing == BodyFraming::BF_CHUNKS && !this->head_request) {
+		this->Write(LastChunk());
+	}
+	this->served.reset();
+	this->busy = false;
+	this->head_request = false;
+	if (this->closing) {
+		this->socket.disconnectFromHost();
+		return;
+	}
+	if (!this->serving) {
+		this->scheduler.Post([this, still = QPointer<CallerLink>(this)] {
+			if (still && !this->busy) {
+				this->Arm();
+				this->OnReadable();
+			}
+		});
+	} else {
+		this->Arm();
+	}
+}
+
+void CallerLink::Break()
+{
+	this->served.reset();
+	this->busy = false;
+	this->closing = true;
+	/* A reset, not an orderly end: a caller that reads until the connection closes must see the difference. */
+	this->socket.abort();
+}
+
+bool CallerLink::Congested() const
+{
+	return this->socket.bytesToWrite() > this->limits.answer_buffer;
+}
+
+void CallerLink::CloseIfIdle()
+{
+	if (!this->busy && !this->reader.Partial()) {
+		this->closing = true;
+		this->socket.disconnectFromHost();
+	}
+}
+
+void CallerLink::Write(std::string_view data)
+{
+	this->socket.write(data.data(), static_cast<qint64>(data.size()));
+}
--- /dev/null
+++ b/src/net/frame_link.cpp
@@ -0,0 +1,226 @@
+/** @file frame_link.cpp Frames between our own processes. */
+#include "frame_link.h"
+
+#include <QtEndian>
+
+#include <algorithm>
+
+namespace {
+
+constexpr int FRAME_HEADER = 4;         ///< Bytes of a frame's length.
+constexpr Millis CONNECT_TIMEOUT(1000); ///< A connection that does not stand by then is given up.
+constexpr Millis RECONNECT_AFTER(200);  ///< Pause between two tries.
+
+/**
+ * Hands an object to Qt for deletion once its thread is free, without further signals.
+ * @param socket The socket.
+ */
+void Discard(QTcpSocket *socket)
+{
+	socket->disconnect();
+	socket->abort();
+	socket->deleteLater();
+}
+
+} // namespace
+
+FrameLink::FrameLink(QTcpSocket *socket) : socket(socket)
+{
+	socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+	QObject::connect(socket, &QTcpSocket::readyRead, socket, [this] { this->OnReadable(); });
+	QObject::connect(socket, &QTcpSocket::connected, socket, [this] {
+		if (this->on_up) {
+			this->on_up();
+		}
+	});
+	QObject::connect(socket, &QTcpSocket::stateChanged, socket, [this](QAbstractSocket::SocketState state) {
+		if (state == QAbstractSocket::UnconnectedState && this->on_down) {
+			this->on_down();
+		}
+	});
+}
+
+FrameLink::~FrameLink()
+{
+	Discard(this->socket);
+}
+
+bool FrameLink::Up() const
+{
+	return this->socket->state() == QAbstractSocket::ConnectedState;
+}
+
+int64_t FrameLink::Pending() const
+{
+	return this->socket->bytesToWrite();
+}
+
+void FrameLink::Send(const MessageUnion &message)
+{
+	if (!this->Up()) {
+		return;
+	}
+	flatbuffers::FlatBufferBuilder builder;
+	const auto body = message.Pack(builder);
+	builder.Finish(glade::wire::CreateFrame(builder, message.type, body));
+	char header[FRAME_HEADER];
+	qToLittleEndian<quint32>(builder.GetSize(), header);
+	this->socket->write(header, FRAME_HEADER);
+	this->socket->write(reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize());
+	this->bytes_sent += builder.GetSize() + FRAME_HEADER;
+}
+
+void FrameLink::OnReadable()
+{
+	const QByteArray data = this->socket->readAll();
+	this->bytes_received += static_cast<uint64_t>(data.size());
+	this->buf += data;
+	while (this->TakeFrame()) {
+	}
+}
+
+bool FrameLink::TakeFrame()
+{
+	if (this->buf.size() < FRAME_HEADER) {
+		return false;
+	}
+	const quint32 size = qFromLittleEndian<quint32>(this->buf.constData());
+	if (size > FRAME_BYTES_MAX) {
+		this->socket->abort();
+		return false;
+	}
+	if (this->buf.size() < FRAME_HEADER + static_cast<qsizetype>(size)) {
+		return false;
+	}
+	const QByteArray body = this->buf.mid(FRAME_HEADER, size);
+	this->buf.remove(0, FRAME_HEADER + static_cast<qsizetype>(size));
+	const auto *data = reinterpret_cast<const uint8_t *>(body.constData());
+	flatbuffers::Verifier verifier(data, size, 64, 100000000);
+	if (!verifier.VerifyBuffer<glade::wire::Frame>()) {
+		this->socket->abort();
+		return false;
+	}
+	const std::unique_ptr<glade::wire::FrameT> frame(flatbuffers::GetRoot<glade::wire::Frame>(data)->UnPack());
+	if (this->on_message) {
+		this->on_message(frame->message);
+	}
+	return true;
+}
+
+FrameServer::FrameServer(OnMessage on_message, OnDown on_down)
+		: on_message(std::move(on_message)), on_down(std::move(on_down))
+{
+	QObject::connect(&this->server, &QTcpServer::newConnection, &this->server, [this] { this->Accept(); });
+}
+
+bool FrameServer::Listen(const NetAddress &address)
+{
+	return this->server.listen(address.ip, address.port);
+}
+
+void FrameServer::Accept()
+{
+	while (QTcpSocket *socket = this->server.nextPendingConnection()) {
+		socket->setParent(nullptr);
+		auto link = std::make_unique<FrameLink>(socket);
+		FrameLink *raw = link.get();
+		link->on_message = [this, raw](const MessageUnion &message) { this->on_message(*raw, message); };
+		link->on_down = [this, raw] {
+			QMetaObject::invokeMethod(
+					&this->server, [this, raw] { this->Drop(raw); }, Qt::QueuedConnection);
+		};
+		this->links.push_back(std::move(link));
+	}
+}
+
+void FrameServer::Drop(FrameLink *link)
+{
+	const auto it = std::ranges::find_if(this->links, [&](const auto &one) { return one.get() == link; });
+	if (it == this->links.end()) {
+		return;
+	}
+	this->old_bytes += link->bytes_sent + link->bytes_received;
+	this->on_down(*link);
+	this->links.erase(it);
+}
+
+uint64_t FrameServer::Bytes() const
+{
+	uint64_t n = this->old_bytes;
+	for (const auto &link : this->links) {
+		n += link->bytes_sent + link->bytes_received;
+	}
+	return n;
+}
+
+FrameClient::FrameClient(Scheduler &scheduler, std::vector<NetAddress> addresses)
+		: scheduler(scheduler), addresses(std::move(addresses))
+{
+}
+
+FrameClient::~FrameClient()
+{
+	this->scheduler.Cancel(this->timer);
+}
+
+void FrameClient::Start()
+{
+	this->Connect();
+}
+
+void FrameClient::Connect()
+{
+	this->scheduler.Cancel(this->timer);
+	if (this->addresses.empty()) {
+		return;
+	}
+	const NetAddress &address = this->addresses[this->next % this->addresses.size()];
+	auto *socket = new QTcpSocket;
+	if (this->link) {
+		this->old_bytes += this->link->bytes_sent + this->link->bytes_received;
+	}
+	this->link = std::make_unique<FrameLink>(socket);
+	this->link->on_message = [this](const MessageUnion &message) {
+		if (this->on_message) {
+			this->on_message(message);
+		}
+	};
+	this->link->on_up = [this] {
+		this->scheduler.Cancel(this->timer);
+		if (this->on_up) {
+			this->on_up();
+		}
+	};
+	this->link->on_down = [this] { this->Down(); };
+	this->timer = this->scheduler.After(CONNECT_TIMEOUT, [this] { this->TryNext(); });
+	socket->connectToHost(address.ip, address.port);
+}
+
+void FrameClient::Down()
+{
+	if (this->on_down) {
+		this->on_down();
+	}
+	this->next++;
+	this->scheduler.Cancel(this->timer);
+	this->timer = this->scheduler.After(RECONNECT_AFTER, [this] { this->Connect(); });
+}
+
+void FrameClient::TryNext()
+{
+	this->next++;
+	this->scheduler.Cancel(this->timer);
+	this->timer = this->scheduler.After(Millis(0), [this] { this->Connect(); });
+}
+
+void FrameClient::Send(const MessageUnion &message)
+{
+	if (this->link) {
+		this->link->Send(message);
+	}
+}
+
+uint64_t FrameClient::Bytes() const
+{
+	return this->old_bytes + (this->link ? this->link->bytes_sent + this->link->bytes_received : 0);
+}
--- /dev/null
+++ b/src/planner/wave_plan.cpp
@@ -0,0 +1,309 @@
+/** @file wave_plan.cpp When each box is maintained: steps under permits, withdrawals, waves. */
+#include "planner_func.h"
+
+#include <algorithm>
+#include <numeric>
+#include <ranges>
+
+namespace {
+
+/**
+ * Proposes a step of a box under its permit.
+ * @param box The box.
+ * @param step The step.
+ * @return The proposal.
+ */
+Proposal Step(const Box &box, BoxStepKind step)
+{
+	glade::wire::BoxStepT record;
+	record.box = box.name.Value();
+	record.permit = box.permit.Value();
+	record.step = static_cast<uint8_t>(step);
+	return MakeProposal(std::move(record));
+}
+
+/**
+ * Proposes that a box is empty, with the confirmations that this keeper knows, unless that would change nothing.
+ * @param fleet The state.
+ * @param box The box.
+ * @param inputs Drains.
+ * @return The proposal, null when there is nothing new.
+ */
+Proposal StepEmptied(const FleetState &fleet, const Box &box, const PlannerInputs &inputs)
+{
+	glade::wire::BoxStepT record;
+	record.box = box.name.Value();
+	record.permit = box.permit.Value();
+	record.step = static_cast<uint8_t>(BoxStepKind::BK_EMPTIED);
+	std::set<std::string> confirmed = box.confirmed;
+	if (const auto it = inputs.drained.find(box.name); it != inputs.drained.end()) {
+		for (const MemberName &name : it->second) {
+			if (confirmed.insert(name.Value()).second) {
+				record.confirmed.push_back(name.Value());
+			}
+		}
+	}
+	Box next;
+	return CheckBoxStep(fleet, record, next).Ok() ? MakeProposal(std::move(record)) : nullptr;
+}
+
+/**
+ * The next step of a box under a permit.
+ * @param box The box.
+ * @param listed The box in the platform's list, or null.
+ * @return The proposal, null when there is nothing to do yet.
+ */
+Proposal NextStep(const Box &box, const ListedBox *listed)
+{
+	switch (box.state) {
+	case BoxState::BS_EMPTY:
+		return Step(box, box.purpose == PermitPurpose::PP_MOVE ? BoxStepKind::BK_FLIP : BoxStepKind::BK_REBOOT);
+	case BoxState::BS_REBOOTING:
+		if (listed != nullptr && listed->booted_for == box.permit && listed->health == BoxHealth::BH_UP) {
+			return Step(box, BoxStepKind::BK_BACK);
+		}
+		return nullptr;
+	case BoxState::BS_VERIFYING:
+		if (listed == nullptr || listed->health != BoxHealth::BH_UP || box.health != BoxHealth::BH_UP) {
+			return nullptr;
+		}
+		return Step(box, listed->checks_pass ? BoxStepKind::BK_VERIFIED : BoxStepKind::BK_SET_ASIDE);
+	case BoxState::BS_DRAINING: /* PlanDrains() */
+	case BoxState::BS_SERVING:
+	case BoxState::BS_SET_ASIDE:
+		break;
+	}
+	return nullptr;
+}
+
+/** A box that may be maintained now; the smallest goes first. */
+struct Candidate {
+	Millis deadline;        ///< When it must have been maintained.
+	uint32_t job_units = 0; ///< What runs on it: moves that its drain would cost.
+	Box *box = nullptr;     ///< The box in the draft.
+};
+
+/** What is to be maintained in one availability zone of a pool. */
+struct ZoneQueue {
+	ZoneName zone;                     ///< The zone.
+	std::vector<Candidate> candidates; ///< Boxes due in it.
+	uint32_t active = 0;               ///< Boxes of it that hold a permit to be maintained.
+	Millis deadline;                   ///< The nearest deadline.
+	bool stopped = false;              ///< A box of this zone's wave failed after its reboot.
+};
+
+/**
+ * @param fleet The state.
+ * @param box A box.
+ * @return Units of jobs placed on it.
+ */
+uint32_t JobUnitsOn(const FleetState &fleet, const BoxName &box)
+{
+	const auto it = fleet.box_used.find(box);
+	return it == fleet.box_used.end() ? 0 : it->second;
+}
+
+/**
+ * Sorts a pool's boxes into one queue a zone.
+ * @param pool The pool.
+ * @param fleet The state.
+ * @param policy Cycle and leads.
+ * @return Queues: zones with a wave under way first, then by deadline.
+ */
+std::vector<ZoneQueue> QueuesOf(PoolPicture &pool, const FleetState &fleet, const PlannerPolicy &policy)
+{
+	std::map<ZoneName, ZoneQueue> queues;
+	for (Box &box : pool.boxes) {
+		ZoneQueue &queue = queues[box.zone];
+		queue.zone = box.zone;
+		queue.active += box.purpose == PermitPurpose::PP_MAINTAIN ? 1 : 0;
+		const bool failed_its_wave = box.state == BoxState::BS_SET_ASIDE && box.strikes == 0;
+		queue.stopped = queue.stopped || failed_its_wave;
+		const bool can_go =
+				box.state == BoxState::BS_SERVING && box.permit == PermitId() && box.purpose == PermitPurpose::PP_NONE;
+		if (!can_go) {
+			continue;
+		}
+		Candidate it{std::max(box.last_maintained, box.registered) + policy.cycle, JobUnitsOn(fleet, box.name), &box};
+		const Millis lead = it.job_units == 0 ? std::max(policy.lead, policy.idle_lead) : policy.lead;
+		const bool again_too_soon =
+				box.last_maintained > Millis(0) && box.last_maintained + Millis(policy.cycle.Value() / 2) > fleet.time;
+		if (again_too_soon || it.deadline - lead > fleet.time) {
+			continue;
+		}
+		queue.deadline = queue.candidates.empty() ? it.deadline : std::min(queue.deadline, it.deadline);
+		queue.candidates.push_back(it);
+	}
+	std::vector<ZoneQueue> sorted;
+	for (auto &[zone, queue] : queues) {
+		const auto before = [](const Candidate &a, const Candidate &b) {
+			return std::tie(a.job_units, a.deadline, a.box->rack, a.box->name) <
+				   std::tie(b.job_units, b.deadline, b.box->rack, b.box->name);
+		};
+		std::ranges::sort(queue.candidates, before);
+		if (!queue.candidates.empty() && !queue.stopped) {
+			sorted.push_back(std::move(queue));
+		}
+	}
+	std::ranges::stable_sort(sorted, [](const ZoneQueue &a, const ZoneQueue &b) {
+		return std::make_pair(a.active == 0, a.deadline) < std::make_pair(b.active == 0, b.deadline);
+	});
+	return sorted;
+}
+
+/**
+ * Whether a pool must wait for its canary: nothing of it was maintained in this round yet.
+ * @param pool The pool.
+ * @param fleet The state.
+ * @param policy Cycle.
+ * @return Whether one box at most may be down by plan.
+ */
+bool NeedsCanary(const PoolPicture &pool, const FleetState &fleet, const PlannerPolicy &policy)
+{
+	const Millis round_start = fleet.time - Millis(policy.cycle.Value() / 2);
+	return std::ranges::none_of(pool.boxes, [&](const Box &box) {
+		return box.last_maintained > round_start && box.last_maintained > Millis(0);
+	});
+}
+
+/**
+ * Grants permits in one zone of a pool as far as the budgets go.
+ * @param pool The pool.
+ * @param queue The zone's queue.
+ * @param limit Most permits.
+ * @param[out] proposals The grants.
+ * @return Permits granted.
+ */
+size_t GrantIn(const PoolPicture &pool, const ZoneQueue &queue, size_t limit, std::vector<Proposal> &proposals)
+{
+	size_t granted = 0;
+	for (const Candidate &it : queue.candidates) {
+		if (granted >= limit) {
+			break;
+		}
+		/* A box that takes no work costs no budget; it is rebooted first of all, that may heal it. */
+		if (TakesWork(*it.box) && !CheckBudget(pool, *it.box, false).Ok()) {
+			continue;
+		}
+		glade::wire::PermitGrantT grant;
+		grant.box = it.box->name.Value();
+		grant.epoch = it.box->epoch.Value();
+		grant.purpose = static_cast<uint8_t>(PermitPurpose::PP_MAINTAIN);
+		proposals.push_back(MakeProposal(std::move(grant)));
+		it.box->state = BoxState::BS_DRAINING;
+		it.box->purpose = PermitPurpose::PP_MAINTAIN;
+		granted++;
+	}
+	return granted;
+}
+
+} // namespace
+
+PlannerPolicy GreenhousePolicy()
+{
+	PlannerPolicy policy;
+	policy.lead = Millis(4 * MS_PER_DAY);
+	policy.idle_lead = Millis(21 * MS_PER_DAY);
+	policy.drain_patience = Millis(4 * MS_PER_HOUR);
+	policy.move_gain_percent = 100;
+	return policy;
+}
+
+PlannerPolicy LindeboomPolicy()
+{
+	PlannerPolicy policy;
+	policy.drain_patience = Millis(10 * 60 * MS_PER_SECOND);
+	policy.move_gain_percent = 50;
+	return policy;
+}
+
+std::vector<Proposal> PlanDrains(const FleetState &fleet, const ZoneName *zone, const PlannerInputs &inputs)
+{
+	std::vector<Proposal> proposals;
+	for (const auto &[name, box] : fleet.boxes) {
+		if (box.state != BoxState::BS_DRAINING || (zone != nullptr && box.zone != *zone)) {
+			continue;
+		}
+		if (Proposal step = StepEmptied(fleet, box, inputs); step) {
+			proposals.push_back(std::move(step));
+		}
+	}
+	return proposals;
+}
+
+std::vector<Proposal> PlanSteps(const FleetState &fleet, const PlannerInputs &inputs)
+{
+	std::map<BoxName, const ListedBox *> listed;
+	for (const ListedBox &it : inputs.list) {
+		listed[it.name] = &it;
+	}
+	std::vector<Proposal> proposals;
+	for (const auto &[name, box] : fleet.boxes) {
+		if (box.permit == PermitId()) {
+			continue;
+		}
+		const auto it = listed.find(name);
+		if (Proposal step = NextStep(box, it == listed.end() ? nullptr : it->second); step) {
+			proposals.push_back(std::move(step));
+		}
+	}
+	return proposals;
+}
+
+std::vector<Proposal> PlanWithdrawals(PoolDraft &draft)
+{
+	std::vector<Proposal> proposals;
+	for (auto &[name, pool] : draft) {
+		const PoolFloors floors = FloorsOf(pool);
+		for (Box &box : pool.boxes) {
+			const bool can_return = box.permit != PermitId() && box.health == BoxHealth::BH_UP &&
+									(box.state == BoxState::BS_DRAINING || box.state == BoxState::BS_EMPTY);
+			if (!can_return || FloorsHold(CapacityOf(pool), floors, true)) {
+				continue;
+			}
+			proposals.push_back(Step(box, BoxStepKind::BK_WITHDRAW));
+			box.state = BoxState::BS_SERVING;
+		}
+	}
+	return proposals;
+}
+
+std::vector<Proposal> PlanMaintenance(PoolDraft &draft, const FleetState &fleet, const PlannerPolicy &policy)
+{
+	std::vector<Proposal> proposals;
+	for (auto &[name, pool] : draft) {
+		const auto active = std::ranges::count(pool.boxes, PermitPurpose::PP_MAINTAIN, &Box::purpose);
+		const bool canary = NeedsCanary(pool, fleet, policy);
+		if (canary && active > 0) {
+			continue;
+		}
+		/* One zone of a pool at a time: a wave then never spans two failure domains. */
+		for (const ZoneQueue &queue : QueuesOf(pool, fleet, policy)) {
+			if (active > 0 && queue.active == 0) {
+				break;
+			}
+			if (GrantIn(pool, queue, canary ? 1 : pool.boxes.size(), proposals) > 0) {
+				break;
+			}
+		}
+	}
+	return proposals;
+}
+
+std::vector<Proposal> PlanBoxes(const FleetState &fleet, const PlannerInputs &inputs, const PlannerPolicy &policy)
+{
+	std::vector<Proposal> proposals = PlanList(fleet, inputs.list);
+	PoolDraft draft = PicturesOf(fleet);
+	const auto take = [&](std::vector<Proposal> more) { std::ranges::move(more, std::back_inserter(proposals)); };
+	std::vector<Proposal> withdrawals = PlanWithdrawals(draft);
+	const bool withdrew = !withdrawals.empty();
+	take(std::move(withdrawals));
+	take(PlanSteps(fleet, inputs));
+	take(PlanDrains(fleet, nullptr, inputs));
+	/* While failures press, nothing new goes down; moves into short pools come first otherwise. */
+	if (!withdrew) {
+		take(PlanMoves(draft, policy, inputs.observed));
+		take(PlanMaintenance(draft, fleet, policy));
+	}
+	return proposals;
+}
--- /dev/null
+++ b/src/program/program.cpp
@@ -0,0 +1,179 @@
+/** @file program.cpp What every server program does. */
+#include "program.h"
+
+#include "logging.h"
+
+#include <QCoreApplication>
+#include <QHttpServerResponse>
+#include <QJsonDocument>
+#include <QSocketNotifier>
+
+#include <array>
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <unistd.h>
+
+namespace {
+
+std::array<int, 2> _signal_pipe = {-1, -1}; ///< Signals come out of its first end as one byte each.
+
+/** Signal handler: only passes the number on. */
+void OnSignal(int number)
+{
+	const auto byte = static_cast<char>(number);
+	[[maybe_unused]] const ssize_t n = write(_signal_pipe[1], &byte, 1);
+}
+
+/**
+ * Usage text for docopt.
+ * @param spec The program.
+ * @return The text.
+ */
+std::string UsageOf(const ProgramSpec &spec)
+{
+	const std::string name = spec.name;
+	return name + ": " + spec.purpose + "\n\nUsage:\n  " + name + " --settings FILE [--check] [--log-level LEVEL]\n  " +
+		   name + " (-h | --help)\n  " + name +
+		   " --version\n\nOptions:\n  --settings FILE     Settings in YAML.\n  --check             Validate the "
+		   "settings and "
+		   "exit.\n  --log-level LEVEL   debug, info, warning or error [default: info].\n  -h --help           Show "
+		   "this.\n  --version           Show the version.\n\nSettings in the file:\n" +
+		   DescribeSettings(spec.table);
+}
+
+/** Serves until a signal asks for the stop. */
+class Runner {
+public:
+	Runner(QCoreApplication &app, Server &server, const char *name) : app(app), server(server), name(name) {}
+
+	int Run()
+	{
+		if (pipe(_signal_pipe.data()) != 0) {
+			return static_cast<int>(ExitCode::EC_FAILED);
+		}
+		QSocketNotifier notifier(_signal_pipe[0], QSocketNotifier::Read);
+		QObject::connect(&notifier, &QSocketNotifier::activated, &notifier, [this] { this->OnByte(); });
+		for (const int number : {SIGTERM, SIGINT, SIGUSR1}) {
+			std::signal(number, OnSignal);
+		}
+		std::signal(SIGPIPE, SIG_IGN);
+		if (!this->server.Start()) {
+			LogEvent(LogLevel::LL_ERROR, "listen_failed", {});
+			return static_cast<int>(ExitCode::EC_ADDRESS);
+		}
+		LogEvent(LogLevel::LL_INFO, "started", {{"version", GLADE_VERSION}});
+		return QCoreApplication::exec();
+	}
+
+private:
+	QCoreApplication &app; ///< The application.
+	Server &server;        ///< The server.
+	const char *name;      ///< Name of the program.
+	bool stopping = false; ///< Whether a stop is under way.
+
+	void OnByte()
+	{
+		char byte = 0;
+		if (read(_signal_pipe[0], &byte, 1) != 1) {
+			return;
+		}
+		if (byte == SIGUSR1) {
+			std::cout << QJsonDocument(this->server.Dump()).toJson(QJsonDocument::Compact).toStdString() << std::endl;
+			return;
+		}
+		if (this->stopping) {
+			return;
+		}
+		this->stopping = true;
+		LogEvent(LogLevel::LL_INFO, "stopping", {});
+		this->server.Stop([this] {
+			LogEvent(LogLevel::LL_INFO, "stopped", {});
+			this->app.quit();
+		});
+	}
+};
+
+} // namespace
+
+bool ReadTextFile(const std::string &name, std::string &text)
+{
+	std::ostringstream out;
+	if (name == "-") {
+		out << std::cin.rdbuf();
+	} else {
+		std::ifstream in(name);
+		if (!in) {
+			return false;
+		}
+		out << in.rdbuf();
+	}
+	text = out.str();
+	return true;
+}
+
+std::optional<int> ParseArguments(const std::string &usage, const char *name, int argc, char **argv,
+								  ParsedArguments &args)
+{
+	try {
+		args = docopt::docopt_parse(usage, {argv + 1, argv + argc}, true, true);
+		return std::nullopt;
+	} catch (const docopt::DocoptExitHelp &) {
+		std::cout << usage;
+		return static_cast<int>(ExitCode::EC_OK);
+	} catch (const docopt::DocoptExitVersion &) {
+		std::cout << name << ' ' << GLADE_VERSION << '\n';
+		return static_cast<int>(ExitCode::EC_OK);
+	} catch (const std::exception &e) {
+		std::cerr << Result{ResultCode::RC_USAGE, e.what()}.Text() << "\n" << name << " --help shows the usage.\n";
+		return static_cast<int>(ExitCode::EC_USAGE);
+	}
+}
+
+int RunProgram(int argc, char **argv, const ProgramSpec &spec)
+{
+	ParsedArguments args;
+	if (const std::optional<int> exit_code = ParseArguments(UsageOf(spec), spec.name, argc, argv, args); exit_code) {
+		return *exit_code;
+	}
+	if (!SetUpLogging(spec.name, args["--log-level"].asString())) {
+		std::cerr << Result{ResultCode::RC_USAGE, "--log-level: expected debug, info, warning or error"}.Text() << '\n';
+		return static_cast<int>(ExitCode::EC_USAGE);
+	}
+	const std::string file = args["--settings"].asString();
+	std::string text;
+	if (!ReadTextFile(file, text)) {
+		std::cerr << Result{ResultCode::RC_SETTINGS, file + ": can't be read"}.Text() << '\n';
+		return static_cast<int>(ExitCode::EC_SETTINGS);
+	}
+	const SettingsFile settings = ReadSettings(file, text, spec.table);
+	if (!settings.result.Ok()) {
+		std::cerr << settings.result.Text() << '\n';
+		return static_cast<int>(ExitCode::EC_SETTINGS);
+	}
+	if (args["--check"].asBool()) {
+		std::cout << file << ": valid\n";
+		return static_cast<int>(ExitCode::EC_OK);
+	}
+	QCoreApplication app(argc, argv);
+	const std::unique_ptr<Server> server = spec.make(settings.settings);
+	return Runner(app, *server, spec.name).Run();
+}
+
+StatusPage::StatusPage(const Server &server)
+{
+	this->http.route("/dump", [&server] {
+		return QHttpServerResponse("application/json", QJsonDocument(server.Dump()).toJson(QJsonDocument::Compact));
+	});
+	this->http.route("/health", [&server] {
+		return server.Healthy() ? QHttpServerResponse("text/plain", "ok\n")
+								: QHttpServerResponse("text/plain", "leaving\n",
+													  QHttpServerResponder::StatusCode::ServiceUnavailable);
+	});
+}
+
+bool StatusPage::Listen(const NetAddress &address)
+{
+	return this->http.listen(address.ip, address.port) != 0;
+}
--- /dev/null
+++ b/src/request/pool_gate.cpp
@@ -0,0 +1,485 @@
+/** @file pool_gate.cpp Admission and routing for one pool: who gets the next slot, on which endpoint. */
+#include "pool_gate.h"
+
+#include <boost/random/uniform_int_distribution.hpp>
+
+#include <algorithm>
+#include <ranges>
+#include <tuple>
+#include <utility>
+
+namespace {
+
+constexpr int64_t US_PER_MS = 1000;               ///< Microseconds in a millisecond.
+constexpr int64_t SMOOTHING = 8;                  ///< Weight of the past in smoothed values, against 1 for the newest.
+constexpr uint32_t SCORE_FULL = 1000;             ///< Error score of an endpoint that fails everything.
+constexpr uint32_t SCORE_BAD = 500;               ///< Error score from which an endpoint may be ejected.
+constexpr uint64_t MILLION = 1000000;             ///< Scale of shares.
+constexpr Millis PEAK_WINDOW(10 * MS_PER_SECOND); ///< How long a peak of use counts.
+constexpr Millis REFUSED_PAUSE(50);               ///< Pause after an endpoint's own refusal.
+constexpr Millis LEAST_RETRY_AFTER(1000);         ///< Shortest time that a refused caller is told to wait.
+
+/**
+ * Scales a floor or ceiling to the own share.
+ * @param slots Fleet-wide slots.
+ * @param scale Own share in millionths.
+ * @return Own slots, rounded up.
+ */
+uint32_t ScaleUp(Slots slots, uint64_t scale)
+{
+	return static_cast<uint32_t>((slots.Value() * scale + MILLION - 1) / MILLION);
+}
+
+/**
+ * Smooths a value.
+ * @param old The past, 0 for none.
+ * @param sample The newest.
+ * @return The new value.
+ */
+int64_t Smooth(int64_t old, int64_t sample)
+{
+	return old == 0 ? std::max<int64_t>(sample, 1) : std::max<int64_t>((old * (SMOOTHING - 1) + sample) / SMOOTHING, 1);
+}
+
+} // namespace
+
+PoolGate::PoolGate(GateSettings settings, uint64_t seed) : settings(settings), random(seed) {}
+
+void PoolGate::Update(const std::vector<GateEndpoint> &list, const std::vector<ServiceRow> &rows,
+					  uint64_t ceiling_scale, Millis now)
+{
+	Answers answers;
+	{
+		const std::scoped_lock guard(this->lock);
+		for (auto &[box, it] : this->endpoints) {
+			it.listed = false;
+			it.view.open = false;
+		}
+		for (const GateEndpoint &it : list) {
+			EndpointState &state = this->endpoints[it.box];
+			if (state.view.epoch != it.epoch) {
+				state.failures = 0;
+				state.error_score = 0;
+				state.ejected_until = Millis(0);
+			}
+			state.view = it;
+			state.listed = true;
+		}
+		std::erase_if(this->endpoints, [](const auto &it) { return !it.second.listed && it.second.in_flight == 0; });
+		std::set<ServiceName> kept;
+		for (const ServiceRow &row : rows) {
+			ServiceState &service = this->services[row.service];
+			service.row = row;
+			service.floor = ScaleUp(row.floor, ceiling_scale);
+			service.ceiling = std::max(ScaleUp(row.ceiling, ceiling_scale), 1U);
+			kept.insert(row.service);
+		}
+		for (auto &[name, service] : this->services) {
+			if (!kept.contains(name)) {
+				service.ceiling = 0;
+			}
+		}
+		this->Serve(now, answers);
+	}
+	Send(answers);
+}
+
+bool PoolGate::Usable(const EndpointState &it, Millis now) const
+{
+	/* After an ejection one request at a time shows whether it is well again. */
+	const bool on_probation = this->settings.eject && it.failures >= this->settings.eject_after;
+	const uint32_t limit = on_probation ? std::min(it.view.share, 1U) : it.view.share;
+	return it.view.open && it.in_flight < limit && it.ejected_until <= now && it.refused_until <= now;
+}
+
+bool PoolGate::AnyOpen() const
+{
+	return std::ranges::any_of(this->endpoints,
+							   [](const auto &it) { return it.second.view.open && it.second.view.share > 0; });
+}
+
+uint32_t PoolGate::FreeSlots(Millis now) const
+{
+	uint32_t free = 0;
+	for (const auto &[box, it] : this->endpoints) {
+		free += this->Usable(it, now) ? it.view.share - it.in_flight : 0;
+	}
+	return free;
+}
+
+uint32_t PoolGate::TotalSlots(Millis now) const
+{
+	uint32_t total = 0;
+	for (const auto &[box, it] : this->endpoints) {
+		total += it.view.open && it.ejected_until <= now ? it.view.share : 0;
+	}
+	return total;
+}
+
+PoolGate::EndpointState *PoolGate::Better(EndpointState *a, EndpointState *b) const
+{
+	/* Expected time until a request would be through: load times typical time, against the slots to share it. */
+	const auto cost = [](const EndpointState &it) {
+		return static_cast<double>(it.in_flight + 1) * static_cast<double>(std::max<int64_t>(it.typical_us, 1)) /
+			   it.view.share;
+	};
+	return cost(*b) < cost(*a) ? b : a;
+}
+
+PoolGate::EndpointState *PoolGate::Choose(const std::set<BoxName> &avoid, Millis now)
+{
+	std::vector<EndpointState *> usable;
+	bool other_open = false;
+	for (auto &[box, it] : this->endpoints) {
+		const bool avoided = avoid.contains(box);
+		other_open = other_open || (!avoided && it.view.open && it.ejected_until <= now);
+		if (!avoided && this->Usable(it, now)) {
+			usable.push_back(&it);
+		}
+	}
+	if (usable.empty() && !other_open) {
+		for (auto &[box, it] : this->endpoints) {
+			if (this->Usable(it, now)) {
+				usable.push_back(&it);
+			}
+		}
+	}
+	if (usable.empty()) {
+		return nullptr;
+	}
+	if (!this->settings.two_choices) {
+		return usable[this->round_robin++ % usable.size()];
+	}
+	boost::random::uniform_int_distribution<size_t> any(0, usable.size() - 1);
+	EndpointState *first = usable[any(this->random)];
+	EndpointState *second = usable[any(this->random)];
+	return this->Better(first, second);
+}
+
+Millis PoolGate::TypicalOf(const ServiceState &service) const
+{
+	return service.typical_us == 0 ? this->settings.guess : Millis(service.typical_us / US_PER_MS);
+}
+
+Millis PoolGate::WaitFor(const ServiceState &service, WorkClass work_class, Millis deadline, Millis now) const
+{
+	uint64_t ahead = 0;
+	for (const auto &[name, other] : this->services) {
+		for (const auto &[other_class, waiters] : other.waiting) {
+			if (other_class < work_class) {
+				ahead += waiters.size();
+			} else if (other_class == work_class) {
+				ahead += static_cast<uint64_t>(
+						std::ranges::count_if(waiters, [&](const Waiter &it) { return it.ask.deadline <= deadline; }));
+			}
+		}
+	}
+	const uint64_t slots = std::max<uint64_t>(std::min(this->TotalSlots(now), std::max(service.ceiling, 1U)), 1);
+	const int64_t typical = service.typical_us == 0 ? this->settings.guess.Value() * US_PER_MS : service.typical_us;
+	return Millis(static_cast<int64_t>(ahead) * typical / static_cast<int64_t>(slots) / US_PER_MS);
+}
+
+uint32_t PoolGate::ReservedFor(const ServiceState &asking) const
+{
+	if (asking.row.work_class == WorkClass::WC_URGENT || this->TypicalOf(asking) < this->settings.long_hold) {
+		return 0;
+	}
+	uint32_t reserved = 0;
+	for (const auto &[name, it] : this->services) {
+		if (it.row.work_class != WorkClass::WC_URGENT) {
+			continue;
+		}
+		const uint32_t wanted = std::min(it.floor, it.recent_peak + 1);
+		reserved += wanted > it.in_flight ? wanted - it.in_flight : 0;
+	}
+	return reserved;
+}
+
+bool PoolGate::MayTake(const ServiceState &service, uint32_t free) const
+{
+	if (service.in_flight >= service.ceiling) {
+		return false;
+	}
+	return service.in_flight < service.floor ? free > 0 : free > this->ReservedFor(service);
+}
+
+PoolGate::ServiceState *PoolGate::NextService(Millis now, uint32_t free)
+{
+	(void)now;
+	using Rank = std::tuple<bool, WorkClass, uint64_t>;
+	ServiceState *best = nullptr;
+	Rank best_rank;
+	for (auto &[name, it] : this->services) {
+		if (it.waiting_count == 0 || !this->MayTake(it, free)) {
+			continue;
+		}
+		const auto first = std::ranges::find_if(it.waiting, [](const auto &queue) { return !queue.second.empty(); });
+		const uint64_t use = uint64_t{it.in_flight} * MILLION / std::max(it.row.weight, 1U);
+		const Rank rank{it.in_flight >= it.floor, first->first, use};
+		if (best == nullptr || rank < best_rank) {
+			best = &it;
+			best_rank = rank;
+		}
+	}
+	return best;
+}
+
+GateAnswer PoolGate::Take(ServiceState &service, EndpointState &endpoint, Millis now)
+{
+	endpoint.in_flight++;
+	service.in_flight++;
+	if (service.in_flight >= service.recent_peak || service.peak_since + PEAK_WINDOW < now) {
+		service.recent_peak = service.in_flight;
+		service.peak_since = now;
+	}
+	this->counters.granted++;
+	GateAnswer answer;
+	answer.grant = Grant{endpoint.view.box, endpoint.view.address, endpoint.view.epoch};
+	return answer;
+}
+
+GateAnswer PoolGate::Refuse(ResultCode code, const ServiceState *service, Millis now)
+{
+	GateAnswer answer;
+	answer.code = code;
+	answer.retry_after = LEAST_RETRY_AFTER;
+	if (code == ResultCode::RC_QUEUE_FULL) {
+		this->counters.full++;
+	} else if (code == ResultCode::RC_CANNOT_BE_ON_TIME) {
+		this->counters.late++;
+	} else {
+		this->counters.nowhere++;
+	}
+	if (service != nullptr) {
+		const Millis wait = this->WaitFor(*service, WorkClass::WC_BATCH, now + Millis(MS_PER_DAY), now);
+		answer.retry_after = std::max(answer.retry_after, wait);
+	}
+	return answer;
+}
+
+std::optional<GateAnswer> PoolGate::Ask(SlotAsk ask, Millis now, AskId &id)
+{
+	const std::scoped_lock guard(this->lock);
+	const auto found = this->services.find(ask.service);
+	if (found == this->services.end() || !this->AnyOpen()) {
+		return this->Refuse(ResultCode::RC_NO_ENDPOINT, nullptr, now);
+	}
+	ServiceState &service = found->second;
+	const uint32_t free = this->FreeSlots(now);
+	const bool nobody_waits = service.waiting_count == 0 && this->NextService(now, free) == nullptr;
+	if (nobody_waits && this->MayTake(service, free)) {
+		if (EndpointState *endpoint = this->Choose(ask.avoid, now); endpoint != nullptr) {
+			return this->Take(service, *endpoint, now);
+		}
+	}
+	if (ask.only_spare) {
+		return this->Refuse(ResultCode::RC_NO_ENDPOINT, &service, now);
+	}
+	if (service.waiting_count >= this->settings.queue_limit) {
+		return this->Refuse(ResultCode::RC_QUEUE_FULL, &service, now);
+	}
+	const Millis wait = this->WaitFor(service, ask.work_class, ask.deadline, now);
+	if (this->settings.admit_by_deadline && now + wait + this->TypicalOf(service) > ask.deadline) {
+		return this->Refuse(ResultCode::RC_CANNOT_BE_ON_TIME, &service, now);
+	}
+	id = AskId(++this->last_id);
+	this->where[id] = {ask.service, ask.work_class};
+	auto &queue = service.waiting[ask.work_class];
+	auto place = queue.end();
+	while (this->settings.admit_by_deadline && place != queue.begin() &&
+		   std::prev(place)->ask.deadline > ask.deadline) {
+		--place;
+	}
+	queue.insert(place, Waiter{id, std::move(ask)});
+	service.waiting_count++;
+	return std::nullopt;
+}
+
+bool PoolGate::Withdraw(AskId id)
+{
+	const std::scoped_lock guard(this->lock);
+	const auto it = this->where.find(id);
+	if (it == this->where.end()) {
+		return false;
+	}
+	ServiceState &service = this->services[it->second.first];
+	service.waiting[it->second.second].remove_if([&](const Waiter &waiter) { return waiter.id == id; });
+	service.waiting_count--;
+	this->where.erase(it);
+	return true;
+}
+
+void PoolGate::DropLate(ServiceState &service, Millis now, Answers &answers)
+{
+	const Millis typical = this->TypicalOf(service);
+	for (auto &[work_class, queue] : service.waiting) {
+		while (!queue.empty() && now + typical > queue.front().ask.deadline) {
+			answers.emplace_back(std::move(queue.front().ask.done),
+								 this->Refuse(ResultCode::RC_CANNOT_BE_ON_TIME, &service, now));
+			this->where.erase(queue.front().id);
+			queue.pop_front();
+			service.waiting_count--;
+		}
+	}
+}
+
+void PoolGate::Serve(Millis now, Answers &answers)
+{
+	if (this->settings.admit_by_deadline) {
+		for (auto &[name, service] : this->services) {
+			this->DropLate(service, now, answers);
+		}
+	}
+	std::vector<std::pair<ServiceState *, Waiter>> skipped;
+	for (uint32_t free = this->FreeSlots(now); free > 0; free = this->FreeSlots(now)) {
+		ServiceState *service = this->NextService(now, free);
+		if (service == nullptr) {
+			break;
+		}
+		auto &queue = std::ranges::find_if(service->waiting, [](const auto &it) { return !it.second.empty(); })->second;
+		Waiter next = std::move(queue.front());
+		queue.pop_front();
+		service->waiting_count--;
+		EndpointState *endpoint = this->Choose(next.ask.avoid, now);
+		if (endpoint == nullptr) {
+			/* Only endpoints that failed this request have room: it waits on, others go first. */
+			skipped.emplace_back(service, std::move(next));
+			continue;
+		}
+		this->where.erase(next.id);
+		answers.emplace_back(std::move(next.ask.done), this->Take(*service, *endpoint, now));
+	}
+	for (auto &[service, waiter] : skipped | std::views::reverse) {
+		service->waiting[waiter.ask.work_class].push_front(std::move(waiter));
+		service->waiting_count++;
+	}
+}
+
+void PoolGate::Release(const BoxName &box, const ServiceName &service, CallOutcome outcome, Millis held, Millis now)
+{
+	Answers answers;
+	{
+		const std::scoped_lock guard(this->lock);
+		ServiceState &owner = this->services[service];
+		owner.in_flight -= owner.in_flight > 0 ? 1 : 0;
+		if (outcome == CallOutcome::CO_GOOD) {
+			owner.typical_us = Smooth(owner.typical_us, held.Value() * US_PER_MS);
+		}
+		if (const auto found = this->endpoints.find(box); found != this->endpoints.end()) {
+			EndpointState &it = found->second;
+			it.in_flight -= it.in_flight > 0 ? 1 : 0;
+			/* An endpoint that fails fast must not look fast. */
+			if (outcome == CallOutcome::CO_GOOD ||
+				(outcome == CallOutcome::CO_ERROR && held.Value() * US_PER_MS > it.typical_us)) {
+				it.typical_us = Smooth(it.typical_us, held.Value() * US_PER_MS);
+			}
+			this->Judge(it, outcome, now);
+			if (!it.listed && it.in_flight == 0) {
+				this->endpoints.erase(found);
+			}
+		}
+		this->Serve(now, answers);
+	}
+	Send(answers);
+}
+
+void PoolGate::Judge(EndpointState &it, CallOutcome outcome, Millis now)
+{
+	const bool bad = outcome == CallOutcome::CO_ERROR || outcome == CallOutcome::CO_BROKEN;
+	if (outcome == CallOutcome::CO_CALLER) {
+		return;
+	}
+	if (outcome == CallOutcome::CO_REFUSED) {
+		it.refused_until = now + REFUSED_PAUSE;
+		return;
+	}
+	it.error_score = (it.error_score * (SMOOTHING - 1) + (bad ? SCORE_FULL : 0)) / SMOOTHING;
+	if (!bad) {
+		it.failures = 0;
+		it.ejections = 0;
+		return;
+	}
+	if (outcome == CallOutcome::CO_BROKEN) {
+		it.failures++;
+	} else if (it.error_score >= SCORE_BAD) {
+		/* Errors may be the callers' own doing: they count only while most others of the pool do without. */
+		const auto well = std::ranges::count_if(
+				this->endpoints, [](const auto &other) { return other.second.error_score < SCORE_BAD / 2; });
+		it.failures += static_cast<size_t>(well) * 2 > this->endpoints.size() ? 1 : 0;
+	}
+	if (it.failures >= this->settings.eject_after) {
+		this->Eject(it, now);
+	}
+}
+
+void PoolGate::Eject(EndpointState &it, Millis now)
+{
+	if (!this->settings.eject) {
+		return;
+	}
+	uint64_t open = 0;
+	uint64_t ejected = 0;
+	for (const auto &[box, other] : this->endpoints) {
+		open += other.view.open ? 1 : 0;
+		ejected += other.view.open && other.ejected_until > now ? 1 : 0;
+	}
+	/* A whole wave of failures must not empty the pool. */
+	if (it.ejected_until > now || (ejected + 1) * 100 > open * this->settings.eject_cap_percent) {
+		return;
+	}
+	const int64_t factor = int64_t{1} << std::min(it.ejections, 10U);
+	it.ejected_until = now + std::min(Millis(this->settings.eject_base.Value() * factor), this->settings.eject_max);
+	it.ejections++;
+	this->counters.ejections++;
+}
+
+void PoolGate::Tick(Millis now)
+{
+	Answers answers;
+	{
+		const std::scoped_lock guard(this->lock);
+		this->Serve(now, answers);
+	}
+	Send(answers);
+}
+
+void PoolGate::Send(Answers &answers)
+{
+	for (auto &[done, answer] : answers) {
+		done(answer);
+	}
+}
+
+std::vector<GateEndpoint> PoolGate::Drained() const
+{
+	const std::scoped_lock guard(this->lock);
+	std::vector<GateEndpoint> drained;
+	for (const auto &[box, it] : this->endpoints) {
+		if (!it.view.open && it.view.permit != PermitId() && it.listed && it.in_flight == 0) {
+			drained.push_back(it.view);
+		}
+	}
+	return drained;
+}
+
+std::vector<EndpointView> PoolGate::Endpoints(Millis now) const
+{
+	const std::scoped_lock guard(this->lock);
+	std::vector<EndpointView> views;
+	for (const auto &[box, it] : this->endpoints) {
+		views.push_back(EndpointView{it.view, it.in_flight, Millis(it.typical_us / US_PER_MS), it.ejected_until > now});
+	}
+	return views;
+}
+
+GateCounters PoolGate::Counters() const
+{
+	const std::scoped_lock guard(this->lock);
+	return this->counters;
+}
+
+size_t PoolGate::Waiting() const
+{
+	const std::scoped_lock guard(this->lock);
+	return this->where.size();
+}
--- /dev/null
+++ b/src/request/pool_gate.h
@@ -0,0 +1,222 @@
+/** @file pool_gate.h Admission and routing for one pool: who gets the next slot, on which endpoint. */
+#ifndef POOL_GATE_H
+#define POOL_GATE_H
+
+#include "request_type.h"
+
+#include <boost/random/mersenne_twister.hpp>
+
+#include <deque>
+#include <functional>
+#include <list>
+#include <map>
+#include <mutex>
+#include <set>
+
+/** An endpoint as an entry may use it. */
+struct GateEndpoint {
+	BoxName box;         ///< The box.
+	std::string address; ///< IP:port.
+	BoxEpoch epoch;      ///< Epoch of the box.
+	bool open = true;    ///< False: nothing new.
+	uint32_t share = 0;  ///< Slots of it that this entry may use.
+	PermitId permit;     ///< Permit under which the box is drained, 0 for none.
+};
+
+/** Permission to use one slot of an endpoint. */
+struct Grant {
+	BoxName box;         ///< The box.
+	std::string address; ///< IP:port.
+	BoxEpoch epoch;      ///< Epoch of the box at granting.
+};
+
+/** What the gate says to a request. */
+struct GateAnswer {
+	ResultCode code = ResultCode::RC_OK; ///< RC_OK with a grant, or why there is none: not run.
+	Grant grant;                         ///< With RC_OK.
+	Millis retry_after;                  ///< When to come back, with a refusal.
+};
+
+/** A request that wants a slot. */
+struct SlotAsk {
+	ServiceName service;                         ///< Its service.
+	WorkClass work_class = WorkClass::WC_NORMAL; ///< Its class.
+	Millis deadline;                             ///< When its answer must be there, by the lane's clock.
+	std::set<BoxName> avoid;              ///< Endpoints to take only if there is no other: they failed it before.
+	bool only_spare = false;              ///< Take a slot only if nobody waits: a guest from another zone.
+	std::function<void(GateAnswer)> done; ///< Gets a later answer; called on any thread, without locks held.
+};
+
+using AskId = Strong<struct AskIdTag, uint64_t>; ///< A request waiting at a gate; 0 is "none".
+
+/** How a request on an endpoint ended, for passive health. */
+enum class CallOutcome : uint8_t {
+	CO_GOOD = 0,    ///< A whole answer that is no server error.
+	CO_ERROR = 1,   ///< An answer with a server error.
+	CO_BROKEN = 2,  ///< No connection, or broke off.
+	CO_REFUSED = 3, ///< The endpoint says that it has no room: not its fault.
+	CO_CALLER = 4,  ///< Ended by the caller: says nothing.
+};
+
+/** How a gate is set. */
+struct GateSettings {
+	size_t queue_limit = 256;         ///< Waiting requests per service.
+	Millis eject_base = Millis(1000); ///< First ejection; doubles with each in a row.
+	Millis eject_max = Millis(30000); ///< Longest ejection.
+	uint32_t eject_after = 3;         ///< Failures in a row that eject.
+	uint32_t eject_cap_percent = 34;  ///< Share of a pool's endpoints that may be ejected at once.
+	Millis guess = Millis(20);        ///< Time a request takes, before any was seen.
+	Millis long_hold = Millis(500);   ///< Services that hold slots longer leave room for urgent ones.
+	bool admit_by_deadline = true;    ///< Drop what can't be on time. Off only as a baseline of the bench.
+	bool two_choices = true;          ///< Two random choices; off (round robin) only as a baseline.
+	bool eject = true;                ///< Passive ejection; off only as a baseline.
+};
+
+/** Counters of a gate. */
+struct GateCounters {
+	uint64_t granted = 0;   ///< Slots given.
+	uint64_t full = 0;      ///< Refused: queue full.
+	uint64_t late = 0;      ///< Refused: could not be on time.
+	uint64_t nowhere = 0;   ///< Refused: no endpoint open.
+	uint64_t ejections = 0; ///< Endpoints ejected.
+};
+
+/** State of an endpoint, for dumps. */
+struct EndpointView {
+	GateEndpoint endpoint;  ///< What the view says.
+	uint32_t in_flight = 0; ///< Requests on it from this entry.
+	Millis typical;         ///< Smoothed time of a request.
+	bool ejected = false;   ///< Whether it is ejected now.
+};
+
+/**
+ * The gate of one pool. Thread safe: its state is one shard under its own lock; answers are given after unlocking.
+ */
+class PoolGate {
+public:
+	/**
+	 * @param settings Limits.
+	 * @param seed Seed of the random choices.
+	 */
+	PoolGate(GateSettings settings, uint64_t seed);
+
+	/**
+	 * Takes over endpoints and services of a new view.
+	 * @param endpoints Endpoints of the own zone.
+	 * @param rows Services of the pool.
+	 * @param ceiling_scale Own share of the whole pool's slots, in millionths: ceilings hold fleet-wide.
+	 * @param now Lane's clock.
+	 */
+	void Update(const std::vector<GateEndpoint> &endpoints, const std::vector<ServiceRow> &rows, uint64_t ceiling_scale,
+				Millis now);
+
+	/**
+	 * Asks for a slot.
+	 * @param ask The request.
+	 * @param now Lane's clock.
+	 * @param[out] id For Withdraw(), when no answer is returned.
+	 * @return An answer at once, or nothing: `ask.done` will get it.
+	 */
+	std::optional<GateAnswer> Ask(SlotAsk ask, Millis now, AskId &id);
+
+	/**
+	 * Takes a waiting request out.
+	 * @param id The request.
+	 * @return Whether it still waited; if not, its answer was given or is on its way.
+	 */
+	bool Withdraw(AskId id);
+
+	/**
+	 * Gives a slot back.
+	 * @param box The box.
+	 * @param service Service that held the slot.
+	 * @param outcome How the request ended.
+	 * @param held How long the slot was held.
+	 * @param now Lane's clock.
+	 */
+	void Release(const BoxName &box, const ServiceName &service, CallOutcome outcome, Millis held, Millis now);
+
+	/**
+	 * Refuses what can't be on time any more and grants what has become free. Called some ten times a second.
+	 * @param now Lane's clock.
+	 */
+	void Tick(Millis now);
+
+	/** @return Endpoints that are being drained under a permit, with nothing in flight from this entry. */
+	[[nodiscard]] std::vector<GateEndpoint> Drained() const;
+
+	/** @return Endpoints, for dumps. */
+	[[nodiscard]] std::vector<EndpointView> Endpoints(Millis now) const;
+
+	/** @return Counters. */
+	[[nodiscard]] GateCounters Counters() const;
+
+	/** @return Requests waiting. */
+	[[nodiscard]] size_t Waiting() const;
+
+private:
+	/** An endpoint and what was seen of it. */
+	struct EndpointState {
+		GateEndpoint view;        ///< What the view says.
+		uint32_t in_flight = 0;   ///< Requests on it.
+		int64_t typical_us = 0;   ///< Smoothed time of a request, 0 for none seen.
+		uint32_t failures = 0;    ///< Failures in a row.
+		uint32_t error_score = 0; ///< Smoothed share of errors, in thousandths.
+		uint32_t ejections = 0;   ///< Ejections in a row.
+		Millis ejected_until;     ///< End of the ejection.
+		Millis refused_until;     ///< Its own refusal holds until then.
+		bool listed = true;       ///< Whether the view has it; else it is dropped when empty.
+	};
+
+	/** A waiting request. */
+	struct Waiter {
+		AskId id;    ///< For Withdraw().
+		SlotAsk ask; ///< The request.
+	};
+
+	/** A service's queue and use. */
+	struct ServiceState {
+		ServiceRow row;                                 ///< Its row.
+		uint32_t floor = 0;                             ///< Own share of its floor.
+		uint32_t ceiling = 0;                           ///< Own share of its ceiling.
+		uint32_t in_flight = 0;                         ///< Slots held.
+		uint32_t recent_peak = 0;                       ///< Largest recent use.
+		Millis peak_since;                              ///< Since when the peak counts.
+		int64_t typical_us = 0;                         ///< Smoothed time of a request.
+		std::map<WorkClass, std::list<Waiter>> waiting; ///< By class, sorted by deadline.
+		size_t waiting_count = 0;                       ///< Waiters of all classes.
+	};
+
+	using Answers = std::vector<std::pair<std::function<void(GateAnswer)>, GateAnswer>>;
+
+	mutable std::mutex lock;                                  ///< Guards all that follows.
+	GateSettings settings;                                    ///< Limits.
+	boost::random::mt19937_64 random;                         ///< Random choices.
+	std::map<BoxName, EndpointState> endpoints;               ///< Endpoints.
+	std::map<ServiceName, ServiceState> services;             ///< Services.
+	std::map<AskId, std::pair<ServiceName, WorkClass>> where; ///< Where a waiter stands.
+	uint64_t last_id = 0;                                     ///< Last waiter.
+	uint64_t round_robin = 0;                                 ///< Next choice of the baseline.
+	GateCounters counters;                                    ///< Counters.
+
+	EndpointState *Choose(const std::set<BoxName> &avoid, Millis now);
+	EndpointState *Better(EndpointState *a, EndpointState *b) const;
+	[[nodiscard]] bool Usable(const EndpointState &it, Millis now) const;
+	[[nodiscard]] bool AnyOpen() const;
+	[[nodiscard]] uint32_t FreeSlots(Millis now) const;
+	[[nodiscard]] uint32_t TotalSlots(Millis now) const;
+	[[nodiscard]] uint32_t ReservedFor(const ServiceState &asking) const;
+	[[nodiscard]] bool MayTake(const ServiceState &service, uint32_t free) const;
+	ServiceState *NextService(Millis now, uint32_t free);
+	GateAnswer Take(ServiceState &service, EndpointState &endpoint, Millis now);
+	[[nodiscard]] Millis TypicalOf(const ServiceState &service) const;
+	[[nodiscard]] Millis WaitFor(const ServiceState &service, WorkClass work_class, Millis deadline, Millis now) const;
+	void DropLate(ServiceState &service, Millis now, Answers &answers);
+	void Serve(Millis now, Answers &answers);
+	void Judge(EndpointState &it, CallOutcome outcome, Millis now);
+	void Eject(EndpointState &it, Millis now);
+	GateAnswer Refuse(ResultCode code, const ServiceState *service, Millis now);
+	static void Send(Answers &answers);
+};
+
+#endif /* POOL_GATE_H */
--- /dev/null
+++ b/src/request/retry_budget.h
@@ -0,0 +1,49 @@
+/** @file retry_budget.h A share of recent successes that may be spent on retries, so that retries never multiply load.
+ */
+#ifndef RETRY_BUDGET_H
+#define RETRY_BUDGET_H
+
+#include <algorithm>
+#include <atomic>
+#include <cstdint>
+
+/** Token bucket filled by successes. Thread safe. */
+class RetryBudget {
+public:
+	/**
+	 * @param percent Tokens per hundred successes.
+	 * @param most Most retries that can be saved up; the bucket starts full.
+	 */
+	explicit RetryBudget(uint32_t percent = 10, uint32_t most = 20)
+			: percent(percent), most(int64_t{most} * SCALE), tokens(int64_t{most} * SCALE)
+	{
+	}
+
+	/** Counts a success. */
+	void OnSuccess()
+	{
+		const int64_t now = this->tokens.fetch_add(this->percent) + this->percent;
+		if (now > this->most) {
+			this->tokens.fetch_sub(std::min<int64_t>(now - this->most, this->percent));
+		}
+	}
+
+	/** @return Whether a retry may be made; it is paid for when so. */
+	bool Spend()
+	{
+		if (this->tokens.fetch_sub(SCALE) >= SCALE) {
+			return true;
+		}
+		this->tokens.fetch_add(SCALE);
+		return false;
+	}
+
+private:
+	static constexpr int64_t SCALE = 100; ///< Tokens that a retry costs.
+
+	int64_t percent;             ///< Tokens per success.
+	int64_t most;                ///< Largest content.
+	std::atomic<int64_t> tokens; ///< Content.
+};
+
+#endif /* RETRY_BUDGET_H */
--- /dev/null
+++ b/src/standin/endpoint/endpoint_standin.cpp
@@ -0,0 +1,198 @@
+/** @file endpoint_standin.cpp A small endpoint with slots and fault switches. */
+#include "endpoint_standin.h"
+
+#include <QJsonDocument>
+#include <QUrl>
+#include <QUrlQuery>
+
+#include <algorithm>
+
+namespace {
+
+constexpr int LATE_FACTOR = 10;            ///< How much longer a late answer takes.
+constexpr Millis STREAM_PART_EVERY(20);    ///< Time between two parts of a stream.
+constexpr size_t STREAM_PART_BYTES = 1024; ///< Bytes of a part.
+
+/** Sends a small whole answer. */
+void Answer(CallerSink &sink, int status, const std::string &body, const char *run = nullptr)
+{
+	AnswerHead head;
+	head.status = status;
+	head.headers.Add("Content-Type", "application/json");
+	if (run != nullptr) {
+		head.headers.Add(std::string(HEADER_RUN), run);
+	}
+	head.length = body.size();
+	sink.Begin(head);
+	sink.Body(body);
+	sink.End();
+}
+
+QUrlQuery QueryOf(const std::string &target)
+{
+	return QUrlQuery(QUrl(QString::fromStdString("http://standin" + target)).query());
+}
+
+} // namespace
+
+/** A request that runs. */
+class EndpointRun : public ServedRequest, public std::enable_shared_from_this<EndpointRun> {
+public:
+	EndpointRun(EndpointStandin &endpoint, CallerSink &sink, CallerRequest request, EndpointFault fault)
+			: endpoint(endpoint), sink(&sink), request(std::move(request)), fault(fault)
+	{
+	}
+
+	~EndpointRun() override { this->endpoint.running--; }
+
+	void Start()
+	{
+		this->endpoint.running++;
+		this->endpoint.peak = std::max(this->endpoint.peak, this->endpoint.running);
+		const std::string *key = this->request.headers.Find(HEADER_KEY);
+		this->endpoint
+				.runs[key != nullptr ? *key
+									 : this->request.method + " " + this->request.target + " " + this->request.body]++;
+		const QUrlQuery query = QueryOf(this->request.target);
+		this->parts_left = query.queryItemValue("stream").toInt();
+		Millis work = this->endpoint.settings.Duration("work");
+		if (const int asked = query.queryItemValue("work_ms").toInt(); asked > 0) {
+			work = Millis(asked);
+		}
+		if (this->fault == EndpointFault::EF_LATE) {
+			work = Millis(work.Value() * LATE_FACTOR);
+		}
+		/* The run keeps itself alive: it goes on when the caller has left. */
+		this->endpoint.scheduler.After(work, [self = this->shared_from_this()] { self->Finish(); });
+	}
+
+	void OnCallerGone() override { this->sink = nullptr; }
+	void OnCallerDrained() override {}
+
+private:
+	EndpointStandin &endpoint; ///< Whose run it is.
+	CallerSink *sink;          ///< The entry's end, null once it is gone.
+	CallerRequest request;     ///< The request.
+	EndpointFault fault;       ///< What goes wrong.
+	int parts_left = 0;        ///< Parts of a stream still to send.
+
+	[[nodiscard]] std::string Body() const
+	{
+		const std::string *tenant = this->request.headers.Find(HEADER_TENANT);
+		return "{\"box\":\"" + this->endpoint.settings.Text("name") + "\",\"tenant\":\"" +
+			   (tenant == nullptr ? "" : *tenant) + "\",\"target\":\"" + this->request.target +
+			   "\",\"bytes\":" + std::to_string(this->request.body.size()) + "}\n";
+	}
+
+	void Finish()
+	{
+		if (this->sink == nullptr) {
+			return;
+		}
+		if (this->fault == EndpointFault::EF_CLOSE) {
+			this->sink->Break();
+		} else if (this->fault == EndpointFault::EF_ERROR) {
+			Answer(*this->sink, 500, "{\"error\":\"told to fail\"}\n");
+		} else if (this->fault == EndpointFault::EF_HALF || this->fault == EndpointFault::EF_STALL) {
+			this->AnswerHalf();
+		} else if (this->parts_left > 0) {
+			this->sink->Begin(AnswerHead());
+			this->SendPart();
+		} else {
+			Answer(*this->sink, 200, this->Body());
+		}
+	}
+
+	void AnswerHalf()
+	{
+		const std::string body = this->Body();
+		AnswerHead head;
+		head.length = body.size();
+		this->sink->Begin(head);
+		this->sink->Body(body.substr(0, body.size() / 2));
+		if (this->fault == EndpointFault::EF_HALF) {
+			this->sink->Break();
+		}
+	}
+
+	void SendPart()
+	{
+		if (this->sink == nullptr) {
+			return;
+		}
+		if (this->parts_left-- <= 0) {
+			this->sink->End();
+			return;
+		}
+		this->sink->Body(std::string(STREAM_PART_BYTES - 1, 's') + "\n");
+		this->endpoint.scheduler.After(STREAM_PART_EVERY, [self = this->shared_from_this()] { self->SendPart(); });
+	}
+};
+
+EndpointStandin::EndpointStandin(const Settings &settings)
+		: settings(settings), listener([this](qintptr descriptor) {
+			  new CallerLink(this->scheduler, *this, this->limits, this->open, descriptor);
+		  })
+{
+}
+
+bool EndpointStandin::Start()
+{
+	const NetAddress at = this->settings.Address("listen");
+	return this->listener.listen(at.ip, at.port);
+}
+
+void EndpointStandin::Stop(std::function<void()> done)
+{
+	done();
+}
+
+QJsonObject EndpointStandin::Dump() const
+{
+	QJsonObject dump;
+	dump["running"] = static_cast<qint64>(this->running);
+	dump["peak"] = static_cast<qint64>(this->peak);
+	dump["refused"] = static_cast<qint64>(this->refused);
+	QJsonObject counts;
+	for (const auto &[what, n] : this->runs) {
+		counts[QString::fromStdString(what)] = n;
+	}
+	dump["runs"] = counts;
+	return dump;
+}
+
+EndpointFault EndpointStandin::NextFault()
+{
+	if (this->fault_left <= 0) {
+		return EndpointFault::EF_NONE;
+	}
+	this->fault_left--;
+	return this->fault;
+}
+
+void EndpointStandin::ServeControl(CallerSink &sink, const CallerRequest &request)
+{
+	if (request.target.starts_with("/fault")) {
+		const QUrlQuery query = QueryOf(request.target);
+		this->fault = static_cast<EndpointFault>(query.queryItemValue("kind").toInt());
+		this->fault_left = query.queryItemValue("count").toLongLong();
+	}
+	Answer(sink, 200, QJsonDocument(this->Dump()).toJson(QJsonDocument::Compact).toStdString() + "\n");
+}
+
+std::shared_ptr<ServedRequest> EndpointStandin::Serve(CallerSink &sink, CallerRequest request)
+{
+	if (request.target.starts_with("/fault") || request.target == "/runs") {
+		this->ServeControl(sink, request);
+		return nullptr;
+	}
+	const EndpointFault now = this->NextFault();
+	if (this->running >= this->settings.Number("slots") || now == EndpointFault::EF_NOT_RUN) {
+		this->refused++;
+		Answer(sink, 503, "{\"error\":\"no slot\"}\n", "no");
+		return nullptr;
+	}
+	auto run = std::make_shared<EndpointRun>(*this, sink, std::move(request), now);
+	run->Start();
+	return run;
+}
--- /dev/null
+++ b/tools/regenerate.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Regenerates the committed FlatBuffers code (needs the package flatbuffers-compiler).
+set -eu
+cd "$(dirname "$0")/.."
+flatc --cpp --cpp-std c++17 --gen-object-api --gen-compare --scoped-enums --cpp-ptr-type std::unique_ptr -o src/generated schema/wire.fbs
