Planner: targets, waves and moves measured against baselines over three weeks

Cause: new boxes went to the pool with the largest shortage; a guard's headroom grows with each box of one zone, so a whole zone went to one pool, and floors that wander caused a box move each. Boxes now go where the pool is least full against a target (needs first, the rest by weight), in the whole and in the zone. A failed box counts as coming back for a while, a pool gets a spare box only when a deadline nears, a wave takes the largest zone first.

--- /dev/null
+++ b/src/bench/bench_output.cpp
@@ -0,0 +1,35 @@
+/** @file bench_output.cpp Figures of benches as JSON lines. */
+#include "bench_output.h"
+
+#include <QJsonDocument>
+#include <QJsonObject>
+
+#include <cmath>
+#include <iostream>
+
+namespace {
+
+constexpr double ROUNDING = 10000.0; ///< Figures are printed to four digits behind the point.
+
+double Rounded(double value)
+{
+	return std::round(value * ROUNDING) / ROUNDING;
+}
+
+} // namespace
+
+void PrintFigure(const Figure &figure)
+{
+	QJsonObject json;
+	json["bench"] = QString::fromStdString(figure.bench);
+	json["preset"] = QString::fromStdString(figure.preset);
+	json["figure"] = QString::fromStdString(figure.figure);
+	json["value"] = Rounded(figure.value);
+	json["unit"] = QString::fromStdString(figure.unit);
+	json["seed"] = static_cast<qint64>(figure.seed);
+	if (!figure.baseline.empty()) {
+		json["baseline"] = QString::fromStdString(figure.baseline);
+		json["ratio"] = Rounded(figure.ratio);
+	}
+	std::cout << QJsonDocument(json).toJson(QJsonDocument::Compact).toStdString() << std::endl;
+}
--- /dev/null
+++ b/src/bench/maintain_bench.cpp
@@ -0,0 +1,362 @@
+/** @file maintain_bench.cpp Three weeks of maintenance over the real fold: ours against the baselines. */
+#include "bench_output.h"
+#include "fleet_world.h"
+#include "strategy.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace {
+
+constexpr Millis STEP(5 * 60 * MS_PER_SECOND);      ///< Virtual time between two looks.
+constexpr Millis SPAN(21 * MS_PER_DAY);             ///< Length of a run.
+constexpr Millis START(1000 * MS_PER_DAY);          ///< Virtual wall clock at the start.
+constexpr Millis JOB_MEAN(2 * MS_PER_HOUR);         ///< Time that a job runs.
+constexpr int ROUNDS_A_STEP = 3;                    ///< Planning steps within a look: one leads to the next.
+constexpr size_t JOBS_A_STEP = 500;                 ///< Placements in one planning step.
+constexpr double US_PER_MS = 1000.0;                ///< Microseconds in a millisecond.
+
+/** What a run of three weeks showed. */
+struct MaintainResult {
+	uint64_t violations_planned = 0;   ///< Pool-steps below the floors that would hold without planned work.
+	uint64_t violations_unplanned = 0; ///< Pool-steps below the floors by failures alone.
+	uint64_t overdue = 0;              ///< Boxes not maintained within the span.
+	double rollout_hours = 0;          ///< Time until the last box that could be was maintained.
+	uint64_t box_moves = 0;            ///< Boxes that changed their pool.
+	uint64_t job_moves = 0;            ///< Jobs stopped at a checkpoint to empty a box.
+	double buffer_bound = 0;           ///< The same if every pool were spread evenly over the zones and nothing down by plan.
+	double buffer_share = 0;           ///< Slots held idle for guards or down by plan, against all; mean over time.
+	uint64_t appends = 0;              ///< Records appended.
+	uint64_t bytes = 0;                ///< Bytes in them.
+	uint64_t rejected = 0;             ///< Proposals that the fold refused.
+	uint64_t steps = 0;                ///< Planning steps.
+	double plan_us = 0;                ///< Time spent planning.
+	double plan_us_max = 0;            ///< Longest step.
+};
+
+/** One run. */
+class MaintainRun {
+public:
+	MaintainRun(const FleetPreset &preset, uint64_t seed, Strategy &strategy)
+		: preset(preset), strategy(strategy), world(preset, seed), job_dice(seed * 7919 + 1)
+	{
+	}
+
+	MaintainResult Run(Millis span)
+	{
+		this->Begin();
+		for (Millis t(0); t < span; t = t + STEP) {
+			this->now = START + t;
+			this->world.Step(this->now, STEP);
+			this->Look();
+		}
+		this->Conclude();
+		return this->result;
+	}
+
+private:
+	FleetPreset preset;                    ///< Sizes and rates.
+	Strategy &strategy;                    ///< What plans.
+	FleetWorld world;                      ///< The boxes as they are.
+	Dice job_dice;                         ///< Random numbers of jobs.
+	FleetState fleet;                      ///< The state.
+	Millis now = START;                    ///< Virtual time.
+	uint64_t sequence = 0;                 ///< Of the one writer.
+	uint64_t offset = 0;                   ///< Of the log.
+	uint64_t jobs = 0;                     ///< Jobs accepted.
+	std::map<JobName, Millis> job_ends;    ///< When running jobs end.
+	MaintainResult result;                 ///< What is seen.
+	double buffer_sum = 0;                 ///< Sum of the buffer's share.
+	double bound_sum = 0;                  ///< Sum of its bound.
+	uint64_t looks = 0;                    ///< Looks taken.
+	Millis last_first_time = START;        ///< When a box was maintained for the first time, the last such.
+
+	/** Appends proposals in one record and folds it. */
+	void Append(std::vector<Proposal> proposals)
+	{
+		if (proposals.empty()) {
+			return;
+		}
+		BatchT batch;
+		batch.rule_version = 1;
+		batch.writer = "planner";
+		batch.incarnation = 1;
+		batch.region = "main";
+		batch.term = 1;
+		for (Proposal &it : proposals) {
+			it->sequence = ++this->sequence;
+			batch.proposals.push_back(std::move(it));
+		}
+		const LogRecord record{LogOffset(++this->offset), this->now, EncodeBatch(batch)};
+		this->result.appends++;
+		this->result.bytes += record.bytes.size();
+		for (const Decision &it : FoldRecord(this->fleet, record)) {
+			this->result.rejected += it.result.Ok() ? 0 : 1;
+		}
+	}
+
+	template <class T>
+	void AppendOne(T change)
+	{
+		std::vector<Proposal> one;
+		one.push_back(MakeProposal(std::move(change)));
+		this->Append(std::move(one));
+	}
+
+	void Publish(const TableEdit &edit)
+	{
+		if (edit.cells.empty()) {
+			return;
+		}
+		glade::wire::TablePublishT publish;
+		publish.base_version = edit.base.Value();
+		for (const CellEdit &it : edit.cells) {
+			auto cell = std::make_unique<glade::wire::TableCellT>();
+			cell->service = it.key.service.Value();
+			cell->column = it.key.column;
+			cell->value = it.value;
+			publish.cells.push_back(std::move(cell));
+		}
+		this->AppendOne(std::move(publish));
+	}
+
+	void Begin()
+	{
+		glade::wire::PlannerTermT term;
+		term.region = "main";
+		term.member = "planner";
+		this->AppendOne(std::move(term));
+		this->Publish(this->world.FirstTable());
+		std::vector<Proposal> quotas;
+		const uint32_t units = std::max(this->preset.boxes * this->preset.slots / this->preset.teams, 4U);
+		for (uint32_t i = 0; i < this->preset.teams; i++) {
+			glade::wire::TeamQuotaT quota;
+			quota.team = "team-" + std::to_string(i);
+			quota.units = units;
+			quotas.push_back(MakeProposal(std::move(quota)));
+		}
+		this->Append(std::move(quotas));
+	}
+
+	void Look()
+	{
+		this->Publish(this->world.NextEdit(this->fleet, STEP));
+		this->AcceptJobs();
+		this->EndJobs();
+		for (int i = 0; i < ROUNDS_A_STEP; i++) {
+			this->Plan();
+		}
+		this->PlanJobsOnce();
+		this->Measure();
+	}
+
+	void Plan()
+	{
+		PlannerInputs inputs;
+		inputs.list = this->world.List();
+		const std::map<BoxName, Box> before = this->fleet.boxes;
+		const auto begin = std::chrono::steady_clock::now();
+		std::vector<Proposal> proposals = this->strategy.Step(this->fleet, inputs);
+		const auto took = std::chrono::duration<double, std::micro>(std::chrono::steady_clock::now() - begin).count();
+		this->result.steps++;
+		this->result.plan_us += took;
+		this->result.plan_us_max = std::max(this->result.plan_us_max, took);
+		this->Append(std::move(proposals));
+		this->NoteChanges(before);
+	}
+
+	void NoteChanges(const std::map<BoxName, Box> &before)
+	{
+		for (const auto &[name, box] : this->fleet.boxes) {
+			const auto old = before.find(name);
+			if (old == before.end()) {
+				continue;
+			}
+			this->result.box_moves += old->second.pool != box.pool ? 1 : 0;
+			if (old->second.state != box.state && box.state == BoxState::BS_REBOOTING) {
+				this->world.Reboot(name, box.permit, this->now);
+			}
+			if (old->second.last_maintained == Millis(0) && box.last_maintained != Millis(0)) {
+				this->last_first_time = this->now;
+			}
+		}
+	}
+
+	void AcceptJobs()
+	{
+		const double a_step = this->preset.jobs_a_day * static_cast<double>(STEP.Value()) / static_cast<double>(MS_PER_DAY);
+		std::vector<Proposal> proposals;
+		for (double left = a_step; left > 0; left -= 1) {
+			if (!this->job_dice.Happens(std::min(left, 1.0), Millis(MS_PER_DAY))) {
+				continue;
+			}
+			glade::wire::JobAcceptT job;
+			job.job = "job-" + std::to_string(++this->jobs);
+			job.team = "team-" + std::to_string(this->job_dice.Below(this->preset.teams));
+			job.work_class = static_cast<uint8_t>(WorkClass::WC_BATCH);
+			job.units = 1 + static_cast<uint32_t>(this->job_dice.Below(3));
+			job.repeatable = true;
+			proposals.push_back(MakeProposal(std::move(job)));
+		}
+		this->Append(std::move(proposals));
+	}
+
+	void Report(std::vector<Proposal> &proposals, const Job &job, JobOutcome outcome)
+	{
+		glade::wire::JobReportT report;
+		report.job = job.name.Value();
+		report.attempt = job.attempt;
+		report.outcome = static_cast<uint8_t>(outcome);
+		proposals.push_back(MakeProposal(std::move(report)));
+		this->job_ends.erase(job.name);
+	}
+
+	void EndJobs()
+	{
+		std::vector<Proposal> proposals;
+		for (const auto &[name, job] : this->fleet.jobs) {
+			if (job.state != JobState::JS_PLACED) {
+				continue;
+			}
+			const auto box = this->fleet.boxes.find(job.box);
+			if (box->second.epoch != job.box_epoch) {
+				this->Report(proposals, job, JobOutcome::JO_LAPSED);
+			} else if (const auto end = this->job_ends.find(name); end != this->job_ends.end() && end->second <= this->now) {
+				this->Report(proposals, job, JobOutcome::JO_DONE);
+			}
+		}
+		this->Append(std::move(proposals));
+	}
+
+	void PlanJobsOnce()
+	{
+		JobPlan plan = PlanJobs(this->fleet, this->strategy.JobPolicy(), JOBS_A_STEP);
+		this->Append(std::move(plan.placements));
+		for (const auto &[name, job] : this->fleet.jobs) {
+			if (job.state == JobState::JS_PLACED && !this->job_ends.contains(name)) {
+				this->job_ends[name] = this->now + this->job_dice.Around(JOB_MEAN);
+			}
+		}
+		std::vector<Proposal> stops;
+		for (const JobName &name : plan.stop) {
+			this->result.job_moves++;
+			this->Report(stops, this->fleet.jobs.at(name), JobOutcome::JO_CHECKPOINT);
+		}
+		this->Append(std::move(stops));
+	}
+
+	void Measure()
+	{
+		uint64_t idle = 0;
+		uint64_t all = 0;
+		uint64_t bound = 0;
+		for (const auto &[name, pool] : PicturesOf(this->fleet)) {
+			const PoolFloors floors = FloorsOf(pool);
+			const PoolCapacity capacity = CapacityOf(pool);
+			PoolPicture without_plan = pool;
+			uint64_t planned_down = 0;
+			for (Box &box : without_plan.boxes) {
+				all += box.slots.Value();
+				if (box.permit != PermitId()) {
+					planned_down += box.slots.Value();
+					box.state = BoxState::BS_SERVING;
+					box.health = BoxHealth::BH_UP;
+				}
+			}
+			const uint64_t up_boxes = capacity.up / this->preset.slots;
+			bound += (up_boxes + this->preset.zones - 1) / this->preset.zones * this->preset.slots;
+			idle += HeadroomOf(capacity, floors) + planned_down;
+			if (!FloorsHold(capacity, floors, false)) {
+				const bool by_plan = FloorsHold(CapacityOf(without_plan), floors, false);
+				(by_plan ? this->result.violations_planned : this->result.violations_unplanned)++;
+			}
+		}
+		this->buffer_sum += all == 0 ? 0 : static_cast<double>(idle) / static_cast<double>(all);
+		this->bound_sum += all == 0 ? 0 : static_cast<double>(bound) / static_cast<double>(all);
+		this->looks++;
+	}
+
+	void Conclude()
+	{
+		this->result.buffer_share = this->buffer_sum / static_cast<double>(this->looks);
+		this->result.buffer_bound = this->bound_sum / static_cast<double>(this->looks);
+		this->result.rollout_hours = static_cast<double>((this->last_first_time - START).Value()) / MS_PER_HOUR;
+		this->result.overdue = static_cast<uint64_t>(
+				std::ranges::count_if(this->fleet.boxes, [](const auto &it) { return it.second.last_maintained == Millis(0); }));
+	}
+};
+
+/** A named figure of a result. */
+struct MaintainFigure {
+	const char *name;                       ///< Name.
+	const char *unit;                       ///< Unit.
+	double (*value)(const MaintainResult &); ///< Reads it.
+};
+
+constexpr MaintainFigure _figures[] = {
+		{"budget_violations_planned", "pool-steps", [](const MaintainResult &it) { return static_cast<double>(it.violations_planned); }},
+		{"budget_violations_unplanned", "pool-steps", [](const MaintainResult &it) { return static_cast<double>(it.violations_unplanned); }},
+		{"boxes_overdue", "boxes", [](const MaintainResult &it) { return static_cast<double>(it.overdue); }},
+		{"rollout_hours", "h", [](const MaintainResult &it) { return it.rollout_hours; }},
+		{"box_moves", "moves", [](const MaintainResult &it) { return static_cast<double>(it.box_moves); }},
+		{"job_moves", "moves", [](const MaintainResult &it) { return static_cast<double>(it.job_moves); }},
+		{"buffer_share", "share of slots", [](const MaintainResult &it) { return it.buffer_share; }},
+		{"buffer_share_bound", "share of slots", [](const MaintainResult &it) { return it.buffer_bound; }},
+		{"appends_a_second", "1/s", [](const MaintainResult &it) { return static_cast<double>(it.appends) * MS_PER_SECOND / static_cast<double>(SPAN.Value()); }},
+		{"append_bytes_a_second", "B/s", [](const MaintainResult &it) { return static_cast<double>(it.bytes) * MS_PER_SECOND / static_cast<double>(SPAN.Value()); }},
+		{"proposals_refused", "proposals", [](const MaintainResult &it) { return static_cast<double>(it.rejected); }},
+		{"plan_mean", "ms", [](const MaintainResult &it) { return it.plan_us / static_cast<double>(it.steps) / US_PER_MS; }},
+		{"plan_max", "ms", [](const MaintainResult &it) { return it.plan_us_max / US_PER_MS; }},
+};
+
+/** Adds a result to a sum. */
+void AddTo(MaintainResult &sum, const MaintainResult &it)
+{
+	sum.violations_planned += it.violations_planned;
+	sum.violations_unplanned += it.violations_unplanned;
+	sum.overdue += it.overdue;
+	sum.rollout_hours += it.rollout_hours;
+	sum.box_moves += it.box_moves;
+	sum.job_moves += it.job_moves;
+	sum.buffer_share += it.buffer_share;
+	sum.buffer_bound += it.buffer_bound;
+	sum.appends += it.appends;
+	sum.bytes += it.bytes;
+	sum.rejected += it.rejected;
+	sum.steps += it.steps;
+	sum.plan_us += it.plan_us;
+	sum.plan_us_max = std::max(sum.plan_us_max, it.plan_us_max);
+}
+
+} // namespace
+
+int RunMaintainBench(const BenchOptions &options)
+{
+	const FleetPreset preset = PresetOf(options.preset);
+	const PlannerPolicy policy = preset.lindeboom ? LindeboomPolicy() : GreenhousePolicy();
+	const Millis span = options.quick ? Millis(2 * MS_PER_DAY) : SPAN;
+	std::vector<std::unique_ptr<Strategy>> strategies;
+	strategies.push_back(OurStrategy(policy));
+	strategies.push_back(EvenSplitStrategy());
+	strategies.push_back(FirstFitStrategy());
+	strategies.push_back(OneAtATimeStrategy());
+	std::vector<MaintainResult> results;
+	for (const auto &strategy : strategies) {
+		MaintainResult sum;
+		for (uint64_t seed = options.seed; seed < options.seed + options.seeds; seed++) {
+			AddTo(sum, MaintainRun(preset, seed, *strategy).Run(span));
+		}
+		results.push_back(sum);
+	}
+	for (const MaintainFigure &it : _figures) {
+		const double ours = it.value(results[0]);
+		PrintFigure({"maintain", preset.name, it.name, ours, it.unit, "", 0, options.seed});
+		for (size_t i = 1; i < strategies.size(); i++) {
+			const double other = it.value(results[i]);
+			const std::string name = std::string(it.name) + "." + strategies[i]->Name();
+			PrintFigure({"maintain", preset.name, name, other, it.unit, strategies[i]->Name(),
+			             other == 0 ? 0 : ours / other, options.seed});
+		}
+	}
+	return results[0].violations_planned == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/src/bench/strategy.cpp
@@ -0,0 +1,200 @@
+/** @file strategy.cpp Ways to run a fleet. */
+#include "strategy.h"
+
+#include <algorithm>
+
+namespace {
+
+/** Our planner. */
+class Ours : public Strategy {
+public:
+	explicit Ours(const PlannerPolicy &weights) { this->policy = weights; }
+	[[nodiscard]] const char *Name() const override { return "glademount"; }
+	std::vector<Proposal> Step(const FleetState &fleet, const PlannerInputs &inputs) override
+	{
+		return PlanBoxes(fleet, inputs, this->policy);
+	}
+};
+
+/** What the baselines have in common: registration, steps under permits, greedy grants. */
+class Baseline : public Strategy {
+public:
+	std::vector<Proposal> Step(const FleetState &fleet, const PlannerInputs &inputs) override
+	{
+		std::vector<Proposal> proposals = this->Register(fleet, inputs);
+		PoolDraft draft = PicturesOf(fleet);
+		const auto take = [&](std::vector<Proposal> more) { std::ranges::move(more, std::back_inserter(proposals)); };
+		take(PlanSteps(fleet, inputs));
+		take(PlanDrains(fleet, nullptr, inputs));
+		take(this->Rebalance(draft));
+		take(this->Maintain(fleet, draft));
+		return proposals;
+	}
+
+protected:
+	size_t most_at_once = SIZE_MAX; ///< Boxes of the fleet that may be down by plan at once.
+
+	/** Chooses the pool of a box that is new. */
+	virtual PoolName Choose(PoolDraft &draft) = 0;
+
+	/** Moves boxes between pools. */
+	virtual std::vector<Proposal> Rebalance(PoolDraft &draft) = 0;
+
+	static Proposal Grant(Box &box, PermitPurpose purpose, const PoolName &to)
+	{
+		glade::wire::PermitGrantT grant;
+		grant.box = box.name.Value();
+		grant.epoch = box.epoch.Value();
+		grant.purpose = static_cast<uint8_t>(purpose);
+		grant.move_to = to.Value();
+		box.state = BoxState::BS_DRAINING;
+		box.purpose = purpose;
+		return MakeProposal(std::move(grant));
+	}
+
+	static size_t Moving(const PoolDraft &draft)
+	{
+		size_t n = 0;
+		for (const auto &[name, pool] : draft) {
+			n += static_cast<size_t>(std::ranges::count(pool.boxes, PermitPurpose::PP_MOVE, &Box::purpose));
+		}
+		return n;
+	}
+
+private:
+	std::vector<Proposal> Register(const FleetState &fleet, const PlannerInputs &inputs)
+	{
+		/* Our own registration, with another choice of the pool. */
+		std::vector<Proposal> proposals = PlanList(fleet, inputs.list);
+		PoolDraft draft = PicturesOf(fleet);
+		for (Proposal &it : proposals) {
+			auto *record = it->change.AsBoxRegister();
+			if (record == nullptr || fleet.boxes.contains(BoxName(record->box))) {
+				continue;
+			}
+			const PoolName pool = this->Choose(draft);
+			record->pool = pool.Value();
+			Box box;
+			box.name = BoxName(record->box);
+			box.slots = Slots(record->slots);
+			box.pool = pool;
+			box.health = BoxHealth::BH_UP;
+			draft[pool].boxes.push_back(box);
+		}
+		return proposals;
+	}
+
+	std::vector<Proposal> Maintain(const FleetState &fleet, PoolDraft &draft) const
+	{
+		std::vector<Proposal> proposals;
+		size_t active = 0;
+		for (const auto &[name, pool] : draft) {
+			active += static_cast<size_t>(std::ranges::count(pool.boxes, PermitPurpose::PP_MAINTAIN, &Box::purpose));
+		}
+		for (auto &[name, pool] : draft) {
+			for (Box &box : pool.boxes) {
+				const bool due = box.last_maintained == Millis(0) ||
+				                 box.last_maintained + Millis(this->policy.cycle.Value() / 2) < fleet.time;
+				const bool free = box.state == BoxState::BS_SERVING && box.purpose == PermitPurpose::PP_NONE;
+				if (!due || !free || active >= this->most_at_once) {
+					continue;
+				}
+				if (!TakesWork(box) || CheckBudget(pool, box, false).Ok()) {
+					proposals.push_back(Grant(box, PermitPurpose::PP_MAINTAIN, PoolName()));
+					active++;
+				}
+			}
+		}
+		return proposals;
+	}
+};
+
+/** Pools as equal as can be. */
+class EvenSplit : public Baseline {
+public:
+	[[nodiscard]] const char *Name() const override { return "even_split"; }
+
+protected:
+	PoolName Choose(PoolDraft &draft) override
+	{
+		return std::ranges::min_element(draft, {}, [](const auto &it) { return it.second.boxes.size(); })->first;
+	}
+
+	/** Moves a box from the largest pool that can give to one that misses its floor and guards. */
+	std::vector<Proposal> Rebalance(PoolDraft &draft) override
+	{
+		std::vector<Proposal> proposals;
+		if (Moving(draft) > 0) {
+			return proposals;
+		}
+		for (auto &[name, pool] : draft) {
+			if (FloorsHold(CapacityOf(pool), FloorsOf(pool), true)) {
+				continue;
+			}
+			auto donors = std::vector<PoolPicture *>();
+			for (auto &[other, it] : draft) {
+				donors.push_back(&it);
+			}
+			std::ranges::sort(donors, std::greater(), [](const PoolPicture *it) { return it->boxes.size(); });
+			for (PoolPicture *donor : donors) {
+				const auto can_go = [&](const Box &box) {
+					return TakesWork(box) && box.purpose == PermitPurpose::PP_NONE && CheckBudget(*donor, box, false).Ok();
+				};
+				const auto box = std::ranges::find_if(donor->boxes, can_go);
+				if (donor->name != name && box != donor->boxes.end()) {
+					proposals.push_back(Grant(*box, PermitPurpose::PP_MOVE, name));
+					return proposals;
+				}
+			}
+		}
+		return proposals;
+	}
+};
+
+/** Boxes to the first pool that lacks one. */
+class FirstFit : public EvenSplit {
+public:
+	[[nodiscard]] const char *Name() const override { return "first_fit"; }
+
+protected:
+	PoolName Choose(PoolDraft &draft) override
+	{
+		for (const auto &[name, pool] : draft) {
+			const PoolCapacity capacity = CapacityOf(pool);
+			const uint64_t need = FloorsOf(pool).All() * 3 / 2;
+			if (capacity.up < need) {
+				return name;
+			}
+		}
+		return EvenSplit::Choose(draft);
+	}
+};
+
+/** One box of the fleet at a time. */
+class OneAtATime : public EvenSplit {
+public:
+	OneAtATime() { this->most_at_once = 1; }
+	[[nodiscard]] const char *Name() const override { return "one_at_a_time"; }
+};
+
+} // namespace
+
+std::unique_ptr<Strategy> OurStrategy(const PlannerPolicy &policy)
+{
+	return std::make_unique<Ours>(policy);
+}
+
+std::unique_ptr<Strategy> EvenSplitStrategy()
+{
+	return std::make_unique<EvenSplit>();
+}
+
+std::unique_ptr<Strategy> FirstFitStrategy()
+{
+	return std::make_unique<FirstFit>();
+}
+
+std::unique_ptr<Strategy> OneAtATimeStrategy()
+{
+	return std::make_unique<OneAtATime>();
+}
--- a/src/fleet/box_cmd.cpp
+++ b/src/fleet/box_cmd.cpp
@@ -164,6 +164,7 @@
 		/* What was placed here before the failure must not be taken for work of the box that comes back. */
 		box.epoch = BoxEpoch(box.epoch.Value() + 1);
 	}
+	box.health_since = box.health == health ? box.health_since : fleet.time;
 	box.health = health;
 	fleet.Put(fleet.boxes, box.name, box);
 	return {};
--- a/src/fleet/fleet_hash.cpp
+++ b/src/fleet/fleet_hash.cpp
@@ -84,7 +84,7 @@
 	hash.Add(key).Add(value.zone).Add(value.rack).Add(value.address).Add(value.slots).Add(value.pool).Add(value.epoch);
 	hash.Add(value.state).Add(value.health).Add(value.permit).Add(value.purpose).Add(uint64_t{value.urgent});
 	hash.Add(value.move_to).Add(value.last_maintained).Add(value.since).Add(uint64_t{value.strikes});
-	hash.Add(value.registered).Add(value.confirmed);
+	hash.Add(value.registered).Add(value.confirmed).Add(value.health_since);
 	return hash.Add(value.strike_jobs).Finish();
 }
 
--- a/src/fleet/fleet_type.h
+++ b/src/fleet/fleet_type.h
@@ -96,6 +96,7 @@
 	BoxEpoch epoch;                                 ///< Raised at each change of pool and each failure.
 	BoxState state = BoxState::BS_SERVING;          ///< Where it stands in its planned life.
 	BoxHealth health = BoxHealth::BH_UNKNOWN;       ///< What the platform's list says.
+	Millis health_since;                            ///< When `health` was last changed.
 	PermitId permit;                                ///< The permit it holds, 0 for none.
 	PermitPurpose purpose = PermitPurpose::PP_NONE; ///< What the permit is for.
 	bool urgent = false;                            ///< Whether the permit is of the urgent class.
--- a/src/fleet/snapshot_func.cpp
+++ b/src/fleet/snapshot_func.cpp
@@ -42,6 +42,7 @@
 	it->strikes = box.strikes;
 	it->strike_jobs = ListOf(box.strike_jobs);
 	it->registered = box.registered.Value();
+	it->health_since = box.health_since.Value();
 	it->confirmed = ListOf(box.confirmed);
 	return it;
 }
@@ -67,6 +68,7 @@
 	box.strikes = it.strikes;
 	box.strike_jobs = SetOf(it.strike_jobs);
 	box.registered = Millis(it.registered);
+	box.health_since = Millis(it.health_since);
 	box.confirmed = SetOf(it.confirmed);
 	return box;
 }
--- a/src/planner/planner_func.h
+++ b/src/planner/planner_func.h
@@ -8,14 +8,6 @@
 /** Pools by name, with what planned steps of this round have changed in them. */
 using PoolDraft = std::map<PoolName, PoolPicture>;
 
-/**
- * Chooses the pool of a new box: where the floors, guards and weights miss capacity most, in its failure domain first.
- * @param draft The pools; the box is added to the chosen one.
- * @param box The box.
- * @return The pool, empty when no row names any.
- */
-PoolName ChoosePool(PoolDraft &draft, const ListedBox &box);
-
 /**
  * Registers new boxes and records changes of health.
  * @param fleet The state.
@@ -51,11 +43,12 @@
 /**
  * Moves boxes to pools that are short of them, if it is worth a move.
  * @param draft The pools; boxes chosen are draining in it.
+ * @param now Log time.
  * @param policy Weights.
  * @param observed Observed use per pool.
  * @return Proposals.
  */
-std::vector<Proposal> PlanMoves(PoolDraft &draft, const PlannerPolicy &policy,
+std::vector<Proposal> PlanMoves(PoolDraft &draft, Millis now, const PlannerPolicy &policy,
 								const std::map<PoolName, uint64_t> &observed);
 
 /**
--- a/src/planner/pool_plan.cpp
+++ b/src/planner/pool_plan.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-constexpr uint64_t PERCENT = 100; ///< Hundredths in a whole.
+constexpr uint64_t PERCENT = 100;  ///< Hundredths in a whole.
+constexpr int64_t DONOR_WEIGHT = 4; ///< What a donor keeps, against the domains of the box, in the choice of a move.
 
 /**
  * Slots that a pool should be able to use: its floors, or what it was seen to use when that is more.
@@ -26,15 +27,24 @@
 }
 
 /**
- * A pool as it will be when the moves that are under way have ended: what is to leave it takes no work, what is to
- * come does.
+ * A pool as it will be when what is under way has ended: moves have arrived, maintenance is over, boxes that failed a
+ * short while ago are back.
  * @param draft All pools.
  * @param pool One of them.
+ * @param failed_after Boxes that failed after this log time count as coming back.
  * @return The copy.
  */
-PoolPicture WithArrivals(const PoolDraft &draft, const PoolPicture &pool)
+PoolPicture WithArrivals(const PoolDraft &draft, const PoolPicture &pool, Millis failed_after)
 {
 	PoolPicture later = pool;
+	for (Box &box : later.boxes) {
+		const bool maintained = box.purpose == PermitPurpose::PP_MAINTAIN;
+		const bool failed_just_now = box.health != BoxHealth::BH_UP && box.health_since >= failed_after;
+		if ((maintained || box.state == BoxState::BS_SERVING) && (maintained || failed_just_now)) {
+			box.state = BoxState::BS_SERVING;
+			box.health = BoxHealth::BH_UP;
+		}
+	}
 	for (const auto &[name, other] : draft) {
 		for (const Box &box : other.boxes) {
 			if (box.purpose == PermitPurpose::PP_MOVE && box.move_to == pool.name) {
@@ -44,13 +54,6 @@
 			}
 		}
 	}
-	/* Boxes under maintenance come back; counting them as gone would make each wave look like a shortage. */
-	for (Box &box : later.boxes) {
-		if (box.purpose == PermitPurpose::PP_MAINTAIN && box.health != BoxHealth::BH_DOWN) {
-			box.state = BoxState::BS_SERVING;
-			box.health = BoxHealth::BH_UP;
-		}
-	}
 	return later;
 }
 
@@ -98,34 +101,189 @@
 	return weight;
 }
 
-/** How well a pool suits a new box; the smallest is the best. */
-struct Suitability {
-	int64_t margin = 0;   ///< What it has left over: negative first.
-	uint64_t in_zone = 0; ///< Its slots in the zone of the box.
-	uint64_t in_rack = 0; ///< Its slots in the rack of the box.
-	PoolName name;        ///< To make the choice unique.
+/** Failure domains of the fleet. */
+struct DomainCounts {
+	uint64_t zones = 0; ///< Availability zones with boxes.
+	uint64_t racks = 0; ///< Racks with boxes.
+	uint64_t slots = 0; ///< Slots of all boxes.
+	uint64_t box = 0;   ///< Slots of the largest box.
+};
+
+/**
+ * Slots that a pool needs if its boxes are spread evenly: each guard asks for its floors to survive one domain of n,
+ * so for n / (n - 1) times the floors, and maintenance for boxes to spare.
+ * @param pool The pool.
+ * @param demand Slots it should be able to use.
+ * @param counts Failure domains.
+ * @param spare_boxes Boxes that maintenance may take at once.
+ * @return Slots.
+ */
+uint64_t NeedOf(const PoolPicture &pool, uint64_t demand, const DomainCounts &counts, uint32_t spare_boxes)
+{
+	const PoolFloors floors = FloorsOf(pool);
+	const auto survive = [](uint64_t slots, uint64_t domains) {
+		return domains < 2 ? 2 * slots : (slots * domains + domains - 2) / (domains - 1);
+	};
+	uint64_t need = demand;
+	need = std::max(need, floors.at_least[static_cast<int>(Guard::GD_BOX)] + counts.box);
+	need = std::max(need, survive(floors.at_least[static_cast<int>(Guard::GD_RACK)], counts.racks));
+	need = std::max(need, survive(floors.at_least[static_cast<int>(Guard::GD_ZONE)], counts.zones));
+	return demand == 0 ? 0 : need + spare_boxes * counts.box;
+}
+
+/**
+ * Splits all slots among the pools: what each needs first, the rest by weight.
+ * @param draft All pools.
+ * @param counts Failure domains.
+ * @param policy Weights.
+ * @param observed Observed use.
+ * @return Target per pool, in slots, at least 1 for a pool that rows name.
+ */
+std::map<PoolName, uint64_t> TargetsOf(const PoolDraft &draft, const DomainCounts &counts, const PlannerPolicy &policy,
+		const std::map<PoolName, uint64_t> &observed)
+{
+	std::map<PoolName, uint64_t> targets;
+	uint64_t needs = 0;
+	uint64_t weights = 0;
+	for (const auto &[name, pool] : draft) {
+		if (!pool.rows.empty()) {
+			targets[name] = NeedOf(pool, DemandOf(pool, observed), counts, policy.spare_boxes);
+			needs += targets[name];
+			weights += WeightOf(pool);
+		}
+	}
+	const uint64_t rest = counts.slots > needs ? counts.slots - needs : 0;
+	for (auto &[name, target] : targets) {
+		target += weights == 0 ? 0 : rest * WeightOf(draft.at(name)) / weights;
+		target = std::max<uint64_t>(target, 1);
+	}
+	return targets;
+}
+
+/**
+ * Counts the failure domains of a draft.
+ * @param draft All pools.
+ * @return The counts.
+ */
+DomainCounts CountDomains(const PoolDraft &draft)
+{
+	DomainCounts counts;
+	std::set<ZoneName> zones;
+	std::set<std::pair<ZoneName, RackName>> racks;
+	for (const auto &[name, pool] : draft) {
+		for (const Box &box : pool.boxes) {
+			zones.insert(box.zone);
+			racks.insert({box.zone, box.rack});
+			counts.slots += box.slots.Value();
+			counts.box = std::max<uint64_t>(counts.box, box.slots.Value());
+		}
+	}
+	counts.zones = zones.size();
+	counts.racks = racks.size();
+	return counts;
+}
+
+/** How full a pool would be with a new box, in the whole and in the box's zone; the smallest gets it. */
+struct Fullness {
+	uint64_t millionths = 0; ///< Slots against the target, plus the same for the zone alone.
+	uint64_t in_rack = 0;    ///< Its slots in the rack of the box.
+	PoolName name;           ///< To make the choice unique.
 
-	auto operator<=>(const Suitability &) const = default;
+	auto operator<=>(const Fullness &) const = default;
 };
 
 /**
- * Rates a pool for a new box. Pools that miss capacity come first; then what is left over counts per weight.
+ * Rates a pool for a new box.
  * @param pool The pool.
  * @param box The box.
+ * @param target Its target, in slots.
+ * @param zones Availability zones.
  * @return The rating.
  */
-Suitability Rate(const PoolPicture &pool, const ListedBox &box)
+Fullness Rate(const PoolPicture &pool, const ListedBox &box, uint64_t target, uint64_t zones)
 {
-	Suitability rate;
-	const int64_t margin = MarginOf(pool, FloorsOf(pool).All(), 1);
-	const auto weight = static_cast<int64_t>(std::max<uint64_t>(WeightOf(pool), 1));
-	rate.margin = margin < 0 ? margin : margin / weight;
-	rate.in_zone = SlotsIn(pool, box.zone, nullptr);
+	constexpr uint64_t MILLION = 1000000;
+	uint64_t all = 0;
+	for (const Box &it : pool.boxes) {
+		all += it.slots.Value();
+	}
+	/* Half a box more, so that rounding favours no pool. */
+	const uint64_t half = box.slots.Value() / 2;
+	const uint64_t in_zone = SlotsIn(pool, box.zone, nullptr) + half;
+	Fullness rate;
+	rate.millionths = ((all + half) + in_zone * zones) * MILLION / target;
 	rate.in_rack = SlotsIn(pool, box.zone, &box.rack);
 	rate.name = pool.name;
 	return rate;
 }
 
+/**
+ * The box as it will be recorded.
+ * @param box The listed box.
+ * @param pool Its pool.
+ * @return The box.
+ */
+Box NewBox(const ListedBox &box, const PoolName &pool)
+{
+	Box added;
+	added.name = box.name;
+	added.zone = box.zone;
+	added.rack = box.rack;
+	added.slots = box.slots;
+	added.pool = pool;
+	added.health = BoxHealth::BH_UP;
+	return added;
+}
+
+/** Chooses pools for new boxes, one after the other. */
+class PoolChooser {
+public:
+	/**
+	 * @param draft The pools as they are.
+	 * @param list All boxes that will be there.
+	 */
+	PoolChooser(PoolDraft draft, const std::vector<ListedBox> &list) : draft(std::move(draft))
+	{
+		PoolDraft whole = this->draft;
+		std::set<BoxName> known;
+		for (const auto &[name, pool] : this->draft) {
+			for (const Box &box : pool.boxes) {
+				known.insert(box.name);
+			}
+		}
+		for (const ListedBox &it : list) {
+			if (!known.contains(it.name)) {
+				whole[PoolName()].boxes.push_back(NewBox(it, PoolName()));
+			}
+		}
+		this->counts = CountDomains(whole);
+		this->targets = TargetsOf(this->draft, this->counts, PlannerPolicy(), {});
+	}
+
+	/**
+	 * Chooses the pool of a box, and counts the box in it.
+	 * @param box The box.
+	 * @return The pool; empty when no row names any.
+	 */
+	PoolName Choose(const ListedBox &box)
+	{
+		if (this->targets.empty()) {
+			return {};
+		}
+		const auto rate = [&](const auto &it) {
+			return Rate(this->draft.at(it.first), box, it.second, this->counts.zones);
+		};
+		const PoolName chosen = std::ranges::min_element(this->targets, {}, rate)->first;
+		this->draft[chosen].boxes.push_back(NewBox(box, chosen));
+		return chosen;
+	}
+
+private:
+	PoolDraft draft;                         ///< The pools, with boxes chosen so far.
+	DomainCounts counts;                     ///< Failure domains.
+	std::map<PoolName, uint64_t> targets;    ///< Target per pool, in slots.
+};
+
 /** A box that could move. */
 struct MoveChoice {
 	PoolPicture *from = nullptr; ///< Donor.
@@ -148,41 +306,51 @@
 	return slots_in(donor) - slots_in(receiver);
 }
 
+/** What the choice of moves rests on. */
+struct MoveContext {
+	PoolDraft &draft;                              ///< All pools.
+	const PlannerPolicy &policy;                   ///< Weights.
+	const std::map<PoolName, uint64_t> &observed;  ///< Observed use.
+	Millis now;                                    ///< Log time.
+
+	/** @return A pool as it will be when what is under way has ended. */
+	[[nodiscard]] PoolPicture Later(const PoolPicture &pool) const
+	{
+		return WithArrivals(this->draft, pool, this->now - this->policy.failure_patience);
+	}
+
+	/** @return What a pool has over its demand and guards, in slots. */
+	[[nodiscard]] int64_t Margin(const PoolPicture &pool) const { return MarginOf(pool, DemandOf(pool, this->observed), 0); }
+};
+
 /**
- * Finds the best box to move into a pool.
- * @param draft All pools.
+ * Finds the best box to move into a pool: from the donor with most left over, out of its fullest domain.
+ * @param context Pools and weights.
  * @param receiver The pool that is short.
- * @param policy Weights.
- * @param observed Observed use.
- * @param least_left What a donor must have left over after giving.
  * @return The choice; `box` is null when nobody can give.
  */
-MoveChoice FindMove(PoolDraft &draft, const PoolPicture &receiver, const PlannerPolicy &policy,
-					const std::map<PoolName, uint64_t> &observed, int64_t least_left)
+MoveChoice FindMove(const MoveContext &context, const PoolPicture &receiver)
 {
 	MoveChoice best;
-	for (auto &[name, donor] : draft) {
+	for (auto &[name, donor] : context.draft) {
 		if (name == receiver.name) {
 			continue;
 		}
-		const uint64_t demand = DemandOf(donor, observed);
-		PoolPicture later = WithArrivals(draft, donor);
-		if (MarginOf(later, demand, policy.spare_boxes) <= least_left) {
+		PoolPicture later = context.Later(donor);
+		if (context.Margin(later) <= 0) {
 			continue;
 		}
 		for (Box &box : donor.boxes) {
-			if (!TakesWork(box) || box.permit != PermitId()) {
-				continue;
-			}
-			const int64_t score = MoveScore(donor, receiver, box);
-			if (best.box != nullptr && score <= best.score) {
+			if (!TakesWork(box) || box.permit != PermitId() || box.purpose != PermitPurpose::PP_NONE) {
 				continue;
 			}
 			const auto in_later = std::ranges::find(later.boxes, box.name, &Box::name);
 			in_later->state = BoxState::BS_DRAINING;
-			const bool can_give = MarginOf(later, demand, policy.spare_boxes) >= least_left;
+			const int64_t left = context.Margin(later);
 			in_later->state = BoxState::BS_SERVING;
-			if (can_give && CheckBudget(donor, box, false).Ok()) {
+			const int64_t score = DONOR_WEIGHT * left + MoveScore(donor, receiver, box);
+			const bool better = best.box == nullptr || score > best.score;
+			if (left >= 0 && better && CheckBudget(donor, box, false).Ok()) {
 				best = MoveChoice{&donor, &box, score};
 			}
 		}
@@ -190,6 +358,34 @@
 	return best;
 }
 
+/**
+ * Whether a pool needs a box: its floors are broken, its guards will stay broken, or a deadline nears and it can't
+ * spare a box for maintenance.
+ * @param context Pools and weights.
+ * @param pool The pool.
+ * @return Whether it is worth a move.
+ */
+bool NeedsBox(const MoveContext &context, const PoolPicture &pool)
+{
+	const PoolPicture later = context.Later(pool);
+	if (context.Margin(later) < 0) {
+		return true;
+	}
+	const bool broken = !FloorsHold(CapacityOf(pool), FloorsOf(pool), false);
+	const bool nothing_comes = later.boxes.size() == pool.boxes.size();
+	if (broken && nothing_comes) {
+		return true;
+	}
+	const Millis soon = context.now + context.policy.blocked_patience;
+	const auto waits = [&](const Box &box) {
+		const Millis last = std::max(box.last_maintained, box.registered);
+		return box.purpose == PermitPurpose::PP_NONE && last + context.policy.cycle < soon;
+	};
+	const bool deadline_nears = std::ranges::any_of(later.boxes, waits);
+	const uint64_t box_slots = CapacityOf(later).largest_box;
+	return deadline_nears && context.Margin(later) < static_cast<int64_t>(box_slots);
+}
+
 /**
  * Proposes a permit and marks the box as draining in the draft.
  * @param box The box in the draft.
@@ -210,87 +406,43 @@
 	return MakeProposal(std::move(grant));
 }
 
-/** Pools that are furthest from their weight's share of what is left over. */
-struct ShareSpread {
-	PoolPicture *poorest = nullptr; ///< Has the least left over for its weight.
-	int64_t richest_left = 0;       ///< What the richest has left over, per unit of weight.
-	int64_t poorest_left = 0;       ///< What the poorest has left over, per unit of weight.
-};
-
 /**
- * Finds the pool that weights favour most.
- * @param draft All pools.
- * @param policy Weights.
- * @param observed Observed use.
- * @return The spread.
+ * Finds the pool that is furthest below its target, relative to it.
+ * @param context Pools and weights.
+ * @param targets Targets.
+ * @return The pool and how far it is below, in hundredths of its target; null when none is.
  */
-ShareSpread SpreadOf(PoolDraft &draft, const PlannerPolicy &policy, const std::map<PoolName, uint64_t> &observed)
+std::pair<PoolPicture *, uint64_t> FurthestBelow(const MoveContext &context, const std::map<PoolName, uint64_t> &targets)
 {
-	ShareSpread spread;
-	bool first = true;
-	for (auto &[name, pool] : draft) {
-		const auto weight = static_cast<int64_t>(WeightOf(pool));
-		if (weight == 0) {
-			continue;
+	std::pair<PoolPicture *, uint64_t> furthest = {nullptr, 0};
+	for (const auto &[name, target] : targets) {
+		const PoolPicture later = context.Later(context.draft.at(name));
+		uint64_t slots = 0;
+		for (const Box &box : later.boxes) {
+			slots += box.slots.Value();
 		}
-		const int64_t margin = MarginOf(WithArrivals(draft, pool), DemandOf(pool, observed), policy.spare_boxes);
-		const int64_t left = std::max<int64_t>(margin, 0) * 1000 / weight;
-		spread.richest_left = first ? left : std::max(spread.richest_left, left);
-		if (first || left < spread.poorest_left) {
-			spread.poorest_left = left;
-			spread.poorest = &pool;
+		const uint64_t below = slots < target ? (target - slots) * PERCENT / target : 0;
+		if (below > furthest.second) {
+			furthest = {&context.draft.at(name), below};
 		}
-		first = false;
 	}
-	return spread;
+	return furthest;
 }
 
 } // namespace
 
-PoolName ChoosePool(PoolDraft &draft, const ListedBox &box)
-{
-	PoolPicture *chosen = nullptr;
-	Suitability best;
-	for (auto &[name, pool] : draft) {
-		if (pool.rows.empty()) {
-			continue;
-		}
-		Suitability rate = Rate(pool, box);
-		if (chosen == nullptr || rate < best) {
-			best = std::move(rate);
-			chosen = &pool;
-		}
-	}
-	if (chosen == nullptr) {
-		return {};
-	}
-	Box added;
-	added.name = box.name;
-	added.zone = box.zone;
-	added.rack = box.rack;
-	added.slots = box.slots;
-	added.pool = chosen->name;
-	added.health = BoxHealth::BH_UP;
-	chosen->boxes.push_back(added);
-	return chosen->name;
-}
-
-std::vector<Proposal> PlanMoves(PoolDraft &draft, const PlannerPolicy &policy,
-								const std::map<PoolName, uint64_t> &observed)
+std::vector<Proposal> PlanMoves(PoolDraft &draft, Millis now, const PlannerPolicy &policy,
+		const std::map<PoolName, uint64_t> &observed)
 {
+	const MoveContext context{draft, policy, observed, now};
 	std::vector<Proposal> proposals;
 	uint32_t moving = 0;
 	for (const auto &[name, pool] : draft) {
 		moving += static_cast<uint32_t>(std::ranges::count(pool.boxes, PermitPurpose::PP_MOVE, &Box::purpose));
 	}
-	/* First pools that miss capacity for floors, guards and maintenance. Boxes of pools that no row names go first. */
 	for (auto &[name, pool] : draft) {
-		if (pool.rows.empty()) {
-			continue;
-		}
-		while (moving < policy.moves_at_once &&
-			   MarginOf(WithArrivals(draft, pool), DemandOf(pool, observed), policy.spare_boxes) < 0) {
-			const MoveChoice choice = FindMove(draft, pool, policy, observed, 0);
+		while (!pool.rows.empty() && moving < policy.moves_at_once && NeedsBox(context, pool)) {
+			const MoveChoice choice = FindMove(context, pool);
 			if (choice.box == nullptr) {
 				break;
 			}
@@ -298,19 +450,13 @@
 			moving++;
 		}
 	}
-	/* Then what is left over, by weight, if the gap is worth a move: more than the threshold, and more than a box. */
+	/* What is left over, by weight, only if the gap is worth a move and nothing else moves. */
 	if (moving == 0 && policy.move_gain_percent < PERCENT) {
-		const ShareSpread spread = SpreadOf(draft, policy, observed);
-		const int64_t gap = spread.richest_left - spread.poorest_left;
-		if (spread.poorest != nullptr && spread.richest_left > 0 &&
-			gap * static_cast<int64_t>(PERCENT) >
-					spread.richest_left * static_cast<int64_t>(PERCENT - policy.move_gain_percent)) {
-			const auto weight = static_cast<int64_t>(WeightOf(*spread.poorest));
-			const MoveChoice choice = FindMove(draft, *spread.poorest, policy, observed, 0);
-			/* The receiver must stay poorer than the donor was, or the box would be sent back. */
-			if (choice.box != nullptr &&
-				spread.poorest_left + int64_t{choice.box->slots.Value()} * 1000 / weight < spread.richest_left) {
-				proposals.push_back(Grant(*choice.box, PermitPurpose::PP_MOVE, spread.poorest->name));
+		const auto targets = TargetsOf(draft, CountDomains(draft), policy, observed);
+		const auto [poorest, below] = FurthestBelow(context, targets);
+		if (poorest != nullptr && below > policy.move_gain_percent) {
+			if (const MoveChoice choice = FindMove(context, *poorest); choice.box != nullptr) {
+				proposals.push_back(Grant(*choice.box, PermitPurpose::PP_MOVE, poorest->name));
 			}
 		}
 	}
@@ -320,7 +466,7 @@
 std::vector<Proposal> PlanList(const FleetState &fleet, const std::vector<ListedBox> &list)
 {
 	std::vector<Proposal> proposals;
-	PoolDraft draft = PicturesOf(fleet);
+	PoolChooser chooser(PicturesOf(fleet), list);
 	for (const ListedBox &it : list) {
 		const auto known = fleet.boxes.find(it.name);
 		const bool changed = known == fleet.boxes.end() || known->second.zone != it.zone ||
@@ -333,7 +479,7 @@
 			record.rack = it.rack.Value();
 			record.address = it.address;
 			record.slots = it.slots.Value();
-			record.pool = known == fleet.boxes.end() ? ChoosePool(draft, it).Value() : known->second.pool.Value();
+			record.pool = known == fleet.boxes.end() ? chooser.Choose(it).Value() : known->second.pool.Value();
 			if (!record.pool.empty()) {
 				proposals.push_back(MakeProposal(std::move(record)));
 			}
--- a/src/planner/wave_plan.cpp
+++ b/src/planner/wave_plan.cpp
@@ -68,9 +68,14 @@
 			return nullptr;
 		}
 		return Step(box, listed->checks_pass ? BoxStepKind::BK_VERIFIED : BoxStepKind::BK_SET_ASIDE);
+	case BoxState::BS_SET_ASIDE:
+		/* Set aside by its checks: once they pass it serves again, and is due for maintenance as before. */
+		if (box.strikes == 0 && listed != nullptr && listed->health == BoxHealth::BH_UP && listed->checks_pass) {
+			return Step(box, BoxStepKind::BK_RESTORE);
+		}
+		return nullptr;
 	case BoxState::BS_DRAINING: /* PlanDrains() */
 	case BoxState::BS_SERVING:
-	case BoxState::BS_SET_ASIDE:
 		break;
 	}
 	return nullptr;
@@ -88,6 +93,7 @@
 	ZoneName zone;                     ///< The zone.
 	std::vector<Candidate> candidates; ///< Boxes due in it.
 	uint32_t active = 0;               ///< Boxes of it that hold a permit to be maintained.
+	uint64_t up = 0;                   ///< Slots of it that take work.
 	Millis deadline;                   ///< The nearest deadline.
 	bool stopped = false;              ///< A box of this zone's wave failed after its reboot.
 };
@@ -117,6 +123,7 @@
 		ZoneQueue &queue = queues[box.zone];
 		queue.zone = box.zone;
 		queue.active += box.purpose == PermitPurpose::PP_MAINTAIN ? 1 : 0;
+		queue.up += TakesWork(box) ? box.slots.Value() : 0;
 		const bool failed_its_wave = box.state == BoxState::BS_SET_ASIDE && box.strikes == 0;
 		queue.stopped = queue.stopped || failed_its_wave;
 		const bool can_go =
@@ -145,8 +152,10 @@
 			sorted.push_back(std::move(queue));
 		}
 	}
+	/* A box out of the largest zone costs least: what must survive is the loss of that zone. */
 	std::ranges::stable_sort(sorted, [](const ZoneQueue &a, const ZoneQueue &b) {
-		return std::make_pair(a.active == 0, a.deadline) < std::make_pair(b.active == 0, b.deadline);
+		return std::make_tuple(a.active == 0, -static_cast<int64_t>(a.up), a.deadline) <
+		       std::make_tuple(b.active == 0, -static_cast<int64_t>(b.up), b.deadline);
 	});
 	return sorted;
 }
@@ -166,6 +175,21 @@
 	});
 }
 
+/**
+ * @param pool The pool.
+ * @return Availability zones with boxes under maintenance.
+ */
+uint32_t ZonesUnderWay(const PoolPicture &pool)
+{
+	std::set<ZoneName> zones;
+	for (const Box &box : pool.boxes) {
+		if (box.purpose == PermitPurpose::PP_MAINTAIN) {
+			zones.insert(box.zone);
+		}
+	}
+	return static_cast<uint32_t>(zones.size());
+}
+
 /**
  * Grants permits in one zone of a pool as far as the budgets go.
  * @param pool The pool.
@@ -206,6 +230,8 @@
 	policy.idle_lead = Millis(21 * MS_PER_DAY);
 	policy.drain_patience = Millis(4 * MS_PER_HOUR);
 	policy.move_gain_percent = 100;
+	policy.failure_patience = Millis(12 * MS_PER_HOUR);
+	policy.blocked_patience = Millis(5 * MS_PER_DAY);
 	return policy;
 }
 
@@ -214,6 +240,9 @@
 	PlannerPolicy policy;
 	policy.drain_patience = Millis(10 * 60 * MS_PER_SECOND);
 	policy.move_gain_percent = 50;
+	policy.failure_patience = Millis(1 * MS_PER_HOUR);
+	policy.blocked_patience = Millis(7 * MS_PER_DAY);
+	policy.zones_at_once = UINT32_MAX;
 	return policy;
 }
 
@@ -239,7 +268,7 @@
 	}
 	std::vector<Proposal> proposals;
 	for (const auto &[name, box] : fleet.boxes) {
-		if (box.permit == PermitId()) {
+		if (box.permit == PermitId() && box.state != BoxState::BS_SET_ASIDE) {
 			continue;
 		}
 		const auto it = listed.find(name);
@@ -277,14 +306,14 @@
 		if (canary && active > 0) {
 			continue;
 		}
-		/* One zone of a pool at a time: a wave then never spans two failure domains. */
+		const size_t limit = canary ? 1 : pool.boxes.size();
+		uint32_t zones = ZonesUnderWay(pool);
 		for (const ZoneQueue &queue : QueuesOf(pool, fleet, policy)) {
-			if (active > 0 && queue.active == 0) {
-				break;
-			}
-			if (GrantIn(pool, queue, canary ? 1 : pool.boxes.size(), proposals) > 0) {
+			if (queue.active == 0 && zones >= (canary ? 1 : policy.zones_at_once)) {
 				break;
 			}
+			const size_t granted = GrantIn(pool, queue, limit, proposals);
+			zones += granted > 0 && queue.active == 0 ? 1 : 0;
 		}
 	}
 	return proposals;
@@ -302,7 +331,7 @@
 	take(PlanDrains(fleet, nullptr, inputs));
 	/* While failures press, nothing new goes down; moves into short pools come first otherwise. */
 	if (!withdrew) {
-		take(PlanMoves(draft, policy, inputs.observed));
+		take(PlanMoves(draft, fleet.time, policy, inputs.observed));
 		take(PlanMaintenance(draft, fleet, policy));
 	}
 	return proposals;
