--- a/src/bench/fleet_world.cpp
+++ b/src/bench/fleet_world.cpp
@@ -9,15 +9,15 @@
 
 namespace {
 
-constexpr Millis REBOOT_MEAN(12 * 60 * MS_PER_SECOND);   ///< Time that a reboot takes, on average.
-constexpr Millis FAILURE_MEAN(6 * MS_PER_HOUR);          ///< Time that a failed box is away.
-constexpr Millis RESTART_MEAN(8 * 60 * MS_PER_SECOND);   ///< Time that a restarted box is away.
-constexpr Millis RACK_MEAN(3 * MS_PER_HOUR);             ///< Time that a lost rack is away.
-constexpr Millis ZONE_MEAN(1 * MS_PER_HOUR);             ///< Time that a lost zone is away.
-constexpr Millis REPAIR_TIME(12 * MS_PER_HOUR);          ///< Time after which a box that failed its checks is repaired.
-constexpr Millis REBOOT_LEAST(6 * 60 * MS_PER_SECOND);   ///< Shortest reboot.
-constexpr uint64_t FAILS_AFTER_REBOOT_ONE_IN = 400;      ///< Boxes that fail their checks after a reboot.
-constexpr uint32_t HUNDRED = 100;                        ///< Hundredths in a whole.
+constexpr Millis REBOOT_MEAN(12 * 60 * MS_PER_SECOND); ///< Time that a reboot takes, on average.
+constexpr Millis FAILURE_MEAN(6 * MS_PER_HOUR);        ///< Time that a failed box is away.
+constexpr Millis RESTART_MEAN(8 * 60 * MS_PER_SECOND); ///< Time that a restarted box is away.
+constexpr Millis RACK_MEAN(3 * MS_PER_HOUR);           ///< Time that a lost rack is away.
+constexpr Millis ZONE_MEAN(1 * MS_PER_HOUR);           ///< Time that a lost zone is away.
+constexpr Millis REPAIR_TIME(12 * MS_PER_HOUR);        ///< Time after which a box that failed its checks is repaired.
+constexpr Millis REBOOT_LEAST(6 * 60 * MS_PER_SECOND); ///< Shortest reboot.
+constexpr uint64_t FAILS_AFTER_REBOOT_ONE_IN = 400;    ///< Boxes that fail their checks after a reboot.
+constexpr uint32_t HUNDRED = 100;                      ///< Hundredths in a whole.
 
 /* Services differ: floors against the mean, in hundredths, taken in turn. */
 constexpr uint32_t _floor_pattern[] = {140, 110, 100, 90, 60};
--- a/src/bench/fleet_world.h
+++ b/src/bench/fleet_world.h
@@ -12,22 +12,22 @@
 
 /** Sizes and rates of a deployment. */
 struct FleetPreset {
-	std::string name;             ///< Name.
-	uint32_t zones = 4;           ///< Availability zones.
-	uint32_t racks_per_zone = 4;  ///< Racks in each.
-	uint32_t boxes = 50;          ///< Boxes, spread over the racks.
-	uint32_t pools = 5;           ///< Pools, one service each.
-	uint32_t teams = 10;          ///< Teams with quotas.
-	uint32_t slots = 8;           ///< Slots of a box.
-	Guard guard = Guard::GD_ZONE; ///< What floors must survive.
-	uint32_t floors_percent = 52; ///< Sum of all floors against all slots.
-	double failures_a_day = 0.6;  ///< Boxes that fail.
-	double restarts_a_day = 4.6;  ///< Boxes that are restarted by others.
-	double rack_losses_a_day = 1.0 / 45;  ///< Racks lost for some hours.
-	double zone_losses_a_day = 1.0 / 60;  ///< Zones lost for some hours.
-	double table_changes_a_day = 20;      ///< Cells changed.
-	double jobs_a_day = 400;              ///< Jobs accepted.
-	bool lindeboom = false;               ///< Which weights the planner uses.
+	std::string name;                    ///< Name.
+	uint32_t zones = 4;                  ///< Availability zones.
+	uint32_t racks_per_zone = 4;         ///< Racks in each.
+	uint32_t boxes = 50;                 ///< Boxes, spread over the racks.
+	uint32_t pools = 5;                  ///< Pools, one service each.
+	uint32_t teams = 10;                 ///< Teams with quotas.
+	uint32_t slots = 8;                  ///< Slots of a box.
+	Guard guard = Guard::GD_ZONE;        ///< What floors must survive.
+	uint32_t floors_percent = 52;        ///< Sum of all floors against all slots.
+	double failures_a_day = 0.6;         ///< Boxes that fail.
+	double restarts_a_day = 4.6;         ///< Boxes that are restarted by others.
+	double rack_losses_a_day = 1.0 / 45; ///< Racks lost for some hours.
+	double zone_losses_a_day = 1.0 / 60; ///< Zones lost for some hours.
+	double table_changes_a_day = 20;     ///< Cells changed.
+	double jobs_a_day = 400;             ///< Jobs accepted.
+	bool lindeboom = false;              ///< Which weights the planner uses.
 };
 
 /**
@@ -103,9 +103,9 @@
 		Millis repaired_at; ///< When a box that failed its checks passes them again.
 	};
 
-	FleetPreset preset;                      ///< Sizes and rates.
-	std::vector<RealBox> boxes;              ///< All boxes.
-	std::vector<uint32_t> first_floors;      ///< Floors of the first table, by pool.
+	FleetPreset preset;                 ///< Sizes and rates.
+	std::vector<RealBox> boxes;         ///< All boxes.
+	std::vector<uint32_t> first_floors; ///< Floors of the first table, by pool.
 
 	void Lose(Millis until, const std::vector<size_t> &which);
 	[[nodiscard]] std::vector<size_t> BoxesOf(const ZoneName &zone, const RackName *rack) const;
--- a/src/bench/main.cpp
+++ b/src/bench/main.cpp
@@ -31,11 +31,10 @@
 	int (*run)(const BenchOptions &); ///< Runs it.
 };
 
-constexpr std::array _benches = {
-		BenchEntry{"maintain", RunMaintainBench}, BenchEntry{"fold", RunFoldBench},
-		BenchEntry{"jobs", RunJobsBench},         BenchEntry{"config", RunConfigBench},
-		BenchEntry{"overload", RunOverloadBench}, BenchEntry{"slots", RunSlotsBench},
-		BenchEntry{"proxy", RunProxyBench},       BenchEntry{"capacity", RunCapacityBench}};
+constexpr std::array _benches = {BenchEntry{"maintain", RunMaintainBench}, BenchEntry{"fold", RunFoldBench},
+								 BenchEntry{"jobs", RunJobsBench},         BenchEntry{"config", RunConfigBench},
+								 BenchEntry{"overload", RunOverloadBench}, BenchEntry{"slots", RunSlotsBench},
+								 BenchEntry{"proxy", RunProxyBench},       BenchEntry{"capacity", RunCapacityBench}};
 
 } // namespace
 
--- a/src/bench/maintain_bench.cpp
+++ b/src/bench/maintain_bench.cpp
@@ -8,13 +8,13 @@
 
 namespace {
 
-constexpr Millis STEP(5 * 60 * MS_PER_SECOND);      ///< Virtual time between two looks.
-constexpr Millis SPAN(21 * MS_PER_DAY);             ///< Length of a run.
-constexpr Millis START(1000 * MS_PER_DAY);          ///< Virtual wall clock at the start.
-constexpr Millis JOB_MEAN(2 * MS_PER_HOUR);         ///< Time that a job runs.
-constexpr int ROUNDS_A_STEP = 3;                    ///< Planning steps within a look: one leads to the next.
-constexpr size_t JOBS_A_STEP = 500;                 ///< Placements in one planning step.
-constexpr double US_PER_MS = 1000.0;                ///< Microseconds in a millisecond.
+constexpr Millis STEP(5 * 60 * MS_PER_SECOND); ///< Virtual time between two looks.
+constexpr Millis SPAN(21 * MS_PER_DAY);        ///< Length of a run.
+constexpr Millis START(1000 * MS_PER_DAY);     ///< Virtual wall clock at the start.
+constexpr Millis JOB_MEAN(2 * MS_PER_HOUR);    ///< Time that a job runs.
+constexpr int ROUNDS_A_STEP = 3;               ///< Planning steps within a look: one leads to the next.
+constexpr size_t JOBS_A_STEP = 500;            ///< Placements in one planning step.
+constexpr double US_PER_MS = 1000.0;           ///< Microseconds in a millisecond.
 
 /** What a run of three weeks showed. */
 struct MaintainResult {
@@ -24,21 +24,21 @@
 	double rollout_hours = 0;          ///< Time until the last box that could be was maintained.
 	uint64_t box_moves = 0;            ///< Boxes that changed their pool.
 	uint64_t job_moves = 0;            ///< Jobs stopped at a checkpoint to empty a box.
-	double buffer_bound = 0;           ///< The same if every pool were spread evenly over the zones and nothing down by plan.
-	double buffer_share = 0;           ///< Slots held idle for guards or down by plan, against all; mean over time.
-	uint64_t appends = 0;              ///< Records appended.
-	uint64_t bytes = 0;                ///< Bytes in them.
-	uint64_t rejected = 0;             ///< Proposals that the fold refused.
-	uint64_t steps = 0;                ///< Planning steps.
-	double plan_us = 0;                ///< Time spent planning.
-	double plan_us_max = 0;            ///< Longest step.
+	double buffer_bound = 0; ///< The same if every pool were spread evenly over the zones and nothing down by plan.
+	double buffer_share = 0; ///< Slots held idle for guards or down by plan, against all; mean over time.
+	uint64_t appends = 0;    ///< Records appended.
+	uint64_t bytes = 0;      ///< Bytes in them.
+	uint64_t rejected = 0;   ///< Proposals that the fold refused.
+	uint64_t steps = 0;      ///< Planning steps.
+	double plan_us = 0;      ///< Time spent planning.
+	double plan_us_max = 0;  ///< Longest step.
 };
 
 /** One run. */
 class MaintainRun {
 public:
 	MaintainRun(const FleetPreset &preset, uint64_t seed, Strategy &strategy)
-		: preset(preset), strategy(strategy), world(preset, seed), job_dice(seed * 7919 + 1)
+			: preset(preset), strategy(strategy), world(preset, seed), job_dice(seed * 7919 + 1)
 	{
 	}
 
@@ -55,21 +55,21 @@
 	}
 
 private:
-	FleetPreset preset;                    ///< Sizes and rates.
-	Strategy &strategy;                    ///< What plans.
-	FleetWorld world;                      ///< The boxes as they are.
-	Dice job_dice;                         ///< Random numbers of jobs.
-	FleetState fleet;                      ///< The state.
-	Millis now = START;                    ///< Virtual time.
-	uint64_t sequence = 0;                 ///< Of the one writer.
-	uint64_t offset = 0;                   ///< Of the log.
-	uint64_t jobs = 0;                     ///< Jobs accepted.
-	std::map<JobName, Millis> job_ends;    ///< When running jobs end.
-	MaintainResult result;                 ///< What is seen.
-	double buffer_sum = 0;                 ///< Sum of the buffer's share.
-	double bound_sum = 0;                  ///< Sum of its bound.
-	uint64_t looks = 0;                    ///< Looks taken.
-	Millis last_first_time = START;        ///< When a box was maintained for the first time, the last such.
+	FleetPreset preset;                 ///< Sizes and rates.
+	Strategy &strategy;                 ///< What plans.
+	FleetWorld world;                   ///< The boxes as they are.
+	Dice job_dice;                      ///< Random numbers of jobs.
+	FleetState fleet;                   ///< The state.
+	Millis now = START;                 ///< Virtual time.
+	uint64_t sequence = 0;              ///< Of the one writer.
+	uint64_t offset = 0;                ///< Of the log.
+	uint64_t jobs = 0;                  ///< Jobs accepted.
+	std::map<JobName, Millis> job_ends; ///< When running jobs end.
+	MaintainResult result;              ///< What is seen.
+	double buffer_sum = 0;              ///< Sum of the buffer's share.
+	double bound_sum = 0;               ///< Sum of its bound.
+	uint64_t looks = 0;                 ///< Looks taken.
+	Millis last_first_time = START;     ///< When a box was maintained for the first time, the last such.
 
 	/** Appends proposals in one record and folds it. */
 	void Append(std::vector<Proposal> proposals)
@@ -184,7 +184,8 @@
 
 	void AcceptJobs()
 	{
-		const double a_step = this->preset.jobs_a_day * static_cast<double>(STEP.Value()) / static_cast<double>(MS_PER_DAY);
+		const double a_step =
+				this->preset.jobs_a_day * static_cast<double>(STEP.Value()) / static_cast<double>(MS_PER_DAY);
 		std::vector<Proposal> proposals;
 		for (double left = a_step; left > 0; left -= 1) {
 			if (!this->job_dice.Happens(std::min(left, 1.0), Millis(MS_PER_DAY))) {
@@ -221,7 +222,8 @@
 			const auto box = this->fleet.boxes.find(job.box);
 			if (box->second.epoch != job.box_epoch) {
 				this->Report(proposals, job, JobOutcome::JO_LAPSED);
-			} else if (const auto end = this->job_ends.find(name); end != this->job_ends.end() && end->second <= this->now) {
+			} else if (const auto end = this->job_ends.find(name);
+					   end != this->job_ends.end() && end->second <= this->now) {
 				this->Report(proposals, job, JobOutcome::JO_DONE);
 			}
 		}
@@ -281,31 +283,40 @@
 		this->result.buffer_share = this->buffer_sum / static_cast<double>(this->looks);
 		this->result.buffer_bound = this->bound_sum / static_cast<double>(this->looks);
 		this->result.rollout_hours = static_cast<double>((this->last_first_time - START).Value()) / MS_PER_HOUR;
-		this->result.overdue = static_cast<uint64_t>(
-				std::ranges::count_if(this->fleet.boxes, [](const auto &it) { return it.second.last_maintained == Millis(0); }));
+		this->result.overdue = static_cast<uint64_t>(std::ranges::count_if(
+				this->fleet.boxes, [](const auto &it) { return it.second.last_maintained == Millis(0); }));
 	}
 };
 
 /** A named figure of a result. */
 struct MaintainFigure {
-	const char *name;                       ///< Name.
-	const char *unit;                       ///< Unit.
+	const char *name;                        ///< Name.
+	const char *unit;                        ///< Unit.
 	double (*value)(const MaintainResult &); ///< Reads it.
 };
 
 constexpr MaintainFigure _figures[] = {
-		{"budget_violations_planned", "pool-steps", [](const MaintainResult &it) { return static_cast<double>(it.violations_planned); }},
-		{"budget_violations_unplanned", "pool-steps", [](const MaintainResult &it) { return static_cast<double>(it.violations_unplanned); }},
+		{"budget_violations_planned", "pool-steps",
+		 [](const MaintainResult &it) { return static_cast<double>(it.violations_planned); }},
+		{"budget_violations_unplanned", "pool-steps",
+		 [](const MaintainResult &it) { return static_cast<double>(it.violations_unplanned); }},
 		{"boxes_overdue", "boxes", [](const MaintainResult &it) { return static_cast<double>(it.overdue); }},
 		{"rollout_hours", "h", [](const MaintainResult &it) { return it.rollout_hours; }},
 		{"box_moves", "moves", [](const MaintainResult &it) { return static_cast<double>(it.box_moves); }},
 		{"job_moves", "moves", [](const MaintainResult &it) { return static_cast<double>(it.job_moves); }},
 		{"buffer_share", "share of slots", [](const MaintainResult &it) { return it.buffer_share; }},
 		{"buffer_share_bound", "share of slots", [](const MaintainResult &it) { return it.buffer_bound; }},
-		{"appends_a_second", "1/s", [](const MaintainResult &it) { return static_cast<double>(it.appends) * MS_PER_SECOND / static_cast<double>(SPAN.Value()); }},
-		{"append_bytes_a_second", "B/s", [](const MaintainResult &it) { return static_cast<double>(it.bytes) * MS_PER_SECOND / static_cast<double>(SPAN.Value()); }},
+		{"appends_a_second", "1/s",
+		 [](const MaintainResult &it) {
+			 return static_cast<double>(it.appends) * MS_PER_SECOND / static_cast<double>(SPAN.Value());
+		 }},
+		{"append_bytes_a_second", "B/s",
+		 [](const MaintainResult &it) {
+			 return static_cast<double>(it.bytes) * MS_PER_SECOND / static_cast<double>(SPAN.Value());
+		 }},
 		{"proposals_refused", "proposals", [](const MaintainResult &it) { return static_cast<double>(it.rejected); }},
-		{"plan_mean", "ms", [](const MaintainResult &it) { return it.plan_us / static_cast<double>(it.steps) / US_PER_MS; }},
+		{"plan_mean", "ms",
+		 [](const MaintainResult &it) { return it.plan_us / static_cast<double>(it.steps) / US_PER_MS; }},
 		{"plan_max", "ms", [](const MaintainResult &it) { return it.plan_us_max / US_PER_MS; }},
 };
 
@@ -355,7 +366,7 @@
 			const double other = it.value(results[i]);
 			const std::string name = std::string(it.name) + "." + strategies[i]->Name();
 			PrintFigure({"maintain", preset.name, name, other, it.unit, strategies[i]->Name(),
-			             other == 0 ? 0 : ours / other, options.seed});
+						 other == 0 ? 0 : ours / other, options.seed});
 		}
 	}
 	return results[0].violations_planned == 0 ? 0 : 1;
--- a/src/bench/strategy.cpp
+++ b/src/bench/strategy.cpp
@@ -94,7 +94,7 @@
 		for (auto &[name, pool] : draft) {
 			for (Box &box : pool.boxes) {
 				const bool due = box.last_maintained == Millis(0) ||
-				                 box.last_maintained + Millis(this->policy.cycle.Value() / 2) < fleet.time;
+								 box.last_maintained + Millis(this->policy.cycle.Value() / 2) < fleet.time;
 				const bool free = box.state == BoxState::BS_SERVING && box.purpose == PermitPurpose::PP_NONE;
 				if (!due || !free || active >= this->most_at_once) {
 					continue;
@@ -138,7 +138,8 @@
 			std::ranges::sort(donors, std::greater(), [](const PoolPicture *it) { return it->boxes.size(); });
 			for (PoolPicture *donor : donors) {
 				const auto can_go = [&](const Box &box) {
-					return TakesWork(box) && box.purpose == PermitPurpose::PP_NONE && CheckBudget(*donor, box, false).Ok();
+					return TakesWork(box) && box.purpose == PermitPurpose::PP_NONE &&
+						   CheckBudget(*donor, box, false).Ok();
 				};
 				const auto box = std::ranges::find_if(donor->boxes, can_go);
 				if (donor->name != name && box != donor->boxes.end()) {
--- a/src/keeper/plan_desk.cpp
+++ b/src/keeper/plan_desk.cpp
@@ -28,13 +28,10 @@
 
 bool PlanDesk::Holds() const
 {
+	/* A term that an earlier start of this process took is not ours: it is taken anew. */
 	const auto seat = this->core.State().planners.find(this->core.self.region);
-	if (seat == this->core.State().planners.end() || seat->second.member != this->core.self.name) {
-		return false;
-	}
-	/* A term of an earlier start of this process is not ours. */
-	const auto mark = this->core.State().writers.find(this->core.self.name.Value());
-	return mark != this->core.State().writers.end() && mark->second.incarnation == this->core.self.incarnation;
+	return seat != this->core.State().planners.end() && seat->second.member == this->core.self.name &&
+		   seat->second.term == this->taken && this->taken != Term();
 }
 
 void PlanDesk::OnDecisions(const std::vector<Decision> &decisions)
@@ -73,7 +70,8 @@
 	}
 	const auto &planners = this->core.State().planners;
 	const auto seat = planners.find(this->core.self.region);
-	const bool vacant = seat == planners.end() || !this->core.State().members.contains(seat->second.member);
+	const bool vacant = seat == planners.end() || seat->second.member == this->core.self.name ||
+						!this->core.State().members.contains(seat->second.member);
 	if (vacant || this->planner_heard + this->Patience() < this->core.scheduler.Now()) {
 		this->TakeTerm();
 	}
@@ -94,8 +92,8 @@
 		this->asked = false;
 		if (decision.result.Ok()) {
 			this->core.counters.terms++;
-			this->core.writer.SetTerm(this->core.self.region,
-									  this->core.State().planners.at(this->core.self.region).term);
+			this->taken = this->core.State().planners.at(this->core.self.region).term;
+			this->core.writer.SetTerm(this->core.self.region, this->taken);
 		}
 	});
 }
--- a/src/keeper/plan_desk.h
+++ b/src/keeper/plan_desk.h
@@ -49,6 +49,7 @@
 	Millis planner_heard;                   ///< When the planner last wrote, as seen here.
 	Millis last_beat = Millis(-MS_PER_DAY); ///< When this keeper last showed that it plans.
 	bool asked = false;                     ///< Whether a term was proposed and is not decided yet.
+	Term taken;                             ///< Term that this process took, 0 for none.
 	size_t undecided = 0;                   ///< Planned proposals not decided yet.
 	size_t drains = 0;                      ///< Drains reported, not decided yet.
 	std::set<JobEnd, bool (*)(const JobEnd &, const JobEnd &)> reported; ///< Ends proposed, not decided yet.
--- a/src/planner/pool_plan.cpp
+++ b/src/planner/pool_plan.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr uint64_t PERCENT = 100;  ///< Hundredths in a whole.
+constexpr uint64_t PERCENT = 100;   ///< Hundredths in a whole.
 constexpr int64_t DONOR_WEIGHT = 4; ///< What a donor keeps, against the domains of the box, in the choice of a move.
 
 /**
@@ -140,7 +140,7 @@
  * @return Target per pool, in slots, at least 1 for a pool that rows name.
  */
 std::map<PoolName, uint64_t> TargetsOf(const PoolDraft &draft, const DomainCounts &counts, const PlannerPolicy &policy,
-		const std::map<PoolName, uint64_t> &observed)
+									   const std::map<PoolName, uint64_t> &observed)
 {
 	std::map<PoolName, uint64_t> targets;
 	uint64_t needs = 0;
@@ -279,9 +279,9 @@
 	}
 
 private:
-	PoolDraft draft;                         ///< The pools, with boxes chosen so far.
-	DomainCounts counts;                     ///< Failure domains.
-	std::map<PoolName, uint64_t> targets;    ///< Target per pool, in slots.
+	PoolDraft draft;                      ///< The pools, with boxes chosen so far.
+	DomainCounts counts;                  ///< Failure domains.
+	std::map<PoolName, uint64_t> targets; ///< Target per pool, in slots.
 };
 
 /** A box that could move. */
@@ -308,10 +308,10 @@
 
 /** What the choice of moves rests on. */
 struct MoveContext {
-	PoolDraft &draft;                              ///< All pools.
-	const PlannerPolicy &policy;                   ///< Weights.
-	const std::map<PoolName, uint64_t> &observed;  ///< Observed use.
-	Millis now;                                    ///< Log time.
+	PoolDraft &draft;                             ///< All pools.
+	const PlannerPolicy &policy;                  ///< Weights.
+	const std::map<PoolName, uint64_t> &observed; ///< Observed use.
+	Millis now;                                   ///< Log time.
 
 	/** @return A pool as it will be when what is under way has ended. */
 	[[nodiscard]] PoolPicture Later(const PoolPicture &pool) const
@@ -320,7 +320,10 @@
 	}
 
 	/** @return What a pool has over its demand and guards, in slots. */
-	[[nodiscard]] int64_t Margin(const PoolPicture &pool) const { return MarginOf(pool, DemandOf(pool, this->observed), 0); }
+	[[nodiscard]] int64_t Margin(const PoolPicture &pool) const
+	{
+		return MarginOf(pool, DemandOf(pool, this->observed), 0);
+	}
 };
 
 /**
@@ -412,7 +415,8 @@
  * @param targets Targets.
  * @return The pool and how far it is below, in hundredths of its target; null when none is.
  */
-std::pair<PoolPicture *, uint64_t> FurthestBelow(const MoveContext &context, const std::map<PoolName, uint64_t> &targets)
+std::pair<PoolPicture *, uint64_t> FurthestBelow(const MoveContext &context,
+												 const std::map<PoolName, uint64_t> &targets)
 {
 	std::pair<PoolPicture *, uint64_t> furthest = {nullptr, 0};
 	for (const auto &[name, target] : targets) {
@@ -432,7 +436,7 @@
 } // namespace
 
 std::vector<Proposal> PlanMoves(PoolDraft &draft, Millis now, const PlannerPolicy &policy,
-		const std::map<PoolName, uint64_t> &observed)
+								const std::map<PoolName, uint64_t> &observed)
 {
 	const MoveContext context{draft, policy, observed, now};
 	std::vector<Proposal> proposals;
--- a/src/planner/wave_plan.cpp
+++ b/src/planner/wave_plan.cpp
@@ -155,7 +155,7 @@
 	/* A box out of the largest zone costs least: what must survive is the loss of that zone. */
 	std::ranges::stable_sort(sorted, [](const ZoneQueue &a, const ZoneQueue &b) {
 		return std::make_tuple(a.active == 0, -static_cast<int64_t>(a.up), a.deadline) <
-		       std::make_tuple(b.active == 0, -static_cast<int64_t>(b.up), b.deadline);
+			   std::make_tuple(b.active == 0, -static_cast<int64_t>(b.up), b.deadline);
 	});
 	return sorted;
 }
--- a/src/request/pool_gate.cpp
+++ b/src/request/pool_gate.cpp
@@ -16,6 +16,7 @@
 constexpr uint32_t SCORE_BAD = 500;               ///< Error score from which an endpoint may be ejected.
 constexpr uint64_t MILLION = 1000000;             ///< Scale of shares.
 constexpr Millis PEAK_WINDOW(10 * MS_PER_SECOND); ///< How long a peak of use counts.
+constexpr uint32_t REFUSED_DOUBLINGS = 5;         ///< The pause doubles so often with refusals in a row.
 constexpr Millis REFUSED_PAUSE(50);               ///< Pause after an endpoint's own refusal.
 constexpr Millis LEAST_RETRY_AFTER(1000);         ///< Shortest time that a refused caller is told to wait.
 
@@ -390,9 +391,11 @@
 		return;
 	}
 	if (outcome == CallOutcome::CO_REFUSED) {
-		it.refused_until = now + REFUSED_PAUSE;
+		it.refused_until = now + Millis(REFUSED_PAUSE.Value() << std::min(it.refusals, REFUSED_DOUBLINGS));
+		it.refusals++;
 		return;
 	}
+	it.refusals = 0;
 	it.error_score = (it.error_score * (SMOOTHING - 1) + (bad ? SCORE_FULL : 0)) / SMOOTHING;
 	if (!bad) {
 		it.failures = 0;
--- a/src/request/pool_gate.h
+++ b/src/request/pool_gate.h
@@ -164,6 +164,7 @@
 		uint32_t error_score = 0; ///< Smoothed share of errors, in thousandths.
 		uint32_t ejections = 0;   ///< Ejections in a row.
 		Millis ejected_until;     ///< End of the ejection.
+		uint32_t refusals = 0;    ///< Its own refusals in a row.
 		Millis refused_until;     ///< Its own refusal holds until then.
 		bool listed = true;       ///< Whether the view has it; else it is dropped when empty.
 	};
--- /dev/null
+++ b/tests/request_world.cpp
@@ -0,0 +1,481 @@
+/** @file request_world.cpp Entries, endpoints and callers in memory. */
+#include "request_world.h"
+
+#include "fleet/fleet_hash.h"
+
+#include <algorithm>
+
+namespace {
+
+constexpr Millis WALL_START(1700000000000); ///< Wall clock at virtual time 0.
+constexpr Millis CONNECT_TIME(1);           ///< Time until a connection stands or fails.
+constexpr Millis LATE_TIME(3000);           ///< Time after which a late endpoint answers.
+constexpr Millis TICK(50);                  ///< Gates and leases.
+constexpr Millis LEASE(2000);               ///< Lease of a renewal.
+
+/** A call to an endpoint. */
+class FakeCall : public EndpointCall, public std::enable_shared_from_this<FakeCall> {
+public:
+	FakeCall(EntryNode &entry, FakeEndpoint &endpoint, const CallerRequest &request, CallEvents &events)
+			: entry(entry), endpoint(endpoint), request(request), events(&events)
+	{
+	}
+
+	void SetPaused(bool stop) override { this->paused = stop; }
+	void Abandon() override { this->events = nullptr; }
+
+	void Start()
+	{
+		this->entry.world.clock.After(CONNECT_TIME, [self = this->shared_from_this()] { self->Arrive(); });
+	}
+
+private:
+	EntryNode &entry;       ///< Who calls.
+	FakeEndpoint &endpoint; ///< Who is called.
+	CallerRequest request;  ///< The request.
+	CallEvents *events;     ///< Gets what happens.
+	bool paused = false;    ///< Whether the entry takes nothing now.
+
+	[[nodiscard]] std::string Submission() const { return *this->request.headers.Find("Submission"); }
+
+	[[nodiscard]] bool Heard() const { return this->events != nullptr && *this->entry.lane.alive; }
+
+	void Fail(CallFailure failure)
+	{
+		if (this->Heard()) {
+			std::exchange(this->events, nullptr)->OnCallFailed(failure);
+		}
+	}
+
+	void Arrive()
+	{
+		const EndpointDeed deed = this->endpoint.deed;
+		RequestWorld &world = this->entry.world;
+		if (!*this->entry.lane.alive) {
+			return; /* Killed before the connection stood: nothing was sent. */
+		}
+		if (deed == EndpointDeed::ED_REFUSE) {
+			world.Note(this->endpoint.box + " refuses the connection");
+			this->Fail(CallFailure::CF_NOT_CONNECTED);
+			return;
+		}
+		if (deed == EndpointDeed::ED_ACCEPT_CLOSE) {
+			world.Note(this->endpoint.box + " closes without reading");
+			this->Fail(CallFailure::CF_NO_ANSWER);
+			return;
+		}
+		if (deed == EndpointDeed::ED_NOT_RUN || this->endpoint.running >= this->endpoint.slots) {
+			world.Note(this->endpoint.box + " says not run");
+			this->Answer(503, "no slot", "no");
+			return;
+		}
+		this->endpoint.runs.push_back(this->Submission());
+		this->endpoint.running++;
+		this->endpoint.peak = std::max(this->endpoint.peak, this->endpoint.running);
+		world.Note(this->endpoint.box + " runs " + this->Submission());
+		const Millis work = deed == EndpointDeed::ED_LATE ? LATE_TIME : this->endpoint.work;
+		world.clock.After(work, [self = this->shared_from_this(), deed] { self->Finish(deed); });
+	}
+
+	void Finish(EndpointDeed deed)
+	{
+		this->endpoint.running--;
+		if (deed == EndpointDeed::ED_READ_CLOSE) {
+			this->entry.world.Note(this->endpoint.box + " closes without answering");
+			this->Fail(CallFailure::CF_NO_ANSWER);
+		} else if (deed == EndpointDeed::ED_HALF_CLOSE || deed == EndpointDeed::ED_HALF_STALL) {
+			this->Half(deed);
+		} else {
+			this->Answer(deed == EndpointDeed::ED_ERROR ? 500 : 200, this->request.body, nullptr);
+		}
+	}
+
+	AnswerHead HeadOf(int status, const char *run) const
+	{
+		AnswerHead head;
+		head.status = status;
+		head.length = this->request.body.size();
+		if (run != nullptr) {
+			head.headers.Add("Glade-Run", run);
+		}
+		return head;
+	}
+
+	void Half(EndpointDeed deed)
+	{
+		if (!this->Heard()) {
+			return;
+		}
+		this->events->OnAnswerHead(this->HeadOf(200, nullptr));
+		if (this->Heard()) {
+			this->events->OnAnswerBody(this->request.body.substr(0, this->request.body.size() / 2));
+		}
+		this->entry.world.Note(this->endpoint.box + " answers half");
+		if (deed == EndpointDeed::ED_HALF_CLOSE) {
+			this->Fail(CallFailure::CF_CUT);
+		}
+	}
+
+	void Answer(int status, const std::string &body, const char *run)
+	{
+		const auto hold = this->shared_from_this();
+		if (!this->Heard()) {
+			return;
+		}
+		AnswerHead head = this->HeadOf(status, run);
+		head.length = body.size();
+		this->events->OnAnswerHead(std::move(head));
+		if (this->Heard()) {
+			this->events->OnAnswerBody(body);
+		}
+		if (this->Heard()) {
+			std::exchange(this->events, nullptr)->OnAnswerEnd();
+		}
+	}
+};
+
+/** Holds a fake call for its exchange: the endpoint works on when the exchange lets go. */
+class CallHandle : public EndpointCall {
+public:
+	explicit CallHandle(std::shared_ptr<FakeCall> call) : call(std::move(call)) {}
+	~CallHandle() override { this->call->Abandon(); }
+	void SetPaused(bool stop) override { this->call->SetPaused(stop); }
+	void Abandon() override { this->call->Abandon(); }
+
+private:
+	std::shared_ptr<FakeCall> call; ///< The call.
+};
+
+/** A call to another entry: the request is served there. */
+class PeerCall : public EndpointCall {
+public:
+	PeerCall(EntryNode &from, EntryNode *to, const CallerRequest &request, CallEvents &events)
+			: state(std::make_shared<State>(from, to, request, events))
+	{
+		from.world.clock.After(CONNECT_TIME, [it = this->state] { it->Arrive(it); });
+	}
+
+	~PeerCall() override { this->state->events = nullptr; }
+	void SetPaused(bool) override {}
+	void Abandon() override { this->state->events = nullptr; }
+
+private:
+	/** The two ends. */
+	struct State : public CallerSink {
+		State(EntryNode &from, EntryNode *to, const CallerRequest &request, CallEvents &events)
+				: from(from), to(to), request(request), events(&events)
+		{
+		}
+
+		EntryNode &from;                    ///< Who calls.
+		EntryNode *to;                      ///< Who is called, null for nobody.
+		CallerRequest request;              ///< The request.
+		CallEvents *events;                 ///< Gets what happens.
+		std::shared_ptr<Exchange> exchange; ///< The request at the other entry.
+
+		[[nodiscard]] bool Heard() const { return this->events != nullptr && *this->from.lane.alive; }
+
+		void Arrive(const std::shared_ptr<State> &self)
+		{
+			if (this->to == nullptr || !*this->to->lane.alive || this->to->cut_from_peers ||
+				this->from.cut_from_peers) {
+				if (this->Heard()) {
+					std::exchange(this->events, nullptr)->OnCallFailed(CallFailure::CF_NOT_CONNECTED);
+				}
+				return;
+			}
+			this->from.world.Note(this->from.name + " forwards to " + this->to->name);
+			this->request.from_peer = true;
+			this->exchange =
+					std::make_shared<Exchange>(this->to->lane, this->to->path, *this->to->dialer, *this, this->request);
+			this->from.world.clock.After(Millis(60000), [self] { self->exchange.reset(); });
+			this->exchange->Start();
+			this->Watch(self);
+		}
+
+		/** Tells the caller's entry when the other is killed. */
+		void Watch(const std::shared_ptr<State> &self)
+		{
+			if (!*this->to->lane.alive) {
+				if (this->Heard()) {
+					std::exchange(this->events, nullptr)->OnCallFailed(CallFailure::CF_NO_ANSWER);
+				}
+				return;
+			}
+			if (this->Heard()) {
+				this->from.world.clock.After(Millis(10), [self] { self->Watch(self); });
+			}
+		}
+
+		void Begin(const AnswerHead &head) override
+		{
+			if (this->Heard()) {
+				this->events->OnAnswerHead(head);
+			}
+		}
+		void Body(std::string_view data) override
+		{
+			if (this->Heard()) {
+				this->events->OnAnswerBody(data);
+			}
+		}
+		void End() override
+		{
+			if (this->Heard()) {
+				std::exchange(this->events, nullptr)->OnAnswerEnd();
+			}
+		}
+		void Break() override
+		{
+			if (this->Heard()) {
+				std::exchange(this->events, nullptr)->OnCallFailed(CallFailure::CF_CUT);
+			}
+		}
+		[[nodiscard]] bool Congested() const override { return false; }
+	};
+
+	std::shared_ptr<State> state; ///< The two ends.
+};
+
+/** Calls of an entry: to endpoints, or to other entries. */
+class FakeDialer : public EndpointDialer {
+public:
+	explicit FakeDialer(EntryNode &entry) : entry(entry) {}
+
+	std::unique_ptr<EndpointCall> Start(const std::string &address, const CallerRequest &request,
+										CallEvents &events) override
+	{
+		RequestWorld &world = this->entry.world;
+		if (const auto it = world.endpoints.find(address); it != world.endpoints.end()) {
+			auto call = std::make_shared<FakeCall>(this->entry, it->second, request, events);
+			call->Start();
+			return std::make_unique<CallHandle>(call);
+		}
+		EntryNode *to = nullptr;
+		for (const auto &it : world.entries) {
+			to = it->address == address && *it->lane.alive ? it.get() : to;
+		}
+		return std::make_unique<PeerCall>(this->entry, to, request, events);
+	}
+
+private:
+	EntryNode &entry; ///< Who calls.
+};
+
+} // namespace
+
+const char *NameOf(EndpointDeed deed)
+{
+	static constexpr const char *_names[] = {"answer",     "refuse", "accept_close", "read_close", "half_close",
+											 "half_stall", "late",   "not_run",      "error"};
+	return _names[static_cast<size_t>(deed)];
+}
+
+void CallerProbe::Begin(const AnswerHead &it)
+{
+	this->head = it;
+	this->begun = true;
+}
+
+void CallerProbe::Body(std::string_view data)
+{
+	this->body.append(data);
+}
+
+void CallerProbe::End()
+{
+	this->ended = true;
+	const std::string *run = this->head.headers.Find("Glade-Run");
+	this->world->Note(this->name + " gets " + std::to_string(this->head.status) +
+					  (run == nullptr ? "" : " run=" + *run + " code=" + std::to_string(this->Code())));
+}
+
+void CallerProbe::Break()
+{
+	this->broken = true;
+	this->world->Note(this->name + " sees the connection break");
+}
+
+bool CallerProbe::SaysNotRun() const
+{
+	const std::string *run = this->head.headers.Find("Glade-Run");
+	return this->ended && run != nullptr && *run == "no";
+}
+
+int CallerProbe::Code() const
+{
+	const std::string *code = this->head.headers.Find("Glade-Code");
+	return code == nullptr ? 0 : std::stoi(*code);
+}
+
+const Credential *OpenCredentials::Find(const std::string *authorization) const
+{
+	if (authorization == nullptr) {
+		return nullptr;
+	}
+	Credential &it = this->made[*authorization];
+	it.tenant = TenantName(*authorization);
+	return &it;
+}
+
+EntryNode::EntryNode(RequestWorld &world, const std::string &name, const std::string &zone, uint64_t incarnation)
+		: name(name), address(name + ":" + std::to_string(incarnation)), lane(world.clock),
+		  path(EntryIdentity{MemberName(name), ZoneName(zone), Incarnation(incarnation)}, GateSettings{}, LeaseTimes{},
+			   KeyLimits{}, PathSettings{}, this->credentials),
+		  dialer(std::make_unique<FakeDialer>(*this)), world(world)
+{
+}
+
+RequestWorld::RequestWorld(uint32_t count, uint32_t entry_count) : clock(WALL_START)
+{
+	this->fleet.offset = LogOffset(1);
+	this->fleet.time = this->clock.WallNow();
+	ServiceRow row;
+	row.service = ServiceName("misting");
+	row.pool = PoolName("control");
+	row.ceiling = Slots(1000);
+	row.work_class = WorkClass::WC_URGENT;
+	this->fleet.rows[row.service] = row;
+	for (uint32_t i = 1; i <= count; i++) {
+		Box box;
+		box.name = BoxName("box-" + std::to_string(i));
+		box.zone = ZoneName("zone-a");
+		box.rack = RackName("rack-" + std::to_string(i));
+		box.address = "endpoint-" + std::to_string(i) + ":80";
+		box.slots = Slots(8);
+		box.pool = PoolName("control");
+		box.health = BoxHealth::BH_UP;
+		this->fleet.Put(this->fleet.boxes, box.name, box);
+		this->endpoints[box.address].box = box.name.Value();
+	}
+	for (uint32_t i = 1; i <= entry_count; i++) {
+		this->AddEntry("entry-" + std::to_string(i), "zone-a");
+	}
+	this->Tick();
+	/* Until keys issued now are after the settling of the first membership. */
+	this->Run(Millis(20000));
+	this->timeline.clear();
+	this->began = this->clock.Now();
+}
+
+RequestWorld::~RequestWorld()
+{
+	for (const auto &it : this->probes) {
+		if (it->exchange && *it->entry->lane.alive && !it->gone && !it->ended && !it->broken) {
+			it->exchange->OnCallerGone();
+		}
+	}
+	this->Run(Millis(120000));
+}
+
+EntryNode &RequestWorld::AddEntry(const std::string &name, const std::string &zone)
+{
+	const auto incarnation = static_cast<uint64_t>(this->clock.WallNow().Value()) + this->entries.size();
+	this->entries.push_back(std::make_unique<EntryNode>(*this, name, zone, incarnation));
+	Member member;
+	member.name = MemberName(name);
+	member.zone = ZoneName(zone);
+	member.address = this->entries.back()->address;
+	member.incarnation = Incarnation(incarnation);
+	member.since = this->clock.WallNow();
+	this->fleet.Put(this->fleet.members, member.name, member);
+	this->fleet.time = this->clock.WallNow();
+	ZoneChange change = this->fleet.zones[member.zone];
+	this->fleet.zones[member.zone] = ZoneChange{change.changes + 1, this->fleet.time};
+	this->PushViews();
+	return *this->entries.back();
+}
+
+void RequestWorld::PushViews()
+{
+	this->fleet.offset = LogOffset(this->fleet.offset.Value() + 1);
+	this->view_version++;
+	for (const auto &entry : this->entries) {
+		if (!*entry->lane.alive || !entry->renew) {
+			continue;
+		}
+		glade::wire::ViewT view = BuildView(this->fleet, entry->path.self.zone, {});
+		view.version = this->view_version;
+		entry->path.routes.Apply(view, this->clock.Now());
+		entry->path.routes.ExtendLease(this->clock.Now() + LEASE);
+	}
+}
+
+CallerProbe &RequestWorld::Submit(EntryNode &entry, const std::string &method, const std::string &name,
+								  const std::string &key, const std::string &target)
+{
+	CallerRequest request;
+	request.method = method;
+	request.target = target;
+	request.headers.Add("Authorization", "oyo");
+	request.headers.Add("Submission", name);
+	request.body = key.empty() ? "body of " + name : "body of " + key;
+	if (!key.empty()) {
+		request.headers.Add("Idempotency-Key", key);
+	}
+	this->probes.push_back(std::make_unique<CallerProbe>());
+	CallerProbe &probe = *this->probes.back();
+	probe.name = name;
+	probe.world = this;
+	probe.entry = &entry;
+	this->Note(name + " sends " + method + (key.empty() ? "" : " with key") + " to " + entry.name);
+	if (!*entry.lane.alive) {
+		probe.Break();
+		return probe;
+	}
+	probe.exchange = std::make_shared<Exchange>(entry.lane, entry.path, *entry.dialer, probe, request);
+	probe.exchange->Start();
+	return probe;
+}
+
+void RequestWorld::Kill(EntryNode &entry)
+{
+	this->Note(entry.name + " is killed");
+	*entry.lane.alive = false;
+	for (const auto &it : this->probes) {
+		if (it->entry == &entry && !it->ended && !it->gone && !it->broken) {
+			it->Break();
+		}
+	}
+}
+
+void RequestWorld::Tick()
+{
+	for (const auto &entry : this->entries) {
+		if (!*entry->lane.alive) {
+			continue;
+		}
+		if (entry->renew) {
+			entry->path.routes.ExtendLease(this->clock.Now() + LEASE);
+		}
+		for (const auto &[pool, gate] : entry->path.routes.Gates()) {
+			gate->Tick(this->clock.Now());
+		}
+	}
+	this->clock.After(TICK, [this] { this->Tick(); });
+}
+
+void RequestWorld::Run(Millis span)
+{
+	this->clock.RunUntil(this->clock.Now() + span);
+}
+
+void RequestWorld::Note(const std::string &line)
+{
+	const std::string at = std::to_string((this->clock.Now() - this->began).Value());
+	this->timeline += std::string(at.size() < 6 ? 6 - at.size() : 0, ' ') + at + "  " + line + "\n";
+}
+
+std::string RequestWorld::FreshKey(const std::string &tail)
+{
+	return std::to_string(this->clock.WallNow().Value()) + "-" + tail;
+}
+
+int RequestWorld::RunsOf(const std::string &submission) const
+{
+	int n = 0;
+	for (const auto &[address, endpoint] : this->endpoints) {
+		n += static_cast<int>(std::ranges::count(endpoint.runs, submission));
+	}
+	return n;
+}
--- /dev/null
+++ b/tests/test_fleet_matrix.cpp
@@ -0,0 +1,293 @@
+/** @file test_fleet_matrix.cpp Every fault of the platform and of keepers at every step of the fleet's life. */
+#include "fleet_site.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+namespace {
+
+/** Faults of the platform and of keepers. */
+enum class SiteFault : uint8_t {
+	SF_NONE,            ///< Nothing.
+	SF_LOG_DOWN,        ///< The log refuses everything for 8 s.
+	SF_LOG_SLOW,        ///< Its answers take 1.5 s.
+	SF_ANSWERS_LOST,    ///< The next appends take effect, their answers are lost.
+	SF_REPEATED,        ///< The next appends take effect twice.
+	SF_LIST_LATE,       ///< The list of boxes stands still.
+	SF_LIST_WRONG,      ///< A live box is named as failed.
+	SF_PLANNER_KILLED,  ///< The planning keeper is killed.
+	SF_PLANNER_PAUSED,  ///< The planning keeper stands still for 10 s and goes on.
+	SF_KEEPER_REPLACED, ///< A keeper is killed and starts again without memory.
+	SF_ZONE_CUT,        ///< A zone is cut off from the log.
+	SF_ORDERS_LOST,     ///< Orders to boxes are lost.
+	SF_BOX_FAILS,       ///< A box fails.
+	SF_ENTRY_CUT,       ///< An entry is cut from its keeper for 8 s.
+	SF_COUNT,           ///< Number of faults.
+};
+
+constexpr const char *_fault_names[] = {
+		"none",           "log_down",       "log_slow",        "answers_lost", "repeated",    "list_late", "list_wrong",
+		"planner_killed", "planner_paused", "keeper_replaced", "zone_cut",     "orders_lost", "box_fails", "entry_cut"};
+
+/** Steps of the fleet's life at which a fault comes. */
+enum class SiteStep : uint8_t {
+	SS_PUBLISH,  ///< A table is being published.
+	SS_JOIN,     ///< A keeper joins.
+	SS_DRAIN,    ///< A box is draining.
+	SS_REBOOT,   ///< A box is rebooting.
+	SS_RETURN,   ///< A box is being verified.
+	SS_MOVE,     ///< Floors grow so that boxes must move.
+	SS_ACCEPT,   ///< Jobs are being accepted.
+	SS_PLACE,    ///< Jobs are placed.
+	SS_CANCEL,   ///< A wave of cancellations.
+	SS_HANDOVER, ///< The planner has just gone.
+	SS_COUNT,    ///< Number of steps.
+};
+
+constexpr const char *_step_names[] = {"publish", "join",   "drain", "reboot", "return",
+									   "move",    "accept", "place", "cancel", "handover"};
+
+/** One cell of the matrix. */
+class SiteCell {
+public:
+	SiteCell(SiteFault fault, SiteStep step) : fault(fault), step(step) {}
+
+	void Run()
+	{
+		this->site.SetUp();
+		this->Reach();
+		this->Strike();
+		this->After();
+		this->site.Run(Millis(9000));
+		this->site.Heal();
+		this->Settle();
+		this->Check();
+	}
+
+private:
+	SiteFault fault;                                                    ///< What goes wrong.
+	SiteStep step;                                                      ///< When.
+	FleetSite site;                                                     ///< The site.
+	std::shared_ptr<glade::wire::OutcomeT> published;                   ///< What the operator was told.
+	std::map<std::string, std::shared_ptr<glade::wire::OutcomeT>> jobs; ///< What owners of jobs were told.
+
+	bool AnyBoxIn(BoxState state)
+	{
+		const auto &boxes = this->site.Any().core.State().boxes;
+		return std::ranges::any_of(boxes, [&](const auto &it) { return it.second.state == state; });
+	}
+
+	void SubmitJobs()
+	{
+		for (int i = 0; i < 12; i++) {
+			glade::wire::JobAcceptT job;
+			job.job = "job-" + std::to_string(i);
+			job.team = "oyo";
+			job.work_class = static_cast<uint8_t>(i % 3);
+			job.units = 2;
+			job.repeatable = i % 2 == 0;
+			const std::string name = job.job;
+			this->jobs[name] = this->site.Any().Propose(std::move(job));
+		}
+	}
+
+	/** Brings the site to the step. */
+	void Reach()
+	{
+		switch (this->step) {
+		case SiteStep::SS_PUBLISH:
+			this->Publish("12");
+			break;
+		case SiteStep::SS_JOIN:
+			this->site.AddKeeper("keeper-new", "zone-b");
+			break;
+		case SiteStep::SS_DRAIN:
+			this->site.RunUntil([this] { return this->AnyBoxIn(BoxState::BS_DRAINING); }, Millis(30000));
+			break;
+		case SiteStep::SS_REBOOT:
+			this->site.RunUntil([this] { return this->AnyBoxIn(BoxState::BS_REBOOTING); }, Millis(30000));
+			break;
+		case SiteStep::SS_RETURN:
+			this->site.RunUntil([this] { return this->AnyBoxIn(BoxState::BS_VERIFYING); }, Millis(30000));
+			break;
+		case SiteStep::SS_MOVE:
+			this->Publish("40");
+			this->site.Run(Millis(600));
+			break;
+		case SiteStep::SS_ACCEPT:
+			this->SubmitJobs();
+			break;
+		case SiteStep::SS_PLACE:
+		case SiteStep::SS_CANCEL:
+			this->SubmitJobs();
+			this->site.Run(Millis(1500));
+			break;
+		case SiteStep::SS_HANDOVER:
+			this->site.Kill(this->site.Planner());
+			this->site.Run(Millis(5500));
+			break;
+		case SiteStep::SS_COUNT:
+			break;
+		}
+	}
+
+	void Publish(const std::string &floor)
+	{
+		KeeperNode &keeper = this->site.Any();
+		this->published = keeper.Publish({{CellKey{ServiceName("misting"), "floor"}, floor}},
+										 keeper.core.State().table_version.Value());
+	}
+
+	void Strike()
+	{
+		switch (this->fault) {
+		case SiteFault::SF_LOG_DOWN:
+			std::ranges::for_each(this->site.keepers, [](const auto &it) { it->log.faults.down = true; });
+			break;
+		case SiteFault::SF_LOG_SLOW:
+			std::ranges::for_each(this->site.keepers, [](const auto &it) { it->log.faults.delay = Millis(1500); });
+			break;
+		case SiteFault::SF_ANSWERS_LOST:
+			std::ranges::for_each(this->site.keepers, [](const auto &it) { it->log.faults.lose_answers = 5; });
+			break;
+		case SiteFault::SF_REPEATED:
+			std::ranges::for_each(this->site.keepers, [](const auto &it) { it->log.faults.repeat_appends = 20; });
+			break;
+		case SiteFault::SF_LIST_LATE:
+			std::ranges::for_each(this->site.keepers, [](const auto &it) { it->list_frozen = true; });
+			break;
+		case SiteFault::SF_LIST_WRONG:
+			this->site.platform.boxes.begin()->second.health = BoxHealth::BH_DOWN;
+			this->site.clock.After(Millis(4000),
+								   [this] { this->site.platform.boxes.begin()->second.health = BoxHealth::BH_UP; });
+			break;
+		case SiteFault::SF_PLANNER_KILLED:
+			this->site.Kill(this->site.Planner());
+			break;
+		case SiteFault::SF_PLANNER_PAUSED:
+			this->site.Planner().lane.paused_until = this->site.clock.Now() + Millis(10000);
+			break;
+		case SiteFault::SF_KEEPER_REPLACED: {
+			KeeperNode &old = this->site.Any();
+			this->site.Kill(old);
+			this->site.Run(Millis(10));
+			this->site.AddKeeper(old.name, old.zone);
+			break;
+		}
+		case SiteFault::SF_ZONE_CUT:
+			for (const auto &it : this->site.keepers) {
+				it->log.faults.down = it->zone == "zone-b";
+			}
+			break;
+		case SiteFault::SF_ORDERS_LOST:
+			this->site.platform.lose_orders = 6;
+			break;
+		case SiteFault::SF_BOX_FAILS: {
+			ListedBox &box = std::prev(this->site.platform.boxes.end())->second;
+			box.health = BoxHealth::BH_DOWN;
+			this->site.clock.After(Millis(20000), [&box] { box.health = BoxHealth::BH_UP; });
+			break;
+		}
+		case SiteFault::SF_ENTRY_CUT:
+			this->site.entries.front()->cut = true;
+			break;
+		case SiteFault::SF_NONE:
+		case SiteFault::SF_COUNT:
+			break;
+		}
+	}
+
+	/** What comes with the fault. */
+	void After()
+	{
+		if (this->step == SiteStep::SS_CANCEL) {
+			glade::wire::JobCancelT cancel;
+			for (const auto &[name, outcome] : this->jobs) {
+				cancel.jobs.push_back(name);
+			}
+			this->site.Any().Propose(std::move(cancel));
+		}
+	}
+
+	/** Waits until everything has come to its end. */
+	void Settle()
+	{
+		this->site.RunUntil(
+				[this] {
+					const FleetState &fleet = this->site.Any().core.State();
+					const bool maintained = std::ranges::all_of(fleet.boxes, [](const auto &it) {
+						return it.second.last_maintained != Millis(0) && it.second.state == BoxState::BS_SERVING;
+					});
+					const bool quiet = std::ranges::none_of(fleet.jobs, [](const auto &it) {
+						return it.second.state == JobState::JS_WAITING || it.second.state == JobState::JS_PLACED;
+					});
+					return maintained && quiet && this->site.Agree();
+				},
+				Millis(180000));
+	}
+
+	void Check()
+	{
+		for (const std::string &it : this->site.violations) {
+			FAIL_CHECK(it);
+		}
+		CHECK(this->site.Agree());
+		const FleetState &fleet = this->site.Any().core.State();
+		CHECK(fleet.Hash() == fleet.SlowHash());
+		for (const auto &[name, box] : fleet.boxes) {
+			CAPTURE(name.Value());
+			CHECK(box.last_maintained != Millis(0));
+			CHECK(box.state == BoxState::BS_SERVING);
+		}
+		this->CheckTable(fleet);
+		this->CheckJobs(fleet);
+	}
+
+	/** What an operator was told is true. */
+	void CheckTable(const FleetState &fleet) const
+	{
+		if (!this->published) {
+			return;
+		}
+		const std::string floor = fleet.cells.at(CellKey{ServiceName("misting"), "floor"}).value;
+		const std::string wanted = this->step == SiteStep::SS_MOVE ? "40" : "12";
+		if (this->published->code == static_cast<uint32_t>(ResultCode::RC_OK)) {
+			CHECK(floor == wanted);
+		} else if (this->published->code != static_cast<uint32_t>(ResultCode::RC_OUTCOME_UNKNOWN)) {
+			CHECK(floor != wanted);
+		}
+	}
+
+	/** No job told as accepted is lost; none that may not be repeated ran twice. */
+	void CheckJobs(const FleetState &fleet) const
+	{
+		for (const auto &[name, outcome] : this->jobs) {
+			CAPTURE(name);
+			const auto job = fleet.jobs.find(JobName(name));
+			if (outcome->code == static_cast<uint32_t>(ResultCode::RC_OK)) {
+				REQUIRE(job != fleet.jobs.end());
+				CHECK(job->second.state != JobState::JS_WAITING);
+				CHECK(job->second.state != JobState::JS_PLACED);
+			}
+			const auto starts = this->site.platform.starts.find(name);
+			const bool repeatable = (name.back() - '0') % 2 == 0;
+			if (!repeatable && starts != this->site.platform.starts.end()) {
+				CHECK(starts->second <= 1);
+			}
+		}
+	}
+};
+
+} // namespace
+
+TEST_CASE("fleet matrix: faults x steps")
+{
+	for (int fault = 0; fault < static_cast<int>(SiteFault::SF_COUNT); fault++) {
+		for (int step = 0; step < static_cast<int>(SiteStep::SS_COUNT); step++) {
+			const std::string name = std::string(_fault_names[fault]) + " x " + _step_names[step];
+			CAPTURE(name);
+			SiteCell(static_cast<SiteFault>(fault), static_cast<SiteStep>(step)).Run();
+		}
+	}
+}
--- /dev/null
+++ b/tests/test_request_matrix.cpp
@@ -0,0 +1,194 @@
+/** @file test_request_matrix.cpp Every fault of endpoints, callers and entries at every step of a request. */
+#include "request_world.h"
+
+#include <doctest/doctest.h>
+
+namespace {
+
+/** What happens to the caller or the entry while the request is at a step. */
+enum class Mishap : uint8_t {
+	MH_NONE,           ///< Nothing.
+	MH_CALLER_LEAVES,  ///< The caller closes.
+	MH_ENTRY_KILLED,   ///< The entry is killed.
+	MH_ENTRY_STOPS,    ///< The entry begins a planned stop.
+	MH_ENTRY_REPLACED, ///< The entry is killed and one without memory takes its place.
+	MH_BOX_DRAINS,     ///< All boxes but one are drained.
+	MH_PEERS_CUT,      ///< The entries are cut from each other.
+	MH_LEASE_LAPSES,   ///< The entry hears nothing from its keeper any more.
+	MH_RETRY_THERE,    ///< The caller sends the same again to the other entry.
+	MH_COUNT,          ///< Number of mishaps.
+};
+
+constexpr const char *_mishap_names[] = {"none",       "caller_leaves", "entry_killed", "entry_stops", "entry_replaced",
+										 "box_drains", "peers_cut",     "lease_lapses", "retry_there"};
+
+/** Step of the request at which the mishap comes, by the time since it was sent. */
+struct StepAt {
+	const char *name; ///< Word.
+	Millis at;        ///< Time.
+};
+
+constexpr StepAt _steps[] = {
+		{"received", Millis(0)}, {"connecting", Millis(1)}, {"running", Millis(4)}, {"answered", Millis(40)}};
+
+/** Kinds of requests. */
+struct Kind {
+	const char *name;   ///< Word.
+	const char *method; ///< Method.
+	bool keyed;         ///< Whether it carries a key.
+};
+
+constexpr Kind _kinds[] = {{"get", "GET", false}, {"post", "POST", false}, {"keyed", "POST", true}};
+
+/** One cell of the matrix. */
+class MatrixCell {
+public:
+	MatrixCell(EndpointDeed deed, Mishap mishap, const StepAt &step, const Kind &kind)
+			: deed(deed), mishap(mishap), step(step), kind(kind)
+	{
+	}
+
+	void Run()
+	{
+		for (auto &[address, endpoint] : this->world.endpoints) {
+			endpoint.deed = this->deed;
+		}
+		this->key = this->kind.keyed ? this->world.FreshKey("a") : "";
+		this->first = &this->world.Submit(*this->world.entries[0], this->kind.method, "first", this->key);
+		this->world.Run(this->step.at);
+		this->Strike();
+		this->world.Run(Millis(10000));
+		/* Whatever happened, the caller tries again through each entry that lives. */
+		for (size_t i = 0; i < this->world.entries.size(); i++) {
+			if (this->kind.keyed && *this->world.entries[i]->lane.alive) {
+				this->again.push_back(
+						&this->world.Submit(*this->world.entries[i], "POST", "again" + std::to_string(i), this->key));
+				this->world.Run(Millis(10000));
+			}
+		}
+		this->Check();
+	}
+
+private:
+	EndpointDeed deed;                ///< What endpoints do.
+	Mishap mishap;                    ///< What else happens.
+	StepAt step;                      ///< When.
+	Kind kind;                        ///< Kind of request.
+	RequestWorld world;               ///< The world.
+	std::string key;                  ///< Key, if any.
+	CallerProbe *first = nullptr;     ///< The first submission.
+	std::vector<CallerProbe *> again; ///< Later ones with the same key.
+
+	void Strike()
+	{
+		EntryNode &entry = *this->world.entries[0];
+		switch (this->mishap) {
+		case Mishap::MH_CALLER_LEAVES:
+			if (!this->first->ended && !this->first->broken) {
+				this->first->gone = true;
+				this->first->exchange->OnCallerGone();
+			}
+			break;
+		case Mishap::MH_ENTRY_KILLED:
+			this->world.Kill(entry);
+			break;
+		case Mishap::MH_ENTRY_STOPS:
+			entry.path.stopping = true;
+			break;
+		case Mishap::MH_ENTRY_REPLACED:
+			this->world.Kill(entry);
+			this->world.AddEntry(entry.name, "zone-a");
+			break;
+		case Mishap::MH_BOX_DRAINS:
+			this->Drain();
+			break;
+		case Mishap::MH_PEERS_CUT:
+			entry.cut_from_peers = true;
+			break;
+		case Mishap::MH_LEASE_LAPSES:
+			entry.renew = false;
+			break;
+		case Mishap::MH_RETRY_THERE:
+			if (this->kind.keyed) {
+				this->again.push_back(&this->world.Submit(*this->world.entries[1], "POST", "there", this->key));
+			}
+			break;
+		case Mishap::MH_NONE:
+		case Mishap::MH_COUNT:
+			break;
+		}
+	}
+
+	void Drain()
+	{
+		for (auto &[name, box] : this->world.fleet.boxes) {
+			if (name != BoxName("box-1")) {
+				box.state = BoxState::BS_DRAINING;
+			}
+		}
+		this->world.PushViews();
+	}
+
+	/** Every answer is the submission's own, whole, or visibly broken; "not run" is true. */
+	void CheckAnswer(const CallerProbe &probe) const
+	{
+		if (probe.SaysNotRun()) {
+			CHECK(this->world.RunsOf(probe.name) == 0);
+		}
+		if (probe.ended && probe.head.status == 200) {
+			CHECK(probe.body == (this->key.empty() ? "body of " + probe.name : "body of " + this->key));
+		}
+		if (!probe.ended && !probe.gone) {
+			const bool stalls = this->deed == EndpointDeed::ED_HALF_STALL;
+			CHECK((probe.broken || (stalls && probe.begun)));
+		}
+	}
+
+	void Check() const
+	{
+		this->CheckAnswer(*this->first);
+		int runs = this->world.RunsOf("first");
+		for (const CallerProbe *probe : this->again) {
+			this->CheckAnswer(*probe);
+			runs += this->world.RunsOf(probe->name);
+		}
+		if (this->kind.method == std::string("POST")) {
+			CHECK(runs <= 1);
+		}
+		for (const auto &[address, endpoint] : this->world.endpoints) {
+			CHECK(endpoint.peak <= endpoint.slots);
+		}
+		const bool healthy = this->deed == EndpointDeed::ED_ANSWER;
+		if (healthy && (this->mishap == Mishap::MH_ENTRY_STOPS || this->mishap == Mishap::MH_BOX_DRAINS ||
+						this->mishap == Mishap::MH_NONE)) {
+			CHECK(this->first->ended);
+			CHECK(this->first->head.status == 200); /* Nothing planned cuts a request in flight. */
+		}
+		if (healthy && this->mishap == Mishap::MH_NONE && this->kind.keyed) {
+			for (const CallerProbe *probe : this->again) {
+				CHECK(probe->head.status == 200); /* The remembered answer. */
+			}
+		}
+	}
+};
+
+} // namespace
+
+TEST_CASE("request matrix: endpoint deeds x mishaps x steps x kinds")
+{
+	int cells = 0;
+	for (int deed = 0; deed < static_cast<int>(EndpointDeed::ED_COUNT); deed++) {
+		for (int mishap = 0; mishap < static_cast<int>(Mishap::MH_COUNT); mishap++) {
+			for (const StepAt &step : _steps) {
+				for (const Kind &kind : _kinds) {
+					const std::string name = std::string(NameOf(static_cast<EndpointDeed>(deed))) + " x " +
+											 _mishap_names[mishap] + " x " + step.name + " x " + kind.name;
+					CAPTURE(name);
+					MatrixCell(static_cast<EndpointDeed>(deed), static_cast<Mishap>(mishap), step, kind).Run();
+					cells++;
+				}
+			}
+		}
+	}
+	MESSAGE("cells: ", cells);
+}
--- /dev/null
+++ b/tests/test_request_path.cpp
@@ -0,0 +1,272 @@
+/** @file test_request_path.cpp Promises of the request path, one by one. */
+#include "request_world.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+TEST_CASE("keys: a second entry replays the answer of the first, and another request with the key is refused")
+{
+	RequestWorld world;
+	const std::string key = world.FreshKey("k");
+	const CallerProbe &first = world.Submit(*world.entries[0], "POST", "first", key);
+	world.Run(Millis(100));
+	const CallerProbe &second = world.Submit(*world.entries[1], "POST", "second", key);
+	world.Run(Millis(100));
+	CHECK(first.body == second.body);
+	CHECK(*second.head.headers.Find("Glade-Replayed") == "yes");
+	CHECK(world.RunsOf("first") + world.RunsOf("second") == 1);
+	const CallerProbe &other = world.Submit(*world.entries[1], "POST", "other", key, "/misting/off");
+	world.Run(Millis(100));
+	CHECK(other.Code() == 2309);
+}
+
+TEST_CASE("keys: member firms do not share them")
+{
+	RequestWorld world;
+	const std::string key = world.FreshKey("k");
+	world.Submit(*world.entries[0], "POST", "oyo", key);
+	world.Run(Millis(100));
+	CallerRequest request;
+	request.method = "POST";
+	request.target = "/misting/on";
+	request.body = "x";
+	request.headers.Add("Authorization", "kaduna");
+	request.headers.Add("Submission", "kaduna");
+	request.headers.Add("Idempotency-Key", key);
+	CallerProbe probe;
+	probe.world = &world;
+	auto exchange = std::make_shared<Exchange>(world.entries[0]->lane, world.entries[0]->path,
+											   *world.entries[0]->dialer, probe, request);
+	exchange->Start();
+	world.Run(Millis(100));
+	CHECK(probe.head.status == 200);
+	CHECK(world.RunsOf("kaduna") == 1);
+}
+
+TEST_CASE("keys: without a time, from the future, or too old they are refused, and nothing ran")
+{
+	RequestWorld world;
+	const auto code_of = [&](const std::string &key) {
+		const CallerProbe &probe = world.Submit(*world.entries[0], "POST", "k" + key, key);
+		world.Run(Millis(100));
+		CHECK(world.RunsOf("k" + key) == 0);
+		return probe.Code();
+	};
+	const int64_t now = world.clock.WallNow().Value();
+	CHECK(code_of("no-time") == 2301);
+	CHECK(code_of(std::to_string(now + 60000) + "-x") == 2301);
+	/* The key is older than this entry: it may have run, and that is said. */
+	const int old = code_of(std::to_string(now - 11 * 60000) + "-x");
+	CHECK((old == 2302 || old == 2303));
+	CHECK(KeyIssueTime("018bcfe5-6800-7abc-8def-0123456789ab").value().Value() == 0x018bcfe56800);
+	CHECK_FALSE(KeyIssueTime("018bcfe5-6800-4abc-8def-0123456789ab").has_value());
+}
+
+TEST_CASE("keys: an owner whose lease has lapsed refuses truly, other work goes on")
+{
+	RequestWorld world(4, 1);
+	world.entries[0]->renew = false;
+	world.Run(Millis(3000));
+	const CallerProbe &keyed = world.Submit(*world.entries[0], "POST", "keyed", world.FreshKey("k"));
+	const CallerProbe &plain = world.Submit(*world.entries[0], "POST", "plain");
+	world.Run(Millis(100));
+	CHECK(keyed.Code() == 2308);
+	CHECK(keyed.SaysNotRun());
+	CHECK(world.RunsOf("keyed") == 0);
+	CHECK(plain.head.status == 200);
+}
+
+TEST_CASE("keys: after a membership change only keys that changed their owner are refused, and only for a while")
+{
+	RequestWorld world(4, 3);
+	std::vector<std::string> keys;
+	for (int i = 0; i < 200; i++) {
+		keys.push_back(world.FreshKey(std::to_string(i)));
+	}
+	world.AddEntry("entry-9", "zone-a");
+	int refused = 0;
+	for (const std::string &key : keys) {
+		const CallerProbe &probe = world.Submit(*world.entries[0], "POST", key, key);
+		world.Run(Millis(10));
+		refused += probe.Code() == 2303 ? 1 : 0;
+	}
+	/* A quarter of the keys moved to the fourth entry. */
+	CHECK(refused > 25);
+	CHECK(refused < 75);
+	world.Run(Millis(10000));
+	for (int i = 0; i < 50; i++) {
+		const std::string key = world.FreshKey("later" + std::to_string(i));
+		const CallerProbe &probe = world.Submit(*world.entries[0], "POST", key, key);
+		world.Run(Millis(10));
+		CHECK(probe.head.status == 200);
+	}
+}
+
+TEST_CASE("limits: slots are never passed, not by deadlines and callers that leave either")
+{
+	RequestWorld world(1, 2);
+	FakeEndpoint &endpoint = world.endpoints.begin()->second;
+	endpoint.deed = EndpointDeed::ED_LATE;
+	for (int i = 0; i < 40; i++) {
+		CallerProbe &probe = world.Submit(*world.entries[static_cast<size_t>(i % 2)], "POST", "p" + std::to_string(i));
+		world.Run(Millis(150));
+		if (i % 3 == 0 && !probe.ended) {
+			probe.gone = true;
+			probe.exchange->OnCallerGone();
+		}
+	}
+	world.Run(Millis(10000));
+	CHECK(endpoint.peak <= 8);
+	/* The gates knew it: the endpoint itself never had to refuse. */
+	CHECK(world.timeline.find("says not run") == std::string::npos);
+}
+
+TEST_CASE("limits: shares of a zone's entries add up to the slots, for any number of entries")
+{
+	for (size_t n = 1; n <= 9; n++) {
+		std::vector<Peer> peers;
+		for (size_t i = 0; i < n; i++) {
+			peers.push_back(Peer{MemberName("entry-" + std::to_string(i)), ZoneName("z"), "", Incarnation(1)});
+		}
+		for (int box = 0; box < 50; box++) {
+			uint32_t sum = 0;
+			for (const Peer &it : peers) {
+				sum += SlotShare(BoxName("box-" + std::to_string(box)), Slots(8), peers, it.name);
+			}
+			CHECK(sum == 8);
+		}
+	}
+	CHECK(SlotShare(BoxName("b"), Slots(8), {}, MemberName("stranger")) == 0);
+}
+
+TEST_CASE("retries: not run is tried elsewhere first, within the budget")
+{
+	RequestWorld world(4, 1);
+	world.endpoints["endpoint-1:80"].deed = EndpointDeed::ED_NOT_RUN;
+	world.endpoints["endpoint-2:80"].deed = EndpointDeed::ED_REFUSE;
+	for (int i = 0; i < 50; i++) {
+		const CallerProbe &probe = world.Submit(*world.entries[0], "POST", "p" + std::to_string(i));
+		world.Run(Millis(100));
+		CHECK(probe.head.status == 200);
+	}
+	for (auto &[address, endpoint] : world.endpoints) {
+		endpoint.deed = EndpointDeed::ED_NOT_RUN;
+	}
+	const uint64_t before = world.entries[0]->path.counters.retries;
+	for (int i = 0; i < 200; i++) {
+		world.Submit(*world.entries[0], "POST", "q" + std::to_string(i));
+		world.Run(Millis(100));
+	}
+	/* Without successes the budget runs dry: retries never multiply load. */
+	CHECK(world.entries[0]->path.counters.retries - before <= 20);
+}
+
+TEST_CASE("routing: a whole wave of failures does not empty a pool, one failing endpoint is left out")
+{
+	RequestWorld world(6, 1);
+	world.endpoints["endpoint-3:80"].deed = EndpointDeed::ED_READ_CLOSE;
+	int broken = 0;
+	for (int i = 0; i < 200; i++) {
+		const CallerProbe &probe = world.Submit(*world.entries[0], "POST", "p" + std::to_string(i));
+		world.Run(Millis(10));
+		broken += probe.Code() == 2201 ? 1 : 0;
+	}
+	CHECK(broken <= 8);
+	for (auto &[address, endpoint] : world.endpoints) {
+		endpoint.deed = EndpointDeed::ED_REFUSE;
+	}
+	for (int i = 0; i < 100; i++) {
+		world.Submit(*world.entries[0], "GET", "g" + std::to_string(i));
+		world.Run(Millis(10));
+	}
+	const auto views = world.entries[0]->path.routes.Gates().begin()->second->Endpoints(world.clock.Now());
+	CHECK(std::ranges::count(views, true, &EndpointView::ejected) <= 2);
+	for (auto &[address, endpoint] : world.endpoints) {
+		endpoint.deed = EndpointDeed::ED_ANSWER;
+	}
+	const CallerProbe &well = world.Submit(*world.entries[0], "GET", "well");
+	world.Run(Millis(100));
+	CHECK(well.head.status == 200);
+}
+
+TEST_CASE("admission: a full queue and a deadline out of reach are refused at once, with a time to come back")
+{
+	RequestWorld world(1, 1);
+	world.endpoints.begin()->second.work = Millis(400);
+	std::vector<CallerProbe *> probes;
+	for (int i = 0; i < 400; i++) {
+		probes.push_back(&world.Submit(*world.entries[0], "POST", "p" + std::to_string(i)));
+	}
+	const auto late = std::ranges::count_if(
+			probes, [](const CallerProbe *it) { return it->Code() == 2102 || it->Code() == 2101; });
+	CHECK(late > 0);
+	for (const CallerProbe *probe : probes) {
+		if (probe->ended) {
+			CHECK(probe->SaysNotRun());
+			CHECK(probe->head.headers.Find("Retry-After") != nullptr);
+		}
+	}
+	world.Run(Millis(5000));
+	for (const CallerProbe *probe : probes) {
+		CHECK(probe->ended);
+	}
+}
+
+TEST_CASE("drain: a box being drained gets nothing new and is reported empty only when it is")
+{
+	RequestWorld world(2, 1);
+	world.endpoints["endpoint-1:80"].work = Millis(500);
+	world.endpoints["endpoint-2:80"].work = Millis(500);
+	for (int i = 0; i < 10; i++) {
+		world.Submit(*world.entries[0], "POST", "p" + std::to_string(i));
+	}
+	world.Run(Millis(10));
+	const size_t before = world.endpoints["endpoint-1:80"].runs.size();
+	REQUIRE(before > 0);
+	Box &box = world.fleet.boxes[BoxName("box-1")];
+	box.state = BoxState::BS_DRAINING;
+	box.permit = PermitId(77);
+	world.PushViews();
+	const auto gate = world.entries[0]->path.routes.Gates().begin()->second;
+	CHECK(gate->Drained().empty());
+	for (int i = 0; i < 5; i++) {
+		world.Submit(*world.entries[0], "POST", "q" + std::to_string(i));
+		world.Run(Millis(200));
+	}
+	CHECK(world.endpoints["endpoint-1:80"].runs.size() == before);
+	REQUIRE(gate->Drained().size() == 1);
+	CHECK(gate->Drained()[0].permit == PermitId(77));
+}
+
+TEST_CASE("views: a lagging keeper never reverts what is in force, a damaged delta asks for the whole")
+{
+	RequestWorld world(2, 1);
+	RouteTable &routes = world.entries[0]->path.routes;
+	const LogOffset offset = routes.Offset();
+	glade::wire::ViewT old = BuildView(world.fleet, ZoneName("zone-a"), {});
+	old.offset = offset.Value() - 1;
+	old.version = 99;
+	old.rows.clear();
+	CHECK(routes.Apply(old, world.clock.Now()) == ResultCode::RC_OK);
+	CHECK(routes.Offset() == offset);
+	CHECK(routes.Find(ServiceName("misting")).has_value());
+	glade::wire::ViewT next = BuildView(world.fleet, ZoneName("zone-a"), {});
+	next.version = 100;
+	next.base_version = 55;
+	CHECK(routes.Apply(next, world.clock.Now()) == ResultCode::RC_STATE_MISMATCH);
+	next.base_version = 0;
+	next.hash ^= 1;
+	CHECK(routes.Apply(next, world.clock.Now()) == ResultCode::RC_STATE_MISMATCH);
+	CHECK(routes.Version().first == 0);
+}
+
+TEST_CASE("streams: a slow caller stops the endpoint, a caller that leaves ends the call")
+{
+	RequestWorld world(1, 1);
+	CallerProbe &probe = world.Submit(*world.entries[0], "GET", "stream");
+	probe.congested = true;
+	world.Run(Millis(100));
+	probe.congested = false;
+	CHECK(probe.ended);
+}
