--- /dev/null
+++ b/src/bench/config_bench.cpp
@@ -0,0 +1,112 @@
+/** @file config_bench.cpp Publish to in force at every entry, on the virtual clock, with and without faults. */
+#include "bench_output.h"
+#include "fleet_world.h"
+
+#include "../standin/memory/fleet_site.h"
+
+#include <algorithm>
+
+namespace {
+
+constexpr Millis LOG_DELAY(20);   ///< Time of an append or read on a good day.
+constexpr Millis BETWEEN(1000);   ///< Time between two publications.
+constexpr Millis LONGEST(120000); ///< Time after which a publication counts as never in force.
+constexpr size_t TOKENS = 7;      ///< Values that a cell goes through.
+
+/** What goes wrong. */
+enum class ConfigFault : uint8_t {
+	CF_GOOD_DAY,     ///< Nothing.
+	CF_LOG_SLOW,     ///< Answers of the log take half a second.
+	CF_ZONE_CUT,     ///< A zone is cut off from the log half of the time.
+	CF_ANSWERS_LOST, ///< Every answer to an append of a publisher is lost.
+};
+
+/** What a run showed. */
+struct ConfigResult {
+	std::vector<double> all; ///< Time to in force at the last entry that is not cut off, ms.
+	double appends = 0;      ///< Appends a second, all keepers.
+	double bytes = 0;        ///< Bytes a second appended.
+	size_t never = 0;        ///< Publications never in force or refused.
+	size_t violations = 0;   ///< What should always hold and did not.
+};
+
+double QuantileOf(std::vector<double> values, double share)
+{
+	if (values.empty()) {
+		return 0;
+	}
+	std::ranges::sort(values);
+	return values[std::min(static_cast<size_t>(share * static_cast<double>(values.size())), values.size() - 1)];
+}
+
+ConfigResult RunOnce(ConfigFault fault, size_t publications, uint32_t boxes)
+{
+	FleetSite site(boxes);
+	for (const auto &it : site.keepers) {
+		it->log.faults.delay = LOG_DELAY;
+	}
+	site.SetUp();
+	const Millis begin = site.clock.Now();
+	const uint64_t appends = site.store.RecordsAppended();
+	const uint64_t bytes = site.store.BytesAppended();
+	ConfigResult result;
+	for (size_t i = 0; i < publications; i++) {
+		for (const auto &it : site.keepers) {
+			it->log.faults.delay = fault == ConfigFault::CF_LOG_SLOW ? Millis(500) : LOG_DELAY;
+			it->log.faults.down = fault == ConfigFault::CF_ZONE_CUT && it->zone == "zone-b" && i % 2 == 0;
+			it->log.faults.lose_answers = fault == ConfigFault::CF_ANSWERS_LOST ? 1 : 0;
+		}
+		KeeperNode &keeper = site.Any();
+		const Millis asked = site.clock.Now();
+		const auto outcome =
+				keeper.Publish({{CellKey{ServiceName("misting"), "weight"}, std::to_string(1 + i % TOKENS)}},
+							   keeper.core.State().table_version.Value());
+		const bool decided = site.RunUntil([&] { return outcome->code == 0; }, LONGEST);
+		const LogOffset offset(outcome->offset);
+		const bool in_force = decided && site.RunUntil(
+												 [&] {
+													 return std::ranges::all_of(site.entries, [&](const auto &it) {
+														 const bool cut = fault == ConfigFault::CF_ZONE_CUT &&
+																		  i % 2 == 0 && it->zone == "zone-b";
+														 return cut || it->routes.Offset() >= offset;
+													 });
+												 },
+												 LONGEST);
+		if (in_force) {
+			result.all.push_back(static_cast<double>((site.clock.Now() - asked).Value()));
+		} else {
+			result.never++;
+		}
+		site.Run(BETWEEN);
+	}
+	const double seconds = static_cast<double>((site.clock.Now() - begin).Value()) / MS_PER_SECOND;
+	result.appends = static_cast<double>(site.store.RecordsAppended() - appends) / seconds;
+	result.bytes = static_cast<double>(site.store.BytesAppended() - bytes) / seconds;
+	result.violations = site.violations.size();
+	return result;
+}
+
+} // namespace
+
+int RunConfigBench(const BenchOptions &options)
+{
+	const FleetPreset preset = PresetOf(options.preset);
+	const size_t publications = options.quick ? 10 : 200;
+	int failed = 0;
+	for (const auto &[fault, name] :
+		 {std::pair{ConfigFault::CF_GOOD_DAY, "good_day"}, std::pair{ConfigFault::CF_LOG_SLOW, "log_slow_500ms"},
+		  std::pair{ConfigFault::CF_ZONE_CUT, "zone_cut"}, std::pair{ConfigFault::CF_ANSWERS_LOST, "answers_lost"}}) {
+		const ConfigResult result = RunOnce(fault, publications, std::min(preset.boxes, 90U));
+		const auto print = [&](const char *figure, double value, const char *unit) {
+			PrintFigure({"config", name, figure, value, unit, "", 0, options.seed});
+		};
+		print("in_force_p50", QuantileOf(result.all, 0.5), "ms");
+		print("in_force_p99", QuantileOf(result.all, 0.99), "ms");
+		print("in_force_max", QuantileOf(result.all, 1.0), "ms");
+		print("never_in_force", static_cast<double>(result.never), "publications");
+		print("appends", result.appends, "1/s");
+		print("append_bytes", result.bytes, "B/s");
+		failed += static_cast<int>(result.violations);
+	}
+	return failed;
+}
--- /dev/null
+++ b/src/bench/synthetic_log.cpp
@@ -0,0 +1,183 @@
+/** @file synthetic_log.cpp A log as a fleet of a given size would have written it. */
+#include "synthetic_log.h"
+
+namespace {
+
+constexpr Millis START(1700000000000); ///< Log's clock at the first record.
+constexpr uint64_t JOBS_A_RECORD = 4;  ///< Jobs accepted in a record: group commit.
+
+/** Writes records. */
+class LogMaker {
+public:
+	LogMaker(const SyntheticSize &size, uint64_t seed) : size(size), dice(seed) {}
+
+	std::vector<LogRecord> Make(size_t records)
+	{
+		this->SetUp();
+		for (size_t i = 0; i < records; i++) {
+			this->Change();
+		}
+		return std::move(this->log);
+	}
+
+private:
+	SyntheticSize size;         ///< Sizes.
+	Dice dice;                  ///< Random numbers.
+	std::vector<LogRecord> log; ///< Records so far.
+	BatchT batch;               ///< Record being filled.
+	uint64_t sequence = 0;      ///< Last proposal.
+	uint64_t jobs = 0;          ///< Jobs accepted.
+	uint64_t ended = 0;         ///< Jobs ended.
+
+	template <class T>
+	void Add(T change)
+	{
+		auto proposal = MakeProposal(std::move(change));
+		proposal->sequence = ++this->sequence;
+		this->batch.proposals.push_back(std::move(proposal));
+	}
+
+	void Flush()
+	{
+		this->batch.rule_version = 1;
+		this->batch.writer = "keeper";
+		this->batch.incarnation = 1;
+		this->batch.region = "main";
+		this->batch.term = 1;
+		const Millis stamp = START + Millis(static_cast<int64_t>(this->log.size()) * 1000);
+		this->log.push_back(LogRecord{LogOffset(this->log.size() + 1), stamp, EncodeBatch(this->batch)});
+		this->batch = BatchT();
+	}
+
+	static std::string BoxName4(uint64_t n) { return "box-" + std::to_string(10000 + n).substr(1); }
+
+	void SetUp()
+	{
+		glade::wire::PlannerTermT term;
+		term.region = "main";
+		term.member = "keeper";
+		this->Add(std::move(term));
+		glade::wire::TablePublishT table;
+		for (uint32_t i = 0; i < this->size.pools; i++) {
+			for (const auto &[column, value] :
+				 {std::pair{"pool", PoolOf(i)}, std::pair{"floor", std::string("8")},
+				  std::pair{"weight", std::string("3")}, std::pair{"guard", std::string("zone")}}) {
+				auto cell = std::make_unique<glade::wire::TableCellT>();
+				cell->service = ServiceOf(i);
+				cell->column = column;
+				cell->value = value;
+				table.cells.push_back(std::move(cell));
+			}
+		}
+		this->Add(std::move(table));
+		this->Flush();
+		for (uint32_t i = 0; i < this->size.teams; i++) {
+			glade::wire::TeamQuotaT quota;
+			quota.team = "team-" + std::to_string(i);
+			quota.units = 1000;
+			this->Add(std::move(quota));
+		}
+		this->Flush();
+		this->SetUpBoxes();
+		for (uint32_t i = 0; i < this->size.entries; i++) {
+			glade::wire::MemberJoinT join;
+			join.member = "keeper";
+			join.role = static_cast<uint8_t>(MemberRole::MR_KEEPER);
+			join.zone = "zone-" + std::to_string(i % this->size.zones);
+			join.incarnation = 1;
+			this->Add(join);
+			join.member = "entry-" + std::to_string(i);
+			join.role = static_cast<uint8_t>(MemberRole::MR_ENTRY);
+			join.address = "10.1.0." + std::to_string(i) + ":8001";
+			join.frames = "10.1.0." + std::to_string(i) + ":8002";
+			this->Add(std::move(join));
+		}
+		this->Flush();
+	}
+
+	void SetUpBoxes()
+	{
+		for (uint32_t i = 0; i < this->size.boxes; i++) {
+			glade::wire::BoxRegisterT box;
+			box.box = BoxName4(i);
+			box.zone = "zone-" + std::to_string(i % this->size.zones);
+			box.rack = "rack-" + std::to_string(i / 4);
+			box.address = "10.0." + std::to_string(i / 250) + "." + std::to_string(i % 250) + ":80";
+			box.slots = 8;
+			box.pool = PoolOf(i % this->size.pools);
+			this->Add(std::move(box));
+			glade::wire::BoxHealthReportT health;
+			health.box = BoxName4(i);
+			health.epoch = 1;
+			health.health = static_cast<uint8_t>(BoxHealth::BH_UP);
+			this->Add(std::move(health));
+		}
+		this->Flush();
+	}
+
+	void Change()
+	{
+		const uint64_t roll = this->dice.Below(10);
+		if (roll < 2) {
+			this->ChangeCell();
+		} else if (roll < 3) {
+			glade::wire::PermitGrantT grant;
+			grant.box = BoxName4(this->dice.Below(this->size.boxes));
+			grant.epoch = 1;
+			grant.purpose = static_cast<uint8_t>(PermitPurpose::PP_MAINTAIN);
+			this->Add(std::move(grant));
+		} else {
+			this->ChangeJobs();
+		}
+		this->Flush();
+	}
+
+	void ChangeCell()
+	{
+		glade::wire::TablePublishT table;
+		table.base_version = this->log.size();
+		auto cell = std::make_unique<glade::wire::TableCellT>();
+		cell->service = ServiceOf(static_cast<uint32_t>(this->dice.Below(this->size.pools)));
+		cell->column = "weight";
+		cell->value = std::to_string(1 + this->dice.Below(9));
+		table.cells.push_back(std::move(cell));
+		this->Add(std::move(table));
+	}
+
+	void ChangeJobs()
+	{
+		for (uint64_t i = 0; i < JOBS_A_RECORD; i++) {
+			glade::wire::JobAcceptT job;
+			job.job = "job-" + std::to_string(++this->jobs);
+			job.team = "team-" + std::to_string(this->dice.Below(this->size.teams));
+			job.work_class = static_cast<uint8_t>(WorkClass::WC_BATCH);
+			job.units = 1;
+			job.repeatable = true;
+			this->Add(std::move(job));
+		}
+		while (this->jobs - this->ended > this->size.jobs) {
+			glade::wire::JobCancelT cancel;
+			cancel.jobs.push_back("job-" + std::to_string(++this->ended));
+			this->Add(std::move(cancel));
+		}
+	}
+};
+
+} // namespace
+
+SyntheticSize SizeOf(const FleetPreset &preset)
+{
+	SyntheticSize size;
+	size.boxes = preset.boxes;
+	size.pools = preset.pools;
+	size.teams = preset.teams;
+	size.zones = preset.zones;
+	size.entries = preset.zones * 3;
+	size.jobs = static_cast<uint32_t>(preset.jobs_a_day);
+	return size;
+}
+
+std::vector<LogRecord> SyntheticLog(const SyntheticSize &size, size_t records, uint64_t seed)
+{
+	return LogMaker(size, seed).Make(records);
+}
--- a/src/fleet/member_cmd.cpp
+++ b/src/fleet/member_cmd.cpp
@@ -88,6 +88,7 @@
 	member.incarnation = Incarnation(it.incarnation);
 	member.rules = it.rules;
 	const bool again = old != fleet.members.end() && old->second.incarnation == member.incarnation;
+	/* Joining again also takes back what was witnessed against the member: it lives. */
 	member.since = again ? old->second.since : fleet.time;
 	if (context.mode == CommandMode::CM_TEST || (again && old->second == member)) {
 		return {};
--- a/src/keeper/entry_desk.cpp
+++ b/src/keeper/entry_desk.cpp
@@ -19,6 +19,7 @@
 	Session &session = this->sessions[&channel];
 	session.name = MemberName(hello.member);
 	session.incarnation = Incarnation(hello.incarnation);
+	session.heard = this->core.scheduler.Now();
 	session.drained.clear();
 	for (size_t i = 0; i < std::min(hello.drained_boxes.size(), hello.drained_permits.size()); i++) {
 		session.drained[BoxName(hello.drained_boxes[i])] = PermitId(hello.drained_permits[i]);
@@ -38,7 +39,7 @@
 		}
 		return;
 	}
-	if (!member) {
+	if (!member || this->Witnessed(session.name)) {
 		this->Join(hello);
 		return;
 	}
@@ -52,6 +53,26 @@
 	this->Lease(channel, hello);
 }
 
+bool EntryDesk::Witnessed(const MemberName &name) const
+{
+	/* Said, or about to be said: no lease until the member has joined again. */
+	const auto it = this->core.State().members.find(name);
+	return this->lapsed.contains(name) ||
+		   (it != this->core.State().members.end() && it->second.witnesses.contains(this->core.self.name.Value()));
+}
+
+std::vector<std::string> EntryDesk::HeardLately() const
+{
+	std::vector<std::string> names;
+	const Millis lately = this->core.scheduler.Now() - this->core.times.lease;
+	for (const auto &[channel, session] : this->sessions) {
+		if (session.heard >= lately) {
+			names.push_back(session.name.Value());
+		}
+	}
+	return names;
+}
+
 void EntryDesk::OnDown(EntryChannel &channel)
 {
 	this->sessions.erase(&channel);
@@ -90,7 +111,10 @@
 	leave.incarnation = member.incarnation.Value();
 	leave.witness = witness.Value();
 	this->core.writer.Submit(MakeProposal(std::move(leave)), WritePriority::WP_CONFIG,
-							 [this, name = member.name](const Decision &) { this->heard[name].asked = false; });
+							 [this, name = member.name](const Decision &) {
+								 this->heard[name].asked = false;
+								 this->lapsed.erase(name); /* From here on the state says it. */
+							 });
 }
 
 void EntryDesk::Lease(EntryChannel &channel, const EntryHelloT &hello)
@@ -98,7 +122,7 @@
 	if (hello.view_version != this->version || hello.view_hash != this->view.hash) {
 		return;
 	}
-	if (!this->Fresh() || this->lapsed.contains(MemberName(hello.member))) {
+	if (!this->Fresh()) {
 		this->core.counters.leases_refused++;
 		return;
 	}
@@ -107,7 +131,7 @@
 	grant.hello_number = hello.number;
 	grant.lease_ms = static_cast<uint32_t>(this->core.times.lease.Value());
 	grant.view_version = this->version;
-	grant.log_time = this->core.State().time.Value();
+	grant.offset = this->core.State().offset.Value();
 	MessageUnion message;
 	message.Set(std::move(grant));
 	channel.Send(message);
@@ -146,6 +170,9 @@
 	const Millis now = this->core.scheduler.Now();
 	this->keepers[MemberName(beat.member)] = KeeperNews{now, LogOffset(beat.offset), Millis(beat.log_age_ms)};
 	this->heard[MemberName(beat.member)].at = now;
+	for (const std::string &name : beat.heard) {
+		this->heard[MemberName(name)].at = now;
+	}
 }
 
 bool EntryDesk::Fresh() const
@@ -184,11 +211,9 @@
 		}
 	}
 	for (const Member &member : silent) {
-		this->lapsed[member.name] = member.incarnation;
+		this->lapsed.insert(member.name);
 		this->Leave(member, this->core.self.name);
 	}
-	/* Leases are refused to a member witnessed against until it has left or joined anew. */
-	std::erase_if(this->lapsed, [&](const auto &it) { return !this->IsMember(it.first, it.second); });
 }
 
 std::map<BoxName, std::vector<MemberName>> EntryDesk::Drained() const
--- a/src/keeper/entry_desk.h
+++ b/src/keeper/entry_desk.h
@@ -67,6 +67,9 @@
 	/** @return Entries that confirmed the drain of each box, under the permit that the box holds now. */
 	[[nodiscard]] std::map<BoxName, std::vector<MemberName>> Drained() const;
 
+	/** @return Names of the entries that speak to this keeper: other keepers need not blame them. */
+	[[nodiscard]] std::vector<std::string> HeardLately() const;
+
 	/** @return Entries connected now. */
 	[[nodiscard]] size_t Connected() const { return this->sessions.size(); }
 
@@ -75,6 +78,7 @@
 	struct Session {
 		MemberName name;                     ///< The entry.
 		Incarnation incarnation;             ///< Its start.
+		Millis heard;                        ///< When it last spoke.
 		glade::wire::ViewT sent;             ///< View that it was sent last.
 		std::map<BoxName, PermitId> drained; ///< Boxes that it confirmed as drained, under which permit.
 	};
@@ -91,7 +95,7 @@
 	std::map<EntryChannel *, Session> sessions; ///< Entries connected.
 	std::map<MemberName, Heard> heard;          ///< Members of the zone.
 	std::map<MemberName, KeeperNews> keepers;   ///< Other keepers of the zone.
-	std::map<MemberName, Incarnation> lapsed;   ///< Members that this keeper witnessed against.
+	std::set<MemberName> lapsed;                ///< Members that this keeper witnesses against, not decided yet.
 	glade::wire::ViewT view;                    ///< Newest view.
 	uint64_t version = 0;                       ///< Its version.
 
@@ -99,6 +103,7 @@
 	void Leave(const Member &member, const MemberName &witness);
 	void Lease(EntryChannel &channel, const glade::wire::EntryHelloT &hello);
 	void Push(EntryChannel &channel, Session &session);
+	[[nodiscard]] bool Witnessed(const MemberName &name) const;
 	[[nodiscard]] bool IsMember(const MemberName &name, Incarnation incarnation) const;
 };
 
--- a/src/keeper/keeper_server.cpp
+++ b/src/keeper/keeper_server.cpp
@@ -277,6 +277,7 @@
 	beat.member = this->core.self.name.Value();
 	beat.offset = this->core.State().offset.Value();
 	beat.hash = this->core.State().Hash();
+	beat.heard = this->entries.HeardLately();
 	const Millis age = this->scheduler.Now() - this->tail.LastAnswer();
 	beat.log_age_ms = static_cast<uint32_t>(std::min(age, Millis(MS_PER_DAY)).Value());
 	const MessageUnion message = MakeMessage(std::move(beat));
--- a/src/planner/job_plan.cpp
+++ b/src/planner/job_plan.cpp
@@ -19,18 +19,22 @@
 /** What is free on the boxes: those maintained last first, so that boxes due soon run empty by themselves. */
 class RoomList {
 public:
-	explicit RoomList(const FleetState &fleet)
+	RoomList(const FleetState &fleet, const PlannerPolicy &policy)
 	{
+		uint32_t all = 0;
 		for (const auto &[name, box] : fleet.boxes) {
 			if (!TakesWork(box)) {
 				continue;
 			}
 			const auto used = fleet.box_used.find(name);
 			const uint32_t taken = used == fleet.box_used.end() ? 0 : used->second;
+			all += box.slots.Value();
 			if (taken < box.slots.Value()) {
+				this->free += box.slots.Value() - taken;
 				this->rooms.push_back(Room{&box, box.slots.Value() - taken});
 			}
 		}
+		this->reserve = (all * policy.urgent_reserve_percent + 99) / 100;
 		std::ranges::sort(this->rooms, [](const Room &a, const Room &b) {
 			return std::make_tuple(-a.box->last_maintained.Value(), a.free, a.box->name) <
 				   std::make_tuple(-b.box->last_maintained.Value(), b.free, b.box->name);
@@ -44,6 +48,9 @@
 	 */
 	const Box *Take(const Job &job)
 	{
+		if (job.work_class != WorkClass::WC_URGENT && this->free < job.units + this->reserve) {
+			return nullptr;
+		}
 		const auto fits = [&](const Room &it) {
 			return it.free >= job.units && !job.failed_on.contains(it.box->name.Value());
 		};
@@ -52,6 +59,7 @@
 			return nullptr;
 		}
 		it->free -= job.units;
+		this->free -= job.units;
 		const Box *box = it->box;
 		if (it->free == 0) {
 			this->rooms.erase(it);
@@ -61,6 +69,8 @@
 
 private:
 	std::vector<Room> rooms; ///< Boxes with room, best first.
+	uint32_t free = 0;       ///< Units free on all of them.
+	uint32_t reserve = 0;    ///< Units that only urgent jobs may take.
 };
 
 /** Waiting jobs of a team in one class, oldest first, and how much of its quota the team uses. */
@@ -236,7 +246,7 @@
 JobPlan PlanJobs(const FleetState &fleet, const PlannerPolicy &policy, size_t limit)
 {
 	JobPlan plan;
-	RoomList rooms(fleet);
+	RoomList rooms(fleet, policy);
 	std::map<TeamName, uint32_t> used = fleet.team_used;
 	for (auto &[work_class, teams] : QueuesOf(fleet)) {
 		const uint32_t missing = ClassPlacer(rooms, used, plan, limit).Run(teams);
--- a/src/planner/planner_type.h
+++ b/src/planner/planner_type.h
@@ -22,6 +22,7 @@
 	uint32_t spare_boxes = 1;                   ///< Boxes a pool should be able to spare, where boxes are first placed.
 	Millis failure_patience = Millis(0); ///< A failed box counts as coming back for so long: no box moves for it.
 	Millis blocked_patience = Millis(0); ///< Time to the deadline at which a pool that can't spare a box gets one.
+	uint32_t urgent_reserve_percent = 2; ///< Room for jobs that only urgent ones may take.
 	uint32_t zones_at_once = 1;          ///< Availability zones of a pool that may be under maintenance at once.
 };
 
--- a/src/request/route_table.cpp
+++ b/src/request/route_table.cpp
@@ -231,6 +231,12 @@
 	this->lease_until = std::max(this->lease_until, until);
 }
 
+void RouteTable::NoteOffset(LogOffset seen)
+{
+	const std::unique_lock guard(this->lock);
+	this->offset = std::max(this->offset, seen);
+}
+
 bool RouteTable::LeaseHolds(Millis now) const
 {
 	const std::shared_lock guard(this->lock);
--- a/src/request/route_table.h
+++ b/src/request/route_table.h
@@ -64,6 +64,12 @@
 	 */
 	void ExtendLease(Millis until);
 
+	/**
+	 * The view in force shows the fleet up to a later offset too: nothing in it has changed since.
+	 * @param seen The offset.
+	 */
+	void NoteOffset(LogOffset seen);
+
 	/** @return Whether the lease holds. */
 	[[nodiscard]] bool LeaseHolds(Millis now) const;
 
--- a/src/standin/memory/fleet_site.cpp
+++ b/src/standin/memory/fleet_site.cpp
@@ -159,6 +159,7 @@
 	glade::wire::KeeperBeatT beat;
 	beat.member = this->name;
 	beat.offset = this->core.State().offset.Value();
+	beat.heard = this->entries.HeardLately();
 	beat.log_age_ms =
 			static_cast<uint32_t>(std::min(this->lane.Now() - this->tail.LastAnswer(), Millis(MS_PER_DAY)).Value());
 	for (const auto &other : this->site.keepers) {
@@ -267,6 +268,7 @@
 		this->lane.Post([this] { this->Hello(); });
 	} else if (const auto *grant = message.AsLeaseGrant(); grant != nullptr) {
 		this->routes.ExtendLease(this->sent_at[grant->hello_number] + Millis(grant->lease_ms));
+		this->routes.NoteOffset(LogOffset(grant->offset));
 	}
 }
 
--- a/tests/test_request_matrix.cpp
+++ b/tests/test_request_matrix.cpp
@@ -1,4 +1,6 @@
 /** @file test_request_matrix.cpp Every fault of endpoints, callers and entries at every step of a request. */
+#include "golden.h"
+
 #include "standin/memory/request_world.h"
 
 #include <doctest/doctest.h>
@@ -73,6 +75,9 @@
 		this->Check();
 	}
 
+	/** @return What happened, a line each. */
+	[[nodiscard]] const std::string &Timeline() const { return this->world.timeline; }
+
 private:
 	EndpointDeed deed;                ///< What endpoints do.
 	Mishap mishap;                    ///< What else happens.
@@ -211,3 +216,32 @@
 	}
 	MESSAGE("cells: ", cells);
 }
+
+TEST_CASE("golden: whole sessions of callers, entries and endpoints")
+{
+	struct Session {
+		const char *name;
+		EndpointDeed deed;
+		Mishap mishap;
+		size_t step;
+		size_t kind;
+	};
+	static constexpr Session _sessions[] = {
+			{"answered", EndpointDeed::ED_ANSWER, Mishap::MH_NONE, 0, 2},
+			{"read_and_closed", EndpointDeed::ED_READ_CLOSE, Mishap::MH_NONE, 0, 1},
+			{"refused_then_tried_elsewhere", EndpointDeed::ED_REFUSE, Mishap::MH_NONE, 0, 1},
+			{"half_answer", EndpointDeed::ED_HALF_CLOSE, Mishap::MH_NONE, 0, 0},
+			{"late_answer", EndpointDeed::ED_LATE, Mishap::MH_NONE, 0, 2},
+			{"entry_killed_while_running", EndpointDeed::ED_ANSWER, Mishap::MH_ENTRY_KILLED, 2, 3},
+			{"entry_replaced_while_running", EndpointDeed::ED_ANSWER, Mishap::MH_ENTRY_REPLACED, 2, 2},
+			{"planned_stop_while_running", EndpointDeed::ED_ANSWER, Mishap::MH_ENTRY_STOPS, 2, 1},
+			{"retried_elsewhere_while_running", EndpointDeed::ED_ANSWER, Mishap::MH_RETRY_THERE, 2, 3},
+			{"caller_leaves_while_running", EndpointDeed::ED_ANSWER, Mishap::MH_CALLER_LEAVES, 2, 2},
+	};
+	for (const Session &it : _sessions) {
+		CAPTURE(it.name);
+		MatrixCell cell(it.deed, it.mishap, _steps[it.step], _kinds[it.kind]);
+		cell.Run();
+		CHECK_GOLDEN(it.name, cell.Timeline());
+	}
+}
