--- a/src/bench/bench_output.h
+++ b/src/bench/bench_output.h
@@ -30,6 +30,7 @@
 	uint64_t seed = 1;                 ///< Seed.
 	uint64_t seeds = 1;                ///< Number of seeds from `seed` on.
 	bool quick = false;                ///< Small sizes, to see that the bench works.
+	std::string page;                  ///< Page whose tables `capacity` writes; empty for none.
 };
 
 int RunMaintainBench(const BenchOptions &options); ///< Three weeks of maintenance, against baselines.
--- /dev/null
+++ b/src/bench/capacity_bench.cpp
@@ -0,0 +1,272 @@
+/** @file capacity_bench.cpp Slopes of state, messages and time, and the rows of docs/CAPACITY.md computed from them. */
+#include "bench_output.h"
+#include "capacity_page.h"
+#include "synthetic_log.h"
+
+#include "../fleet/snapshot_func.h"
+#include "../keeper/view_func.h"
+#include "../planner/planner_func.h"
+
+#include <chrono>
+#include <cmath>
+#include <functional>
+#include <malloc.h>
+
+namespace {
+
+constexpr size_t RECORDS = 400; ///< Records of a synthetic log, after its set-up.
+
+/** State folded from a synthetic log, and what it took. */
+struct Folded {
+	FleetState fleet;         ///< The state.
+	double heap_bytes = 0;    ///< Heap that it holds.
+	double us_a_record = 0;   ///< Time to fold a record.
+};
+
+Folded FoldSynthetic(const SyntheticSize &size)
+{
+	const std::vector<LogRecord> log = SyntheticLog(size, RECORDS, 1);
+	Folded folded;
+	const auto heap_before = static_cast<double>(mallinfo2().uordblks);
+	const auto begin = std::chrono::steady_clock::now();
+	for (const LogRecord &record : log) {
+		FoldRecord(folded.fleet, record);
+	}
+	const auto took = std::chrono::duration<double, std::micro>(std::chrono::steady_clock::now() - begin).count();
+	folded.us_a_record = took / static_cast<double>(log.size());
+	folded.heap_bytes = static_cast<double>(mallinfo2().uordblks) - heap_before;
+	return folded;
+}
+
+/** Bytes of a frame that carries a message. */
+template <class T>
+double FrameBytes(T body)
+{
+	glade::wire::MessageUnion message;
+	message.Set(std::move(body));
+	flatbuffers::FlatBufferBuilder builder;
+	const auto packed = message.Pack(builder);
+	builder.Finish(glade::wire::CreateFrame(builder, message.type, packed));
+	return builder.GetSize() + 4.0;
+}
+
+/** Fits a line by least squares. */
+Slope FitLine(const std::string &name, const std::string &unit, const std::string &count_name, const std::vector<double> &counts,
+		const std::vector<double> &values)
+{
+	const auto n = static_cast<double>(counts.size());
+	double sum_x = 0;
+	double sum_y = 0;
+	double sum_xx = 0;
+	double sum_xy = 0;
+	for (size_t i = 0; i < counts.size(); i++) {
+		sum_x += counts[i];
+		sum_y += values[i];
+		sum_xx += counts[i] * counts[i];
+		sum_xy += counts[i] * values[i];
+	}
+	Slope slope;
+	slope.name = name;
+	slope.unit = unit;
+	slope.count = count_name;
+	slope.per_count = (n * sum_xy - sum_x * sum_y) / (n * sum_xx - sum_x * sum_x);
+	slope.base = (sum_y - slope.per_count * sum_x) / n;
+	for (size_t i = 0; i < counts.size(); i++) {
+		const double fitted = slope.base + slope.per_count * counts[i];
+		slope.residual = std::max(slope.residual, std::abs(fitted - values[i]) / std::max(values[i], 1.0));
+	}
+	slope.points = counts.size();
+	return slope;
+}
+
+/** Measures one quantity at four sizes of one count. */
+Slope Measure(const std::string &name, const std::string &unit, const std::string &count_name, const std::vector<uint32_t> &sizes,
+		const std::function<double(uint32_t)> &value)
+{
+	std::vector<double> counts;
+	std::vector<double> values;
+	for (const uint32_t it : sizes) {
+		counts.push_back(it);
+		values.push_back(value(it));
+	}
+	return FitLine(name, unit, count_name, counts, values);
+}
+
+SyntheticSize Small()
+{
+	SyntheticSize size;
+	size.jobs = 50;
+	return size;
+}
+
+/** Slopes of the keepers' state. */
+void MeasureState(std::vector<Slope> &slopes)
+{
+	const auto heap = [](const SyntheticSize &size) { return FoldSynthetic(size).heap_bytes; };
+	slopes.push_back(Measure("state", "B", "boxes", {100, 300, 600, 1200}, [&](uint32_t n) {
+		SyntheticSize size = Small();
+		size.boxes = n;
+		return heap(size);
+	}));
+	slopes.push_back(Measure("state", "B", "pools", {5, 10, 20, 43}, [&](uint32_t n) {
+		SyntheticSize size = Small();
+		size.boxes = 100;
+		size.pools = n;
+		return heap(size);
+	}));
+	slopes.push_back(Measure("state", "B", "teams", {50, 150, 300, 610}, [&](uint32_t n) {
+		SyntheticSize size = Small();
+		size.teams = n;
+		return heap(size);
+	}));
+	slopes.push_back(Measure("state", "B", "entries", {8, 16, 32, 64}, [&](uint32_t n) {
+		SyntheticSize size = Small();
+		size.entries = n;
+		return heap(size);
+	}));
+	slopes.push_back(Measure("state", "B", "jobs", {250, 500, 1000, 1500}, [&](uint32_t n) {
+		SyntheticSize size = Small();
+		const std::vector<LogRecord> log = SyntheticLog(size, n / 3, 1);
+		FleetState fleet;
+		const auto before = static_cast<double>(mallinfo2().uordblks);
+		for (const LogRecord &record : log) {
+			FoldRecord(fleet, record);
+		}
+		return (static_cast<double>(mallinfo2().uordblks) - before) * n / static_cast<double>(std::max<size_t>(fleet.jobs.size(), 1));
+	}));
+}
+
+/** Slopes of time: folding and planning. */
+void MeasureTime(std::vector<Slope> &slopes)
+{
+	slopes.push_back(Measure("fold a record", "us", "boxes", {100, 300, 600, 1200}, [&](uint32_t n) {
+		SyntheticSize size = Small();
+		size.boxes = n;
+		return FoldSynthetic(size).us_a_record;
+	}));
+	slopes.push_back(Measure("planning step", "us", "boxes", {100, 300, 600, 1200}, [&](uint32_t n) {
+		FleetPreset preset = PresetOf("letter1");
+		preset.boxes = n;
+		preset.pools = std::max(n * 43 / 1200, 2U);
+		FleetWorld world(preset, 1);
+		SyntheticSize size = Small();
+		size.boxes = n;
+		size.pools = preset.pools;
+		const FleetState fleet = FoldSynthetic(size).fleet;
+		PlannerInputs inputs;
+		for (const auto &[name, box] : fleet.boxes) {
+			inputs.list.push_back(ListedBox{name, box.zone, box.rack, box.address, box.slots, box.health, PermitId(), true});
+		}
+		constexpr int TIMES = 5;
+		const auto begin = std::chrono::steady_clock::now();
+		for (int i = 0; i < TIMES; i++) {
+			PlanBoxes(fleet, inputs, GreenhousePolicy());
+			PlanJobs(fleet, GreenhousePolicy(), 200);
+		}
+		return std::chrono::duration<double, std::micro>(std::chrono::steady_clock::now() - begin).count() / TIMES;
+	}));
+	slopes.push_back(Measure("build a view", "us", "boxes", {100, 300, 600, 1200}, [&](uint32_t n) {
+		SyntheticSize size = Small();
+		size.boxes = n;
+		size.zones = 10;
+		const FleetState fleet = FoldSynthetic(size).fleet;
+		constexpr int TIMES = 20;
+		const auto begin = std::chrono::steady_clock::now();
+		for (int i = 0; i < TIMES; i++) {
+			BuildView(fleet, ZoneName("zone-0"), {});
+		}
+		return std::chrono::duration<double, std::micro>(std::chrono::steady_clock::now() - begin).count() / TIMES;
+	}));
+}
+
+/** Slopes of messages. */
+void MeasureMessages(std::vector<Slope> &slopes)
+{
+	slopes.push_back(Measure("whole view", "B", "boxes of the zone", {12, 30, 60, 120}, [&](uint32_t n) {
+		SyntheticSize size = Small();
+		size.boxes = n;
+		size.zones = 1;
+		return FrameBytes(BuildView(FoldSynthetic(size).fleet, ZoneName("zone-0"), {}));
+	}));
+	slopes.push_back(Measure("whole view", "B", "pools", {5, 10, 20, 43}, [&](uint32_t n) {
+		SyntheticSize size = Small();
+		size.pools = n;
+		return FrameBytes(BuildView(FoldSynthetic(size).fleet, ZoneName("zone-0"), {}));
+	}));
+	slopes.push_back(Measure("snapshot", "B", "boxes", {100, 300, 600, 1200}, [&](uint32_t n) {
+		SyntheticSize size = Small();
+		size.boxes = n;
+		return static_cast<double>(PackSnapshot(FoldSynthetic(size).fleet).size());
+	}));
+	slopes.push_back(Measure("publication of cells", "B", "cells", {1, 4, 16, 64}, [&](uint32_t n) {
+		BatchT batch;
+		batch.writer = "keeper-zone-a-1";
+		batch.region = "region-1";
+		glade::wire::TablePublishT table;
+		for (uint32_t i = 0; i < n; i++) {
+			auto cell = std::make_unique<glade::wire::TableCellT>();
+			cell->service = ServiceOf(i);
+			cell->column = "floor";
+			cell->value = "120";
+			table.cells.push_back(std::move(cell));
+		}
+		batch.proposals.push_back(MakeProposal(std::move(table)));
+		return static_cast<double>(EncodeBatch(batch).size());
+	}));
+	slopes.push_back(Measure("record of box steps", "B", "steps", {1, 4, 16, 64}, [&](uint32_t n) {
+		BatchT batch;
+		batch.writer = "keeper-zone-a-1";
+		batch.region = "region-1";
+		for (uint32_t i = 0; i < n; i++) {
+			glade::wire::BoxStepT step;
+			step.box = "box-0001";
+			step.permit = 1;
+			batch.proposals.push_back(MakeProposal(std::move(step)));
+		}
+		return static_cast<double>(EncodeBatch(batch).size());
+	}));
+	slopes.push_back(Measure("keeper beat", "B", "entries of the zone", {1, 3, 6, 9}, [&](uint32_t n) {
+		glade::wire::KeeperBeatT beat;
+		beat.member = "keeper-zone-a-1";
+		for (uint32_t i = 0; i < n; i++) {
+			beat.heard.push_back("entry-zone-a-1");
+		}
+		return FrameBytes(std::move(beat));
+	}));
+	slopes.push_back(Measure("hello of an entry", "B", "boxes draining", {0, 2, 4, 8}, [&](uint32_t n) {
+		glade::wire::EntryHelloT hello;
+		hello.member = "entry-zone-a-1";
+		hello.zone = "zone-a";
+		hello.region = "region-1";
+		hello.address = "10.1.0.1:8001";
+		hello.frames = "10.1.0.1:8002";
+		for (uint32_t i = 0; i < n; i++) {
+			hello.drained_boxes.push_back("box-0001");
+			hello.drained_permits.push_back(1);
+		}
+		return FrameBytes(std::move(hello));
+	}));
+}
+
+} // namespace
+
+int RunCapacityBench(const BenchOptions &options)
+{
+	std::vector<Slope> slopes;
+	MeasureState(slopes);
+	MeasureTime(slopes);
+	MeasureMessages(slopes);
+	for (const Slope &it : slopes) {
+		PrintFigure({"capacity", it.count, it.name + ".base", it.base, it.unit, "", 0, options.seed});
+		PrintFigure({"capacity", it.count, it.name + ".slope", it.per_count, it.unit + " each", "", 0, options.seed});
+		PrintFigure({"capacity", it.count, it.name + ".residual", it.residual, "share", "", 0, options.seed});
+	}
+	const CapacityTable table = ComputeCapacity(slopes);
+	for (const CapacityRow &it : table.rows) {
+		PrintFigure({"capacity", it.role, it.what, it.value, it.unit, it.limit == 0 ? "" : "limit", it.limit == 0 ? 0 : it.value / it.limit, options.seed});
+	}
+	if (!options.page.empty() && !WriteCapacityPage(options.page, slopes, table)) {
+		return 1;
+	}
+	return 0;
+}
--- a/src/bench/main.cpp
+++ b/src/bench/main.cpp
@@ -21,6 +21,7 @@
   --seed N        Seed; the same seed gives the same bytes but for times measured [default: 1].
   --seeds N       Number of seeds, from --seed on [default: 1].
   --quick         Small sizes: shows that the bench works.
+  --page FILE     With capacity: writes the tables into this page.
   -h --help       Show this.
   --version       Show the version.
 )";
@@ -49,6 +50,7 @@
 	BenchOptions options;
 	options.preset = args["--preset"].asString();
 	options.quick = args["--quick"].asBool();
+	options.page = args["--page"].isString() ? args["--page"].asString() : "";
 	try {
 		options.seed = std::stoull(args["--seed"].asString());
 		options.seeds = std::stoull(args["--seeds"].asString());
--- a/src/bench/todo.cpp
+++ /dev/null
@@ -1,5 +0,0 @@
-#include "bench_output.h"
-int RunCapacityBench(const BenchOptions &)
-{
-	return 0;
-}
--- a/tests/golden.h
+++ b/tests/golden.h
@@ -8,24 +8,24 @@
 #include <string>
 
 /**
- * Reads a golden file, after writing it when GLADE_GOLDEN is "write".
- * @param name Its name.
- * @param text What was seen.
- * @return What the file holds.
+ * Reads a file of the tree, after writing it when GLADE_GOLDEN is "write".
+ * @param file Its path, from the folder of the tests.
+ * @param text What it should hold.
+ * @return What it holds.
  */
-inline std::string GoldenText(const std::string &name, const std::string &text)
+inline std::string TreeText(const std::string &file, const std::string &text)
 {
-	const std::string file = std::string(GLADE_TEST_DIR) + "/golden/" + name + ".txt";
+	const std::string path = std::string(GLADE_TEST_DIR) + "/" + file;
 	const char *mode = std::getenv("GLADE_GOLDEN");
 	if (mode != nullptr && std::string(mode) == "write") {
-		std::ofstream(file) << text;
+		std::ofstream(path) << text;
 	}
 	std::ostringstream out;
-	out << std::ifstream(file).rdbuf();
+	out << std::ifstream(path).rdbuf();
 	return out.str();
 }
 
 /** Compares what was seen with a golden file. */
-#define CHECK_GOLDEN(name, text) CHECK(GoldenText(name, text) == (text))
+#define CHECK_GOLDEN(name, text) CHECK(TreeText(std::string("golden/") + (name) + ".txt", text) == (text))
 
 #endif /* GOLDEN_H */
