--- a/src/bench/capacity_bench.cpp
+++ b/src/bench/capacity_bench.cpp
@@ -18,9 +18,9 @@
 
 /** State folded from a synthetic log, and what it took. */
 struct Folded {
-	FleetState fleet;         ///< The state.
-	double heap_bytes = 0;    ///< Heap that it holds.
-	double us_a_record = 0;   ///< Time to fold a record.
+	FleetState fleet;       ///< The state.
+	double heap_bytes = 0;  ///< Heap that it holds.
+	double us_a_record = 0; ///< Time to fold a record.
 };
 
 Folded FoldSynthetic(const SyntheticSize &size)
@@ -51,8 +51,8 @@
 }
 
 /** Fits a line by least squares. */
-Slope FitLine(const std::string &name, const std::string &unit, const std::string &count_name, const std::vector<double> &counts,
-		const std::vector<double> &values)
+Slope FitLine(const std::string &name, const std::string &unit, const std::string &count_name,
+			  const std::vector<double> &counts, const std::vector<double> &values)
 {
 	const auto n = static_cast<double>(counts.size());
 	double sum_x = 0;
@@ -80,8 +80,8 @@
 }
 
 /** Measures one quantity at four sizes of one count. */
-Slope Measure(const std::string &name, const std::string &unit, const std::string &count_name, const std::vector<uint32_t> &sizes,
-		const std::function<double(uint32_t)> &value)
+Slope Measure(const std::string &name, const std::string &unit, const std::string &count_name,
+			  const std::vector<uint32_t> &sizes, const std::function<double(uint32_t)> &value)
 {
 	std::vector<double> counts;
 	std::vector<double> values;
@@ -132,7 +132,8 @@
 		for (const LogRecord &record : log) {
 			FoldRecord(fleet, record);
 		}
-		return (static_cast<double>(mallinfo2().uordblks) - before) * n / static_cast<double>(std::max<size_t>(fleet.jobs.size(), 1));
+		return (static_cast<double>(mallinfo2().uordblks) - before) * n /
+			   static_cast<double>(std::max<size_t>(fleet.jobs.size(), 1));
 	}));
 }
 
@@ -155,7 +156,8 @@
 		const FleetState fleet = FoldSynthetic(size).fleet;
 		PlannerInputs inputs;
 		for (const auto &[name, box] : fleet.boxes) {
-			inputs.list.push_back(ListedBox{name, box.zone, box.rack, box.address, box.slots, box.health, PermitId(), true});
+			inputs.list.push_back(
+					ListedBox{name, box.zone, box.rack, box.address, box.slots, box.health, PermitId(), true});
 		}
 		constexpr int TIMES = 5;
 		const auto begin = std::chrono::steady_clock::now();
@@ -263,7 +265,8 @@
 	}
 	const CapacityTable table = ComputeCapacity(slopes);
 	for (const CapacityRow &it : table.rows) {
-		PrintFigure({"capacity", it.role, it.what, it.value, it.unit, it.limit == 0 ? "" : "limit", it.limit == 0 ? 0 : it.value / it.limit, options.seed});
+		PrintFigure({"capacity", it.role, it.what, it.value, it.unit, it.limit == 0 ? "" : "limit",
+					 it.limit == 0 ? 0 : it.value / it.limit, options.seed});
 	}
 	if (!options.page.empty() && !WriteCapacityPage(options.page, slopes, table)) {
 		return 1;
--- a/src/request/exchange.cpp
+++ b/src/request/exchange.cpp
@@ -259,6 +259,7 @@
 {
 	this->grant = slot;
 	this->granted_at = this->lane.Now();
+	this->sendings++;
 	this->Send(slot.address);
 }
 
@@ -414,8 +415,8 @@
 
 bool Exchange::MayRetry() const
 {
-	return !this->to_peer && this->tried.size() + 1 < this->path.settings.tries &&
-		   this->lane.Now() < this->facts.deadline && this->path.retries.Spend();
+	return !this->to_peer && this->sendings < this->path.settings.tries && this->lane.Now() < this->facts.deadline &&
+		   this->path.retries.Spend();
 }
 
 void Exchange::Retry(CallOutcome outcome)
--- a/src/request/exchange.h
+++ b/src/request/exchange.h
@@ -72,6 +72,7 @@
 	std::optional<Grant> grant;                       ///< Slot held.
 	Millis granted_at;                                ///< Since when.
 	Millis started_at;                                ///< When the request was whole.
+	uint32_t sendings = 0;                            ///< Endpoints that it was offered to, one as often as it was.
 	std::set<BoxName> tried;                          ///< Endpoints that did not run it.
 	std::unique_ptr<EndpointCall> call;               ///< Call under way.
 	bool to_peer = false;                             ///< Whether the call goes to another entry.
--- a/src/standin/endpoint/endpoint_standin.h
+++ b/src/standin/endpoint/endpoint_standin.h
@@ -31,6 +31,9 @@
 	[[nodiscard]] QJsonObject Dump() const override;
 	std::shared_ptr<ServedRequest> Serve(CallerSink &sink, CallerRequest request) override;
 
+	/** @return Port that it listens on. */
+	[[nodiscard]] quint16 Port() const { return this->listener.serverPort(); }
+
 private:
 	friend class EndpointRun;
 
--- a/tests/test_request_path.cpp
+++ b/tests/test_request_path.cpp
@@ -270,3 +270,14 @@
 	probe.congested = false;
 	CHECK(probe.ended);
 }
+
+TEST_CASE("retries: with one endpoint a request is not offered to it for ever")
+{
+	RequestWorld world(1, 1);
+	FakeEndpoint &endpoint = world.endpoints.begin()->second;
+	endpoint.deed = EndpointDeed::ED_READ_CLOSE;
+	const CallerProbe &probe = world.Submit(*world.entries[0], "GET", "get");
+	world.Run(Millis(5000));
+	CHECK(probe.Code() == 2201);
+	CHECK(endpoint.runs.size() <= 3);
+}
