--- a/src/bench/overload_bench.cpp
+++ b/src/bench/overload_bench.cpp
@@ -3,6 +3,7 @@
 #include "fleet_world.h"
 
 #include "../request/exchange.h"
+#include "../standin/memory/simple_view.h"
 
 #include <algorithm>
 
@@ -68,16 +69,6 @@
 	double refusal_ms = 0;     ///< Mean time until a refusal.
 };
 
-/** Everybody may call. */
-class AnyCaller : public Credentials {
-public:
-	AnyCaller() { this->one.tenant = TenantName("t"); }
-	[[nodiscard]] const Credential *Find(const std::string *) const override { return &this->one; }
-
-private:
-	Credential one; ///< The one credential.
-};
-
 /** One run. */
 class OverloadRun : public EndpointDialer {
 public:
@@ -154,34 +145,14 @@
 
 	void PushView()
 	{
-		glade::wire::ViewT view;
-		view.version = 1;
-		view.offset = 1;
-		for (uint32_t i = 0; i < ENDPOINTS; i++) {
-			auto it = std::make_unique<glade::wire::ViewEndpointT>();
-			it->box = "box-" + std::to_string(i);
-			it->address = std::to_string(i);
-			it->pool = "p";
-			it->zone = "z";
-			it->slots = SLOTS;
-			it->open = true;
-			view.endpoints.push_back(std::move(it));
-		}
-		for (size_t i = 0; i < std::size(_traffic); i++) {
-			auto row = std::make_unique<glade::wire::ViewRowT>();
-			row->service = _traffic[i].service;
-			row->pool = "p";
-			row->weight = 1;
-			row->ceiling = 1000000;
-			row->work_class = static_cast<uint8_t>(i);
-			view.rows.push_back(std::move(row));
+		SimpleViewSpec spec;
+		spec.endpoints = ENDPOINTS;
+		spec.slots = SLOTS;
+		spec.services.clear();
+		for (const Traffic &it : _traffic) {
+			spec.services.emplace_back(it.service);
 		}
-		auto peer = std::make_unique<glade::wire::ViewPeerT>();
-		peer->member = "entry";
-		peer->zone = "z";
-		peer->incarnation = 1;
-		view.peers.push_back(std::move(peer));
-		view.hash = HashView(view);
+		const glade::wire::ViewT view = SimpleView(spec);
 		this->path.routes.Apply(view, this->clock.Now());
 	}
 
--- a/src/bench/proxy_bench.cpp
+++ b/src/bench/proxy_bench.cpp
@@ -3,6 +3,7 @@
 #include "bench_output.h"
 
 #include "../entry/lane.h"
+#include "../standin/memory/simple_view.h"
 
 #include <QPointer>
 
@@ -58,16 +59,6 @@
 	}
 };
 
-/** Everybody may call. */
-class AnyCaller : public Credentials {
-public:
-	AnyCaller() { this->one.tenant = TenantName("t"); }
-	[[nodiscard]] const Credential *Find(const std::string *) const override { return &this->one; }
-
-private:
-	Credential one; ///< The one credential.
-};
-
 /** A thread with an event loop. */
 class LoopThread {
 public:
@@ -142,30 +133,11 @@
 			  lane(this->path, CallerLimits{}, CallerLimits{}, DialLimits{Millis(1000), Millis(4000), 600}),
 			  listener([this](qintptr socket) { this->lane.Take(socket, false); })
 	{
-		glade::wire::ViewT view;
-		view.version = 1;
-		view.offset = 1;
-		for (uint32_t i = 0; i < ENDPOINTS; i++) {
-			auto it = std::make_unique<glade::wire::ViewEndpointT>();
-			it->box = "box-" + std::to_string(i);
-			it->address = "127.0.0.1:" + std::to_string(endpoint);
-			it->pool = "p";
-			it->zone = "z";
-			it->slots = SLOTS;
-			it->open = true;
-			view.endpoints.push_back(std::move(it));
-		}
-		auto row = std::make_unique<glade::wire::ViewRowT>();
-		row->service = "s";
-		row->pool = "p";
-		row->ceiling = 1000000;
-		view.rows.push_back(std::move(row));
-		auto peer = std::make_unique<glade::wire::ViewPeerT>();
-		peer->member = "entry";
-		peer->zone = "z";
-		peer->incarnation = 1;
-		view.peers.push_back(std::move(peer));
-		view.hash = HashView(view);
+		SimpleViewSpec spec;
+		spec.endpoints = ENDPOINTS;
+		spec.slots = SLOTS;
+		spec.address = "127.0.0.1:" + std::to_string(endpoint);
+		const glade::wire::ViewT view = SimpleView(spec);
 		this->path.routes.Apply(view, Millis(0));
 		this->listener.listen(QHostAddress::LocalHost, 0);
 	}
--- a/src/bench/slots_bench.cpp
+++ b/src/bench/slots_bench.cpp
@@ -4,6 +4,7 @@
 
 #include "../request/slot_broker.h"
 #include "../standin/memory/node_scheduler.h"
+#include "../standin/memory/simple_view.h"
 
 #include <algorithm>
 
@@ -113,31 +114,14 @@
 
 	void PushViews(uint32_t count)
 	{
-		glade::wire::ViewT view;
-		view.version = 1;
-		view.offset = 1;
-		for (uint32_t i = 0; i < ENDPOINTS; i++) {
-			auto it = std::make_unique<glade::wire::ViewEndpointT>();
-			it->box = "box-" + std::to_string(i);
-			it->pool = "p";
-			it->zone = "z";
-			it->slots = SLOTS;
-			it->open = true;
-			view.endpoints.push_back(std::move(it));
-		}
-		auto row = std::make_unique<glade::wire::ViewRowT>();
-		row->service = "s";
-		row->pool = "p";
-		row->ceiling = 1000000;
-		view.rows.push_back(std::move(row));
+		SimpleViewSpec spec;
+		spec.endpoints = ENDPOINTS;
+		spec.slots = SLOTS;
+		spec.peers.clear();
 		for (uint32_t i = 0; i < count; i++) {
-			auto peer = std::make_unique<glade::wire::ViewPeerT>();
-			peer->member = "entry-" + std::to_string(i);
-			peer->zone = "z";
-			peer->incarnation = 1;
-			view.peers.push_back(std::move(peer));
+			spec.peers.push_back("entry-" + std::to_string(i));
 		}
-		view.hash = HashView(view);
+		const glade::wire::ViewT view = SimpleView(spec);
 		for (const auto &it : this->nodes) {
 			it->routes->Apply(view, this->clock.Now());
 		}
--- /dev/null
+++ b/src/request/pool_gate_lend.cpp
@@ -0,0 +1,139 @@
+/** @file pool_gate_lend.cpp The part of a gate that lends, borrows and gives back slots. */
+#include "pool_gate.h"
+
+#include <algorithm>
+
+uint32_t PoolGate::Wanted(Millis now) const
+{
+	const std::scoped_lock guard(this->lock);
+	uint32_t wanted = 0;
+	for (const auto &[name, service] : this->services) {
+		const uint32_t room = service.ceiling > service.in_flight ? service.ceiling - service.in_flight : 0;
+		wanted += std::min(static_cast<uint32_t>(service.waiting_count), room);
+	}
+	const uint32_t free = this->FreeSlots(now);
+	return wanted > free ? wanted - free : 0;
+}
+
+SlotCounts PoolGate::Lend(uint32_t most, Millis now)
+{
+	const std::scoped_lock guard(this->lock);
+	SlotCounts slots;
+	if (!this->where.empty()) {
+		return slots;
+	}
+	uint32_t left = most;
+	for (auto &[box, it] : this->endpoints) {
+		const uint32_t own = it.base > it.lent ? it.base - it.lent : 0;
+		const uint32_t idle = own > it.in_flight ? own - it.in_flight : 0;
+		const uint32_t count = std::min(idle, left);
+		if (count == 0 || !this->Usable(it, now)) {
+			continue;
+		}
+		it.lent += count;
+		left -= count;
+		slots[box] = count;
+	}
+	return slots;
+}
+
+void PoolGate::TakeBack(const SlotCounts &slots, Millis now)
+{
+	Answers answers;
+	{
+		const std::scoped_lock guard(this->lock);
+		for (const auto &[box, count] : slots) {
+			if (const auto it = this->endpoints.find(box); it != this->endpoints.end()) {
+				it->second.lent -= std::min(it->second.lent, count);
+			}
+		}
+		this->Serve(now, answers);
+	}
+	Send(answers);
+}
+
+void PoolGate::Borrow(const MemberName &lender, const SlotCounts &slots, Millis now)
+{
+	Answers answers;
+	{
+		const std::scoped_lock guard(this->lock);
+		for (const auto &[box, count] : slots) {
+			/* Slots of an endpoint that this entry does not know stay unused and go back. */
+			auto &it = this->endpoints[box];
+			it.listed = it.view.box == box && it.listed;
+			it.view.open = it.view.box == box && it.view.open;
+			it.borrowed += count;
+			this->debts[lender][box].owed += count;
+		}
+		this->Serve(now, answers);
+	}
+	Send(answers);
+}
+
+void PoolGate::Recall(const MemberName &lender, uint32_t count)
+{
+	const std::scoped_lock guard(this->lock);
+	const auto debt = this->debts.find(lender);
+	if (debt == this->debts.end()) {
+		return;
+	}
+	uint32_t left = count;
+	for (auto &[box, it] : debt->second) {
+		left -= std::min(left, it.recalled);
+	}
+	for (auto &[box, it] : debt->second) {
+		const uint32_t more = std::min(left, it.owed - it.recalled);
+		it.recalled += more;
+		this->endpoints[box].recalled += more;
+		left -= more;
+	}
+}
+
+SlotCounts PoolGate::GiveBack(const MemberName &lender, Millis now)
+{
+	const std::scoped_lock guard(this->lock);
+	SlotCounts back;
+	const auto debts_to = this->debts.find(lender);
+	if (debts_to == this->debts.end()) {
+		return back;
+	}
+	for (auto &[box, debt] : debts_to->second) {
+		EndpointState &it = this->endpoints[box];
+		this->TurnWindow(it, now);
+		const uint32_t all = LimitOf(it) + it.recalled;
+		const uint32_t free = all > it.in_flight ? all - it.in_flight : 0;
+		const uint32_t kept = it.view.open ? std::max({it.peak, it.last_peak, it.in_flight}) : it.in_flight;
+		const uint32_t idle = all > kept ? all - kept : 0;
+		const uint32_t count = std::max(std::min(free, debt.recalled), std::min(idle, debt.owed));
+		if (count == 0) {
+			continue;
+		}
+		const uint32_t recalled = std::min(debt.recalled, count);
+		it.borrowed -= count;
+		it.recalled -= recalled;
+		debt.recalled -= recalled;
+		debt.owed -= count;
+		back[box] = count;
+	}
+	std::erase_if(debts_to->second, [](const auto &it) { return it.second.owed == 0; });
+	return back;
+}
+
+void PoolGate::TurnWindow(EndpointState &it, Millis now) const
+{
+	if (it.window + this->settings.borrow_idle <= now) {
+		it.last_peak = it.peak;
+		it.peak = it.in_flight;
+		it.window = now;
+	}
+}
+
+uint32_t PoolGate::LentOut() const
+{
+	const std::scoped_lock guard(this->lock);
+	uint32_t lent = 0;
+	for (const auto &[box, it] : this->endpoints) {
+		lent += it.lent;
+	}
+	return lent;
+}
--- a/tests/test_slots.cpp
+++ b/tests/test_slots.cpp
@@ -1,5 +1,6 @@
 /** @file test_slots.cpp Lending slots among entries: no slot is used twice, whatever gets lost. */
 #include "request/slot_broker.h"
+#include "standin/memory/simple_view.h"
 
 #include <doctest/doctest.h>
 
@@ -34,30 +35,14 @@
 
 	void Push(const std::vector<int> &members)
 	{
-		glade::wire::ViewT view;
-		view.version = ++this->version;
-		view.offset = this->version;
-		view.zone_changes = this->version;
-		auto endpoint = std::make_unique<glade::wire::ViewEndpointT>();
-		endpoint->box = "box";
-		endpoint->pool = "p";
-		endpoint->zone = "z";
-		endpoint->slots = 9;
-		endpoint->open = true;
-		view.endpoints.push_back(std::move(endpoint));
-		auto row = std::make_unique<glade::wire::ViewRowT>();
-		row->service = "s";
-		row->pool = "p";
-		row->ceiling = 100;
-		view.rows.push_back(std::move(row));
+		SimpleViewSpec spec;
+		spec.version = ++this->version;
+		spec.slots = 9;
+		spec.peers.clear();
 		for (const int i : members) {
-			auto peer = std::make_unique<glade::wire::ViewPeerT>();
-			peer->member = "entry-" + std::to_string(i);
-			peer->zone = "z";
-			peer->incarnation = 1;
-			view.peers.push_back(std::move(peer));
+			spec.peers.push_back("entry-" + std::to_string(i));
 		}
-		view.hash = HashView(view);
+		const glade::wire::ViewT view = SimpleView(spec);
 		for (const auto &it : this->nodes) {
 			if (!it->dead) {
 				it->routes->Apply(view, this->clock.Now());
@@ -106,7 +91,7 @@
 	{
 		for (int i = 0; i<n &&this->held[node]> 0; i++) {
 			this->held[node]--;
-			this->Gate(node)->Release(BoxName("box"), ServiceName("s"), CallOutcome::CO_GOOD, Millis(10),
+			this->Gate(node)->Release(BoxName("box-0"), ServiceName("s"), CallOutcome::CO_GOOD, Millis(10),
 									  this->clock.Now());
 		}
 	}
--- a/tests/test_sockets.cpp
+++ b/tests/test_sockets.cpp
@@ -2,6 +2,7 @@
 #include "entry/lane.h"
 #include "program/settings_tables.h"
 #include "standin/endpoint/endpoint_standin.h"
+#include "standin/memory/simple_view.h"
 
 #include <doctest/doctest.h>
 
@@ -29,16 +30,6 @@
 	return holds();
 }
 
-/** Everybody may call. */
-class AnyCaller : public Credentials {
-public:
-	AnyCaller() { this->one.tenant = TenantName("oyo"); }
-	[[nodiscard]] const Credential *Find(const std::string *) const override { return &this->one; }
-
-private:
-	Credential one; ///< The one credential.
-};
-
 /** A caller's raw connection. */
 class RawCaller {
 public:
@@ -76,28 +67,10 @@
 			  listener([this](qintptr socket) { this->lane.Take(socket, false); })
 	{
 		this->endpoint.Start();
-		glade::wire::ViewT view;
-		view.version = 1;
-		view.offset = 1;
-		auto endpoint_view = std::make_unique<glade::wire::ViewEndpointT>();
-		endpoint_view->box = "box-1";
-		endpoint_view->address = "127.0.0.1:" + std::to_string(this->endpoint.Port());
-		endpoint_view->pool = "p";
-		endpoint_view->zone = "z";
-		endpoint_view->slots = 4;
-		endpoint_view->open = true;
-		view.endpoints.push_back(std::move(endpoint_view));
-		auto row = std::make_unique<glade::wire::ViewRowT>();
-		row->service = "s";
-		row->pool = "p";
-		row->ceiling = 1000;
-		view.rows.push_back(std::move(row));
-		auto peer = std::make_unique<glade::wire::ViewPeerT>();
-		peer->member = "entry";
-		peer->zone = "z";
-		peer->incarnation = 1;
-		view.peers.push_back(std::move(peer));
-		view.hash = HashView(view);
+		SimpleViewSpec spec;
+		spec.slots = 4;
+		spec.address = "127.0.0.1:" + std::to_string(this->endpoint.Port());
+		const glade::wire::ViewT view = SimpleView(spec);
 		this->path.routes.Apply(view, Millis(0));
 		this->listener.listen(QHostAddress::LocalHost, 0);
 	}
