--- a/src/bench/bench_output.h
+++ b/src/bench/bench_output.h
@@ -34,6 +34,7 @@
 };
 
 int RunMaintainBench(const BenchOptions &options); ///< Three weeks of maintenance, against baselines.
+int RunOptimumBench(const BenchOptions &options);  ///< Moves on small fleets, against the fewest possible.
 int RunFoldBench(const BenchOptions &options);     ///< Fold, snapshot and join at letter 1's size.
 int RunJobsBench(const BenchOptions &options);     ///< Urgent start, fairness, cancel waves.
 int RunConfigBench(const BenchOptions &options);   ///< Publish to in force.
--- a/src/bench/main.cpp
+++ b/src/bench/main.cpp
@@ -12,7 +12,7 @@
 constexpr const char *USAGE = R"(glade_bench: measures glademount and prints JSON lines
 
 Usage:
-  glade_bench (maintain|fold|jobs|config|overload|slots|proxy|capacity) [options]
+  glade_bench (maintain|optimum|fold|jobs|config|overload|slots|proxy|capacity) [options]
   glade_bench (-h | --help)
   glade_bench --version
 
@@ -32,10 +32,11 @@
 	int (*run)(const BenchOptions &); ///< Runs it.
 };
 
-constexpr std::array _benches = {BenchEntry{"maintain", RunMaintainBench}, BenchEntry{"fold", RunFoldBench},
-								 BenchEntry{"jobs", RunJobsBench},         BenchEntry{"config", RunConfigBench},
-								 BenchEntry{"overload", RunOverloadBench}, BenchEntry{"slots", RunSlotsBench},
-								 BenchEntry{"proxy", RunProxyBench},       BenchEntry{"capacity", RunCapacityBench}};
+constexpr std::array _benches = {BenchEntry{"maintain", RunMaintainBench}, BenchEntry{"optimum", RunOptimumBench},
+								 BenchEntry{"fold", RunFoldBench},         BenchEntry{"jobs", RunJobsBench},
+								 BenchEntry{"config", RunConfigBench},     BenchEntry{"overload", RunOverloadBench},
+								 BenchEntry{"slots", RunSlotsBench},       BenchEntry{"proxy", RunProxyBench},
+								 BenchEntry{"capacity", RunCapacityBench}};
 
 } // namespace
 
--- a/src/net/platform_client.cpp
+++ b/src/net/platform_client.cpp
@@ -8,14 +8,15 @@
 
 namespace {
 
-constexpr int APPEND_TIMEOUT = 3000;  ///< ms; an append without an answer by then counts as lost.
-constexpr int READ_TIMEOUT = 4000;    ///< ms; longer than the long poll.
-constexpr int CALL_TIMEOUT = 2000;    ///< ms; of other calls.
-constexpr int LONG_POLL = 1000;       ///< ms that the log may wait for a record to come.
-constexpr int STATUS_OK = 200;        ///< HTTP status.
-constexpr int STATUS_GONE = 410;      ///< The log has forgotten the offset.
-constexpr int STATUS_THROTTLED = 429; ///< Append limit reached.
-constexpr int STATUS_DOWN = 503;      ///< The log takes nothing now.
+constexpr int APPEND_TIMEOUT = 3000;     ///< ms; an append without an answer by then counts as lost.
+constexpr int READ_TIMEOUT = 4000;       ///< ms; longer than the long poll.
+constexpr int CALL_TIMEOUT = 2000;       ///< ms; of other calls.
+constexpr int LONG_POLL = 1000;          ///< ms that the log may wait for a record to come.
+constexpr int STATUS_OK = 200;           ///< HTTP status.
+constexpr int STATUS_NOT_MODIFIED = 304; ///< The list is the one that is known.
+constexpr int STATUS_GONE = 410;         ///< The log has forgotten the offset.
+constexpr int STATUS_THROTTLED = 429;    ///< Append limit reached.
+constexpr int STATUS_DOWN = 503;         ///< The log takes nothing now.
 
 /** Reads an unsigned number that JSON carries as text, since its own numbers are too short. */
 uint64_t WideOf(const QJsonValue &value)
@@ -72,17 +73,21 @@
 PlatformClient::PlatformClient(const NetAddress &platform) : base("http://" + platform.Text()) {}
 
 void PlatformClient::Call(const char *method, const std::string &path, const QByteArray &body, int timeout,
-						  std::function<void(const Reply &)> done)
+						  std::function<void(const Reply &)> done, const QByteArray &known)
 {
 	QNetworkRequest request(QUrl(QString::fromStdString(this->base + path)));
 	request.setTransferTimeout(timeout);
 	request.setHeader(QNetworkRequest::ContentTypeHeader, "application/octet-stream");
+	if (!known.isEmpty()) {
+		request.setRawHeader("If-None-Match", known);
+	}
 	this->bytes += static_cast<uint64_t>(body.size());
 	QNetworkReply *reply = this->manager.sendCustomRequest(request, method, body);
 	QObject::connect(reply, &QNetworkReply::finished, reply, [this, reply, done = std::move(done)] {
 		Reply it;
 		it.status = reply->attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
 		it.body = reply->readAll();
+		it.etag = reply->rawHeader("ETag");
 		this->bytes += static_cast<uint64_t>(it.body.size());
 		reply->deleteLater();
 		done(it);
@@ -123,17 +128,21 @@
 
 void PlatformClient::Fetch(std::function<void(ResultCode, std::vector<ListedBox>)> done)
 {
-	this->Call("GET", "/boxes", {}, CALL_TIMEOUT, [done = std::move(done)](const Reply &reply) {
-		std::vector<ListedBox> list;
-		if (reply.status != STATUS_OK) {
-			done(ResultCode::RC_LOG_UNAVAILABLE, std::move(list));
-			return;
+	const auto take = [this, done = std::move(done)](const Reply &reply) {
+		if (reply.status == STATUS_OK) {
+			this->listed.clear();
+			const QJsonArray rows = QJsonDocument::fromJson(reply.body).array();
+			for (const QJsonValue it : rows) {
+				this->listed.push_back(ListedBoxOf(it.toObject()));
+			}
+			this->list_etag = reply.etag;
 		}
-		for (const QJsonValue it : QJsonDocument::fromJson(reply.body).array()) {
-			list.push_back(ListedBoxOf(it.toObject()));
-		}
-		done(ResultCode::RC_OK, std::move(list));
-	});
+		const bool known = reply.status == STATUS_OK || reply.status == STATUS_NOT_MODIFIED;
+		done(known ? ResultCode::RC_OK : ResultCode::RC_LOG_UNAVAILABLE,
+			 known ? this->listed : std::vector<ListedBox>());
+	};
+	/* The list is long and seldom changes: only its version goes over the wire then. */
+	this->Call("GET", "/boxes", {}, CALL_TIMEOUT, take, this->list_etag);
 }
 
 void PlatformClient::Reboot(const BoxName &box, PermitId permit)
--- a/src/net/platform_client.h
+++ b/src/net/platform_client.h
@@ -37,14 +37,17 @@
 	struct Reply {
 		int status = 0;  ///< HTTP status, 0 without an answer.
 		QByteArray body; ///< The body.
+		QByteArray etag; ///< Version of what was asked for, if the platform gave one.
 	};
 
 	QNetworkAccessManager manager; ///< Qt's HTTP client.
 	std::string base;              ///< http://IP:port
+	QByteArray list_etag;          ///< Version of the list that is known.
+	std::vector<ListedBox> listed; ///< The list that is known.
 	uint64_t bytes = 0;            ///< Bytes of bodies.
 
 	void Call(const char *method, const std::string &path, const QByteArray &body, int timeout,
-			  std::function<void(const Reply &)> done);
+			  std::function<void(const Reply &)> done, const QByteArray &known = {});
 };
 
 #endif /* PLATFORM_CLIENT_H */
--- a/src/standin/platform/platform_standin.cpp
+++ b/src/standin/platform/platform_standin.cpp
@@ -1,6 +1,8 @@
 /** @file platform_standin.cpp The platform in small. */
 #include "platform_standin.h"
 
+#include "../../request/route_func.h"
+
 #include <QJsonDocument>
 #include <QUrl>
 
@@ -8,11 +10,12 @@
 
 namespace {
 
-constexpr int STATUS_OK = 200;        ///< HTTP status.
-constexpr int STATUS_NOT_FOUND = 404; ///< No such path, box or job.
-constexpr int STATUS_GONE = 410;      ///< The log has forgotten the offset.
-constexpr int STATUS_THROTTLED = 429; ///< Append limit reached.
-constexpr int STATUS_DOWN = 503;      ///< Told to be down.
+constexpr int STATUS_OK = 200;           ///< HTTP status.
+constexpr int STATUS_NOT_MODIFIED = 304; ///< The list is the one that is known.
+constexpr int STATUS_NOT_FOUND = 404;    ///< No such path, box or job.
+constexpr int STATUS_GONE = 410;         ///< The log has forgotten the offset.
+constexpr int STATUS_THROTTLED = 429;    ///< Append limit reached.
+constexpr int STATUS_DOWN = 503;         ///< Told to be down.
 
 void Answer(CallerSink &sink, int status, const std::string &body)
 {
@@ -243,7 +246,7 @@
 							   const std::string &path)
 {
 	if (path == "/boxes") {
-		Answer(sink, STATUS_OK, QJsonDocument(this->ListBoxes()).toJson(QJsonDocument::Compact).toStdString());
+		this->ServeList(sink, request);
 	} else if (path.starts_with("/boxes/")) {
 		this->ServeBox(sink, query, path);
 	} else if (path.starts_with("/jobs/")) {
@@ -253,6 +256,27 @@
 	}
 }
 
+void PlatformStandin::ServeList(CallerSink &sink, const CallerRequest &request) const
+{
+	const std::string body = QJsonDocument(this->ListBoxes()).toJson(QJsonDocument::Compact).toStdString();
+	const std::string etag = '"' + std::to_string(HashText(body)) + '"';
+	const std::string *known = request.headers.Find("If-None-Match");
+	AnswerHead head;
+	head.headers.Add("ETag", etag);
+	if (known != nullptr && *known == etag) {
+		head.status = STATUS_NOT_MODIFIED;
+		head.no_body = true;
+		sink.Begin(head);
+		sink.End();
+		return;
+	}
+	head.headers.Add("Content-Type", "application/json");
+	head.length = body.size();
+	sink.Begin(head);
+	sink.Body(body);
+	sink.End();
+}
+
 QJsonArray PlatformStandin::ListBoxes() const
 {
 	QJsonArray list;
--- a/src/standin/platform/platform_standin.h
+++ b/src/standin/platform/platform_standin.h
@@ -67,6 +67,7 @@
 	void Reboot(const BoxName &name, PermitId permit);
 	void StartJob(const QJsonObject &json);
 	void WakeReads();
+	void ServeList(CallerSink &sink, const CallerRequest &request) const;
 	[[nodiscard]] QJsonArray ListBoxes() const;
 	[[nodiscard]] std::string ReadBody(const ReadAnswer &answer) const;
 };
--- a/tests/test_fleet_matrix.cpp
+++ b/tests/test_fleet_matrix.cpp
@@ -235,8 +235,9 @@
 		CHECK(this->site.Agree());
 		const FleetState &fleet = this->site.Any().core.State();
 		CHECK(fleet.Hash() == fleet.SlowHash());
-		for (const auto &[name, box] : fleet.boxes) {
-			CAPTURE(name.Value());
+		for (const auto &it : fleet.boxes) {
+			const Box &box = it.second;
+			CAPTURE(box.name.Value());
 			CHECK(box.last_maintained != Millis(0));
 			CHECK(box.state == BoxState::BS_SERVING);
 		}
@@ -262,7 +263,9 @@
 	/** No job told as accepted is lost; none that may not be repeated ran twice. */
 	void CheckJobs(const FleetState &fleet) const
 	{
-		for (const auto &[name, outcome] : this->jobs) {
+		for (const auto &it : this->jobs) {
+			const std::string &name = it.first;
+			const auto &outcome = it.second;
 			CAPTURE(name);
 			const auto job = fleet.jobs.find(JobName(name));
 			if (outcome->code == static_cast<uint32_t>(ResultCode::RC_OK)) {
--- a/tests/test_request_matrix.cpp
+++ b/tests/test_request_matrix.cpp
@@ -93,7 +93,7 @@
 	{
 		const EntryNode &owner = *this->world.entries[this->kind.owner];
 		for (int i = 0;; i++) {
-			const std::string candidate = this->world.FreshKey(std::to_string(i));
+			std::string candidate = this->world.FreshKey(std::to_string(i));
 			const KeyId id{TenantName("oyo"), ServiceName("misting"), candidate};
 			const KeyOwner found =
 					owner.path.routes.OwnerOf(id, *KeyIssueTime(candidate), Millis(0), this->world.clock.Now());
--- a/tests/test_request_path.cpp
+++ b/tests/test_request_path.cpp
@@ -81,6 +81,7 @@
 {
 	RequestWorld world(4, 3);
 	std::vector<std::string> keys;
+	keys.reserve(200);
 	for (int i = 0; i < 200; i++) {
 		keys.push_back(world.FreshKey(std::to_string(i)));
 	}
@@ -195,6 +196,7 @@
 	RequestWorld world(1, 1);
 	world.endpoints.begin()->second.work = Millis(400);
 	std::vector<CallerProbe *> probes;
+	probes.reserve(400);
 	for (int i = 0; i < 400; i++) {
 		probes.push_back(&world.Submit(*world.entries[0], "POST", "p" + std::to_string(i)));
 	}
