--- a/src/bench/capacity_page.cpp
+++ b/src/bench/capacity_page.cpp
@@ -38,7 +38,8 @@
 constexpr double MEMORY_LIMIT = 256e6; ///< Bytes.
 constexpr double BYTES_LIMIT = 9000;   ///< Bytes a second.
 constexpr double APPENDS_LIMIT = 100;  ///< Appends a second.
-constexpr double PROCESS_BYTES = 45e6; ///< Resident memory of an idle entry or keeper (measured on the tour).
+constexpr double PROCESS_BYTES = 22e6; ///< Resident memory of an idle entry or keeper (scripts/process_check.sh).
+constexpr double LIST_BOX_BYTES = 135; ///< Bytes of a box in the platform's list.
 
 constexpr const char *MARK_BEGIN = "<!-- tables: begin -->"; ///< Line before the tables.
 constexpr const char *MARK_END = "<!-- tables: end -->";     ///< Line behind them.
@@ -135,9 +136,11 @@
 		"finished jobs forgotten after a day, silent writers after two weeks");
 	add("keeper", "memory", PROCESS_BYTES + 2 * state, "B", MEMORY_LIMIT, "one state and, while packing, one snapshot");
 	const double keeper_in = log_bytes * BASE64 + (changes + job_records) * RECORD_ENVELOPE + POLL_BYTES;
+	/* The list goes over the wire whole when it has changed: reboots and changes of health, each down and up. */
+	const double list_bytes = BOXES * LIST_BOX_BYTES * (2 * BOXES / DAYS_A_CYCLE + HEALTH_A_DAY) / DAY;
 	const double beats = HELLOS_A_SECOND * 2 * (PER_ZONE - 1) * book.At("keeper beat", "entries of the zone", PER_ZONE);
-	add("keeper", "control bytes", keeper_in + beats + entry_bytes, "B/s", BYTES_LIMIT,
-		"long poll; beats within the zone; one entry each");
+	add("keeper", "control bytes", keeper_in + beats + entry_bytes + list_bytes, "B/s", BYTES_LIMIT,
+		"long poll; list of boxes by version; beats within the zone; one entry each");
 	const double fold_cpu = (changes + job_records) *
 							(book.At("fold a record", "boxes", BOXES) + book.At("build a view", "boxes", BOXES)) / 1e4;
 	add("keeper", "processor, following", fold_cpu, "% of a core", CPU_LIMIT,
