--- a/src/request/pool_gate.cpp
+++ b/src/request/pool_gate.cpp
@@ -216,9 +216,8 @@
 	return service.in_flight < service.floor ? free > 0 : free > this->ReservedFor(service);
 }
 
-PoolGate::ServiceState *PoolGate::NextService(Millis now, uint32_t free)
+PoolGate::ServiceState *PoolGate::NextService(uint32_t free)
 {
-	(void)now;
 	using Rank = std::tuple<bool, WorkClass, uint64_t>;
 	ServiceState *best = nullptr;
 	Rank best_rank;
@@ -280,7 +279,7 @@
 	}
 	ServiceState &service = found->second;
 	const uint32_t free = this->FreeSlots(now);
-	const bool nobody_waits = service.waiting_count == 0 && this->NextService(now, free) == nullptr;
+	const bool nobody_waits = service.waiting_count == 0 && this->NextService(free) == nullptr;
 	if (nobody_waits && this->MayTake(service, free)) {
 		if (EndpointState *endpoint = this->Choose(ask.avoid, now); endpoint != nullptr) {
 			return this->Take(service, *endpoint, now);
@@ -351,7 +350,7 @@
 	}
 	std::vector<std::pair<ServiceState *, Waiter>> skipped;
 	for (uint32_t free = this->FreeSlots(now); free > 0; free = this->FreeSlots(now)) {
-		ServiceState *service = this->NextService(now, free);
+		ServiceState *service = this->NextService(free);
 		if (service == nullptr) {
 			break;
 		}
--- a/src/request/pool_gate.h
+++ b/src/request/pool_gate.h
@@ -281,7 +281,7 @@
 	[[nodiscard]] uint32_t TotalSlots(Millis now) const;
 	[[nodiscard]] uint32_t ReservedFor(const ServiceState &asking) const;
 	[[nodiscard]] bool MayTake(const ServiceState &service, uint32_t free) const;
-	ServiceState *NextService(Millis now, uint32_t free);
+	ServiceState *NextService(uint32_t free);
 	GateAnswer Take(ServiceState &service, EndpointState &endpoint, Millis now);
 	[[nodiscard]] Millis TypicalOf(const ServiceState &service) const;
 	[[nodiscard]] Millis WaitFor(const ServiceState &service, WorkClass work_class, Millis deadline, Millis now) const;
