--- a/src/bench/strategy.cpp
+++ b/src/bench/strategy.cpp
@@ -40,18 +40,6 @@
 	/** Moves boxes between pools. */
 	virtual std::vector<Proposal> Rebalance(PoolDraft &draft) = 0;
 
-	static Proposal Grant(Box &box, PermitPurpose purpose, const PoolName &to)
-	{
-		glade::wire::PermitGrantT grant;
-		grant.box = box.name.Value();
-		grant.epoch = box.epoch.Value();
-		grant.purpose = static_cast<uint8_t>(purpose);
-		grant.move_to = to.Value();
-		box.state = BoxState::BS_DRAINING;
-		box.purpose = purpose;
-		return MakeProposal(std::move(grant));
-	}
-
 	static size_t Moving(const PoolDraft &draft)
 	{
 		size_t n = 0;
@@ -101,7 +89,7 @@
 					continue;
 				}
 				if (!TakesWork(box) || CheckBudget(pool, box, false).Ok()) {
-					proposals.push_back(Grant(box, PermitPurpose::PP_MAINTAIN, PoolName()));
+					proposals.push_back(GrantPermit(box, PermitPurpose::PP_MAINTAIN, PoolName()));
 					active++;
 				}
 			}
@@ -144,7 +132,7 @@
 				};
 				const auto box = std::ranges::find_if(donor->boxes, can_go);
 				if (donor->name != name && box != donor->boxes.end()) {
-					proposals.push_back(Grant(*box, PermitPurpose::PP_MOVE, name));
+					proposals.push_back(GrantPermit(*box, PermitPurpose::PP_MOVE, name));
 					return proposals;
 				}
 			}
--- a/src/planner/planner_func.h
+++ b/src/planner/planner_func.h
@@ -8,6 +8,15 @@
 /** Pools by name, with what planned steps of this round have changed in them. */
 using PoolDraft = std::map<PoolName, PoolPicture>;
 
+/**
+ * Proposes a permit and marks the box as draining in the draft.
+ * @param box The box in the draft.
+ * @param purpose What the permit is for.
+ * @param to Target of a move; empty for maintenance.
+ * @return The proposal.
+ */
+Proposal GrantPermit(Box &box, PermitPurpose purpose, const PoolName &to);
+
 /**
  * Registers new boxes and records changes of health.
  * @param fleet The state.
--- a/src/planner/pool_plan.cpp
+++ b/src/planner/pool_plan.cpp
@@ -416,26 +416,6 @@
 	return deadline_nears && context.Margin(later) < static_cast<int64_t>(box_slots);
 }
 
-/**
- * Proposes a permit and marks the box as draining in the draft.
- * @param box The box in the draft.
- * @param purpose What the permit is for.
- * @param to Target of a move.
- * @return The proposal.
- */
-Proposal Grant(Box &box, PermitPurpose purpose, const PoolName &to)
-{
-	glade::wire::PermitGrantT grant;
-	grant.box = box.name.Value();
-	grant.epoch = box.epoch.Value();
-	grant.purpose = static_cast<uint8_t>(purpose);
-	grant.move_to = to.Value();
-	box.state = BoxState::BS_DRAINING;
-	box.purpose = purpose;
-	box.move_to = to;
-	return MakeProposal(std::move(grant));
-}
-
 /**
  * Finds the pool that is furthest below its target, relative to it.
  * @param context Pools and weights.
@@ -462,6 +442,19 @@
 
 } // namespace
 
+Proposal GrantPermit(Box &box, PermitPurpose purpose, const PoolName &to)
+{
+	glade::wire::PermitGrantT grant;
+	grant.box = box.name.Value();
+	grant.epoch = box.epoch.Value();
+	grant.purpose = static_cast<uint8_t>(purpose);
+	grant.move_to = to.Value();
+	box.state = BoxState::BS_DRAINING;
+	box.purpose = purpose;
+	box.move_to = to;
+	return MakeProposal(std::move(grant));
+}
+
 std::vector<Proposal> PlanMoves(PoolDraft &draft, Millis now, const PlannerPolicy &policy,
 								const std::map<PoolName, uint64_t> &observed)
 {
@@ -478,7 +471,7 @@
 			if (choice.box == nullptr) {
 				break;
 			}
-			proposals.push_back(Grant(*choice.box, PermitPurpose::PP_MOVE, name));
+			proposals.push_back(GrantPermit(*choice.box, PermitPurpose::PP_MOVE, name));
 			donors = DonorsOf(context);
 			moving++;
 		}
@@ -489,7 +482,7 @@
 		const auto [poorest, below] = FurthestBelow(context, targets);
 		if (poorest != nullptr && below > policy.move_gain_percent) {
 			if (const MoveChoice choice = FindMove(context, donors, *poorest); choice.box != nullptr) {
-				proposals.push_back(Grant(*choice.box, PermitPurpose::PP_MOVE, poorest->name));
+				proposals.push_back(GrantPermit(*choice.box, PermitPurpose::PP_MOVE, poorest->name));
 			}
 		}
 	}
--- a/src/planner/wave_plan.cpp
+++ b/src/planner/wave_plan.cpp
@@ -209,13 +209,7 @@
 		if (TakesWork(*it.box) && !CheckBudget(pool, *it.box, false).Ok()) {
 			continue;
 		}
-		glade::wire::PermitGrantT grant;
-		grant.box = it.box->name.Value();
-		grant.epoch = it.box->epoch.Value();
-		grant.purpose = static_cast<uint8_t>(PermitPurpose::PP_MAINTAIN);
-		proposals.push_back(MakeProposal(std::move(grant)));
-		it.box->state = BoxState::BS_DRAINING;
-		it.box->purpose = PermitPurpose::PP_MAINTAIN;
+		proposals.push_back(GrantPermit(*it.box, PermitPurpose::PP_MAINTAIN, PoolName()));
 		granted++;
 	}
 	return granted;
