--- /dev/null
+++ b/src/jobs/job_codec.cpp
@@ -0,0 +1,189 @@
+/** @file job_codec.cpp Records that a shard keeps in the keyed log, as bytes. */
+#include "job_codec.h"
+
+#include "../generated/shard_generated.h"
+
+#include <algorithm>
+#include <map>
+
+namespace wire = glade::shard;
+
+namespace {
+
+constexpr uint32_t RECORD_FORMAT = 1; ///< Format written; a later one is not read.
+
+/** Packs a native record. */
+template <class Table, class Native>
+std::string Packed(const Native &native)
+{
+	flatbuffers::FlatBufferBuilder builder;
+	builder.Finish(Table::Pack(builder, &native));
+	return {reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize()};
+}
+
+/** Verifies and unpacks a record; null when it is not one. */
+template <class Table>
+std::unique_ptr<typename Table::NativeTableType> Unpacked(std::string_view bytes)
+{
+	const auto *data = reinterpret_cast<const uint8_t *>(bytes.data());
+	flatbuffers::Verifier verifier(data, bytes.size());
+	if (!verifier.VerifyBuffer<Table>(nullptr)) {
+		return nullptr;
+	}
+	std::unique_ptr<typename Table::NativeTableType> native(flatbuffers::GetRoot<Table>(data)->UnPack());
+	return native->format <= RECORD_FORMAT ? std::move(native) : nullptr;
+}
+
+std::unique_ptr<wire::StepRecordT> NativeStep(const StepSpec &step)
+{
+	auto out = std::make_unique<wire::StepRecordT>();
+	out->count = step.count;
+	out->cpu = static_cast<uint32_t>(step.demand.cpu);
+	out->memory = static_cast<uint32_t>(step.demand.memory);
+	out->accelerators = static_cast<uint32_t>(step.demand.accelerators);
+	out->estimate_ms = static_cast<uint32_t>(step.estimate.Value());
+	out->after = step.after;
+	out->gang = step.gang;
+	out->one_rack = step.one_rack;
+	out->required_label = step.required_label;
+	out->data_rack = step.data_rack;
+	out->per_box = step.per_box;
+	out->checkpoints = step.checkpoints;
+	out->copies = step.copies;
+	out->lasting = step.lasting;
+	out->image = step.image;
+	out->latency_limit_ms = static_cast<uint32_t>(step.latency_limit.Value());
+	out->filler = step.filler;
+	/* 0 stands for "no limit": the stored number is one more. */
+	out->absent_max = step.absent_max ? *step.absent_max + 1 : 0;
+	return out;
+}
+
+StepSpec StepOf(const wire::StepRecordT &in)
+{
+	StepSpec step;
+	step.count = in.count;
+	step.demand = Resources{in.cpu, in.memory, in.accelerators};
+	step.estimate = Millis(in.estimate_ms);
+	step.after = in.after;
+	step.gang = in.gang;
+	step.one_rack = in.one_rack;
+	step.required_label = in.required_label;
+	step.data_rack = in.data_rack;
+	step.per_box = in.per_box;
+	step.checkpoints = in.checkpoints;
+	step.copies = in.copies;
+	step.lasting = in.lasting;
+	step.image = in.image;
+	step.latency_limit = Millis(in.latency_limit_ms);
+	step.filler = in.filler;
+	if (in.absent_max > 0) {
+		step.absent_max = in.absent_max - 1;
+	}
+	return step;
+}
+
+} // namespace
+
+std::string EncodeSubmission(const JobSpec &spec)
+{
+	wire::SubmissionRecordT out;
+	out.format = RECORD_FORMAT;
+	out.route = spec.route.Value();
+	out.payload = spec.payload;
+	std::ranges::transform(spec.steps, std::back_inserter(out.steps), NativeStep);
+	out.first_due = spec.first_due.Value();
+	out.interval = spec.interval.Value();
+	out.repeats = spec.repeats;
+	out.accepted = spec.accepted.Value();
+	return Packed<wire::SubmissionRecord>(out);
+}
+
+std::optional<JobSpec> DecodeSubmission(const JobId &id, std::string_view bytes)
+{
+	const auto in = Unpacked<wire::SubmissionRecord>(bytes);
+	if (!in) {
+		return std::nullopt;
+	}
+	JobSpec spec;
+	spec.id = id;
+	spec.route = RouteName(in->route);
+	spec.payload = in->payload;
+	std::ranges::transform(in->steps, std::back_inserter(spec.steps), [](const auto &it) { return StepOf(*it); });
+	spec.first_due = Millis(in->first_due);
+	spec.interval = Millis(in->interval);
+	spec.repeats = in->repeats;
+	spec.accepted = Millis(in->accepted);
+	return spec;
+}
+
+std::string EncodeProgress(const StoredProgress &progress)
+{
+	wire::ProgressRecordT out;
+	out.format = RECORD_FORMAT;
+	out.phase = static_cast<uint8_t>(progress.phase);
+	out.route = progress.route.Value();
+	out.changed = progress.changed.Value();
+	std::map<BoxLife, uint16_t> places;
+	for (const StoredTask &task : progress.tasks) {
+		auto row = std::make_unique<wire::TaskRecordT>();
+		row->phase = static_cast<uint8_t>(task.phase);
+		row->run = task.run.Value();
+		row->failures = task.failures;
+		row->saved = task.saved;
+		if (!task.box.Value().empty()) {
+			const auto [it, added] = places.emplace(task.box, static_cast<uint16_t>(places.size() + 1));
+			row->box = it->second;
+			if (added) {
+				out.boxes.push_back(task.box.Value());
+			}
+		}
+		out.tasks.push_back(std::move(row));
+	}
+	return Packed<wire::ProgressRecord>(out);
+}
+
+std::optional<StoredProgress> DecodeProgress(std::string_view bytes)
+{
+	const auto in = Unpacked<wire::ProgressRecord>(bytes);
+	if (!in || in->phase > static_cast<uint8_t>(JobPhase::JP_CANCELLED)) {
+		return std::nullopt;
+	}
+	StoredProgress progress;
+	progress.phase = static_cast<JobPhase>(in->phase);
+	progress.route = RouteName(in->route);
+	progress.changed = Millis(in->changed);
+	for (const auto &row : in->tasks) {
+		if (row->box > in->boxes.size() || row->phase > static_cast<uint8_t>(TaskPhase::TP_DONE)) {
+			return std::nullopt;
+		}
+		StoredTask task;
+		task.phase = static_cast<TaskPhase>(row->phase);
+		task.run = RunNumber(row->run);
+		task.failures = row->failures;
+		task.saved = row->saved;
+		if (row->box > 0) {
+			task.box = BoxLife(in->boxes[row->box - 1U]);
+		}
+		progress.tasks.push_back(std::move(task));
+	}
+	return progress;
+}
+
+std::string EncodeOwner(const StoredOwner &owner)
+{
+	wire::OwnerRecordT out;
+	out.format = RECORD_FORMAT;
+	out.epoch = owner.epoch;
+	out.address = owner.address;
+	return Packed<wire::OwnerRecord>(out);
+}
+
+std::optional<StoredOwner> DecodeOwner(std::string_view bytes)
+{
+	const auto in = Unpacked<wire::OwnerRecord>(bytes);
+	if (!in) {
+		return std::nullopt;
+	}
+	return StoredOwner{in->epoch, in->address};
+}
--- /dev/null
+++ b/src/jobs/job_codec.h
@@ -0,0 +1,54 @@
+/** @file job_codec.h Records that a shard keeps in the keyed log, as bytes: FlatBuffers with a format number. */
+#ifndef JOB_CODEC_H
+#define JOB_CODEC_H
+
+#include "job_type.h"
+
+/** What is stored of a task. */
+struct StoredTask {
+	TaskPhase phase = TaskPhase::TP_WAITING; ///< Where it stands.
+	RunNumber run;                           ///< Last start; also of one that has ended.
+	uint32_t failures = 0;                   ///< Runs that failed.
+	BoxLife box;                             ///< Where it may run, while placed.
+	std::string saved;                       ///< Checkpoint to resume from.
+
+	bool operator==(const StoredTask &) const = default;
+};
+
+/** What is stored of a job's progress. */
+struct StoredProgress {
+	JobPhase phase = JobPhase::JP_QUEUED; ///< Where it stands.
+	RouteName route;                      ///< Its route.
+	Millis changed;                       ///< Wall time of the record.
+	std::vector<StoredTask> tasks;        ///< By occurrence, step, index.
+
+	bool operator==(const StoredProgress &) const = default;
+};
+
+/** Who owns a shard. */
+struct StoredOwner {
+	uint64_t epoch = 0;  ///< Rises with each owner.
+	std::string address; ///< Where its node answers others.
+
+	bool operator==(const StoredOwner &) const = default;
+};
+
+/** @return Bytes of a submission, without the job's id: that is the record's key. */
+std::string EncodeSubmission(const JobSpec &spec);
+/** @return Bytes of a job's progress. */
+std::string EncodeProgress(const StoredProgress &progress);
+/** @return Bytes of an owner. */
+std::string EncodeOwner(const StoredOwner &owner);
+/**
+ * Reads a submission.
+ * @param id Its job.
+ * @param bytes The record.
+ * @return The job, or nothing when the bytes are no such record or of a later format.
+ */
+std::optional<JobSpec> DecodeSubmission(const JobId &id, std::string_view bytes);
+/** @return Progress, or nothing when the bytes are no such record or of a later format. @param bytes The record. */
+std::optional<StoredProgress> DecodeProgress(std::string_view bytes);
+/** @return The owner, or nothing when the bytes are no such record or of a later format. @param bytes The record. */
+std::optional<StoredOwner> DecodeOwner(std::string_view bytes);
+
+#endif /* JOB_CODEC_H */
--- /dev/null
+++ b/src/jobs/shard_base.h
@@ -0,0 +1,243 @@
+/** @file shard_base.h A shard: the jobs of one service and the boxes that run them, under one owner. */
+#ifndef SHARD_BASE_H
+#define SHARD_BASE_H
+
+#include "../event_log.h"
+#include "job_codec.h"
+#include "shard_journal.h"
+
+#include <map>
+#include <memory>
+#include <set>
+
+/** Figures that a shard works with. */
+struct ShardLimits {
+	Millis lease = Millis(4500);      ///< Lease asked for; bridges a change of owner (about 2.5 s), ends a dark box soon.
+	Millis lease_max = Millis(10000); ///< Longest lease that boxes grant (setting).
+	Millis lease_wait = Millis(1000); ///< A box holds its answer back so long for an end: also the refresh of the lease.
+	Millis owner_term = Millis(12000); ///< An owner that has not heard of the log for so long prolongs no lease.
+};
+
+/** Counters of a shard, for metrics and tests. */
+struct ShardCounters {
+	uint64_t starts = 0;   ///< Start orders sent.
+	uint64_t stops = 0;    ///< Stop orders sent.
+	uint64_t looks = 0;    ///< Lease orders sent.
+	uint64_t done = 0;     ///< Runs that ended well.
+	uint64_t failed = 0;   ///< Runs that failed.
+	uint64_t lapsed = 0;   ///< Runs lost with their box or lease.
+	uint64_t refused = 0;  ///< Starts that boxes refused.
+	uint64_t unknown = 0;  ///< Starts without an answer.
+};
+
+/** What a run of a placed task is known to do. Not stored: a new owner asks the boxes. */
+enum class RunState : uint8_t {
+	RS_RECORDING = 0, ///< The placement is being recorded; no order was sent.
+	RS_ORDERED = 1,   ///< The order was sent; no answer yet.
+	RS_RUNNING = 2,   ///< The box has confirmed it.
+	RS_RESTORED = 3,  ///< Recorded by an earlier owner: it may run, or an order may be under way.
+	RS_UNKNOWN = 4,   ///< The order got no answer.
+};
+
+/** A task with what is known of its run. */
+struct ShardTask : public StoredTask {
+	RunState run_state = RunState::RS_RECORDING; ///< Of the current run, while placed.
+	bool stop_wanted = false;                    ///< The run is to be stopped.
+	bool stop_sent = false;                      ///< A stop is under way.
+	bool stop_confirmed = false;                 ///< The box has confirmed the stop: it can't start any more.
+	Millis settled_at;                           ///< When the newest order for the run was answered.
+	Millis since;                                ///< When it was placed, or began to wait.
+	int64_t pace = 100;                          ///< Percent of full pace last ordered.
+};
+
+/** A job with its tasks. */
+struct ShardJob {
+	JobSpec spec;                                ///< As handed in.
+	JobPhase phase = JobPhase::JP_QUEUED;        ///< Where it stands.
+	JobPhase durable_phase = JobPhase::JP_QUEUED; ///< What is recorded: others are told only this.
+	std::vector<ShardTask> tasks;                ///< By occurrence, step, index.
+	std::vector<uint32_t> step_offsets;          ///< Where each step begins within an occurrence.
+	uint32_t per_occurrence = 0;                 ///< Tasks of an occurrence.
+	Millis taken_at;                             ///< When this owner learned of it.
+	JobRoute route;                              ///< Its route, as last configured.
+
+	/** @return Whether nothing more is to be started. */
+	[[nodiscard]] bool Over() const { return this->phase > JobPhase::JP_RUNNING; }
+	/** @return Place of a task in `tasks`. */
+	[[nodiscard]] size_t IndexOf(const TaskId &task) const
+	{
+		return size_t{task.occurrence} * this->per_occurrence + this->step_offsets[task.step] + task.index;
+	}
+	/** @return Whether a task exists. */
+	[[nodiscard]] bool Has(const TaskId &task) const;
+	/** @return The task at a place in `tasks`. */
+	[[nodiscard]] TaskId TaskAt(size_t place) const;
+};
+
+/** A box of the service. */
+struct ShardBox {
+	BoxReport report;                   ///< What its agent says of itself.
+	bool listed = true;                 ///< Whether its report stands.
+	bool adopted = false;               ///< It has answered this owner: orders of earlier owners can't come any more.
+	bool asking = false;                ///< A lease order is under way.
+	bool over = false;                  ///< This life has ended for certain.
+	std::optional<Millis> clock;        ///< Its clock at `clock_at`.
+	Millis clock_at;                    ///< When `clock` was heard.
+	Millis lapse_at;                    ///< From then on no lease can hold there any more, by our clock.
+	Millis asked_at;                    ///< When the last lease order was sent.
+	Millis answered_at;                 ///< When the last answer came.
+	Millis avoid_until;                 ///< Nothing is placed there before.
+	uint64_t ends_seen = 0;             ///< Ends up to this number are taken in.
+	uint64_t ends_durable = 0;          ///< Ends up to this number are recorded.
+	bool strangers = false;             ///< It runs something that this shard has not placed.
+	Resources used;                     ///< Taken by the tasks placed there.
+	std::set<TaskId> placed;            ///< Tasks placed there.
+	TimerId timer;                      ///< Next lease order.
+};
+
+/** Answer about a job. */
+struct JobView {
+	bool known = false;                   ///< Whether there is such a job.
+	JobPhase phase = JobPhase::JP_QUEUED; ///< Where it stands, as recorded.
+};
+
+/**
+ * Decides for one service, while this node owns it: which box runs which task, and when. A placement is recorded before
+ * its order leaves, an end before the box may forget it; so another owner can go on at any moment, and a deposed one
+ * can't start anything.
+ */
+class Shard {
+public:
+	/**
+	 * @param scheduler Clock and timers.
+	 * @param journal Records; outlives this.
+	 * @param orders Boxes; outlives this.
+	 * @param log Lines; outlives this.
+	 * @param service The service.
+	 * @param fence Token of this ownership.
+	 * @param limits Figures.
+	 */
+	Shard(Scheduler &scheduler, ShardJournal &journal, BoxOrders &orders, EventLog &log, ServiceName service,
+		  FenceToken fence, ShardLimits limits);
+	~Shard();
+	Shard(const Shard &) = delete;
+	Shard &operator=(const Shard &) = delete;
+
+	/** Takes over recorded progress, before Begin(). @param id The job. @param progress What is recorded. */
+	void Restore(const JobId &id, const StoredProgress &progress);
+	/** Takes a job; one that is known is ignored. @param spec The job. */
+	void Submit(const JobSpec &spec);
+	/** Cancels a job, also one that comes later. @param id The job. */
+	void Cancel(const JobId &id);
+	/** Takes a configuration. @param config It. */
+	void Configure(const JobConfig &config);
+	/** Takes a box's report. @param report It. */
+	void OnReport(const BoxReport &report);
+	/** A box's report is gone. @param life The box's life. */
+	void OnReportGone(const BoxLife &life);
+	/** Everything known when the shard was claimed has been told: begins to place. */
+	void Begin();
+	/** The log has confirmed this ownership. @param at When the question was sent. */
+	void Confirm(Millis at);
+
+	/** @return What is known of a job. @param id The job. */
+	[[nodiscard]] JobView View(const JobId &id) const;
+	/** @return Jobs of a route that no task was started of. @param route The route. */
+	[[nodiscard]] uint32_t Waiting(const RouteName &route) const;
+	/** @return Counters. */
+	[[nodiscard]] const ShardCounters &Counters() const { return this->counters; }
+	/** @return Boxes. */
+	[[nodiscard]] const std::map<BoxLife, ShardBox> &Boxes() const { return this->boxes; }
+	/** @return Jobs. */
+	[[nodiscard]] const std::map<JobId, ShardJob> &Jobs() const { return this->jobs; }
+
+	std::function<void()> on_deposed; ///< A box has seen a higher token. Called last in a turn.
+
+private:
+	/** A start order that waits for its record. */
+	struct PendingStart {
+		TaskId task;   ///< The task.
+		RunNumber run; ///< Which start.
+	};
+
+	Scheduler &scheduler;                           ///< Clock and timers.
+	ShardJournal &journal;                          ///< Records.
+	BoxOrders &orders;                              ///< Boxes.
+	EventLog &log;                                  ///< Lines.
+	ServiceName service;                            ///< The service.
+	FenceToken fence;                               ///< Token of this ownership.
+	ShardLimits limits;                             ///< Figures.
+	Millis owned_since;                             ///< When this ownership began.
+	Millis confirmed_at;                            ///< When the log last confirmed it.
+	bool begun = false;                             ///< Whether Begin().
+	bool woken = false;                             ///< Whether a turn is due.
+	bool deposed = false;                           ///< Whether a box has seen a higher token.
+	JobConfig config;                               ///< The configuration in force.
+	std::map<JobId, ShardJob> jobs;                 ///< Jobs, also those that are over.
+	std::set<JobId> live;                           ///< Jobs that are not over.
+	std::map<JobId, StoredProgress> restored;       ///< Recorded progress whose submission is not there yet.
+	std::set<JobId> cancelled;                      ///< Cancellations, also of jobs that are not there.
+	std::map<BoxLife, ShardBox> boxes;              ///< Boxes of the service.
+	std::set<JobId> dirty;                          ///< Jobs to be recorded.
+	std::vector<PendingStart> starts;               ///< Orders to send once recorded.
+	ShardCounters counters;                         ///< Counters.
+	TimerId timer;                                  ///< Next turn without an event.
+	std::shared_ptr<bool> alive = std::make_shared<bool>(true); ///< Expires with this.
+
+	/* shard_jobs.cpp */
+	void Wake();
+	void Turn();
+	void Commit();
+	void OnCommitted(const std::vector<PendingStart> &due, const std::map<BoxLife, uint64_t> &ends,
+					 const std::map<JobId, JobPhase> &phases);
+	ShardJob MakeJob(const JobSpec &spec) const;
+	void ApplyRoute(ShardJob &job) const;
+	void EndJob(ShardJob &job, JobPhase phase, const char *why);
+	void CheckCompleted(ShardJob &job);
+	ShardTask *FindTask(const TaskId &id);
+	void Touch(const JobId &id);
+	[[nodiscard]] StoredProgress Stored(const ShardJob &job) const;
+
+	/* shard_place.cpp */
+	void Place();
+	void PlaceJob(ShardJob &job);
+	void PlaceStep(ShardJob &job, uint32_t occurrence, uint32_t step);
+	void PlaceGang(ShardJob &job, uint32_t occurrence, uint32_t step);
+	[[nodiscard]] bool StepReady(const ShardJob &job, uint32_t occurrence, uint32_t step) const;
+	[[nodiscard]] std::vector<ShardBox *> Candidates(const StepSpec &step);
+	ShardBox *Choose(const std::vector<ShardBox *> &open, const ShardJob &job, const TaskId &first);
+	[[nodiscard]] uint32_t CountOn(const ShardBox &box, const TaskId &first) const;
+	void Assign(ShardJob &job, const TaskId &id, ShardBox &box, RunNumber run);
+	void SendStart(const PendingStart &start);
+	void OnStarted(const TaskId &id, RunNumber run, const BoxLife &life, OrderAnswer answer);
+
+	/* shard_runs.cpp */
+	void Release(const TaskId &id, ShardTask &task);
+	void Resolve(const TaskId &id, RunEnding ending, const std::string &saved, const char *why);
+	void ResolveFailed(ShardJob &job, const TaskId &id, ShardTask &task);
+	void BreakGang(ShardJob &job, const TaskId &id);
+	void FinishGang(ShardJob &job, const TaskId &id);
+	void WantStop(const TaskId &id, ShardTask &task, const char *why);
+	void SendStop(const TaskId &id);
+	void OnStopped(const TaskId &id, RunNumber run, const BoxLife &life, OrderAnswer answer);
+
+	/* shard_boxes.cpp */
+	void PumpLease(ShardBox &box);
+	void PumpAfter(const BoxLife &life, Millis delay);
+	void OnLease(const BoxLife &life, Millis sent, const LeaseAnswer &answer);
+	void OnNoLease(ShardBox &box, OrderOutcome outcome);
+	void Adopt(ShardBox &box);
+	void TakeRunning(ShardBox &box, const std::vector<RunningRow> &rows, Millis sent);
+	bool TakeEnded(ShardBox &box, const std::vector<EndedRow> &rows);
+	void TakeMissing(ShardBox &box, const std::set<std::pair<TaskId, RunNumber>> &listed, Millis sent);
+	void StopStranger(ShardBox &box, const RunningRow &row);
+	[[nodiscard]] std::optional<Millis> LeaseEnd(const ShardBox &box) const;
+	void NoteLeaseAsked(ShardBox &box, Millis until);
+	void LoseTasks(ShardBox &box, const char *why);
+	void EndLife(ShardBox &box, const char *why);
+	void LapseBoxes();
+	void Evacuate(ShardBox &box);
+	void Depose();
+};
+
+#endif /* SHARD_BASE_H */
--- /dev/null
+++ b/src/jobs/shard_boxes.cpp
@@ -0,0 +1,325 @@
+/** @file shard_boxes.cpp Shard: leases of boxes, and what boxes list. */
+#include "shard_base.h"
+
+#include <algorithm>
+#include <ranges>
+
+namespace {
+
+constexpr double CLOCK_RATE_MIN = 0.98;  ///< A box's clock may run 2% slow (the platform's page on running tasks).
+constexpr Millis LAPSE_SLACK(150);       ///< On top of a lapsed lease: the box needs a moment to end what runs.
+constexpr Millis RETRY_AFTER(300);       ///< Next lease order to a box that didn't answer.
+constexpr Millis LOOK_GAP(25);           ///< Least time between two lease orders to a box: ends are taken in together.
+constexpr Millis UNRECORDED_GAP(700);    ///< The same while ends can't be recorded: the box answers at once each time.
+constexpr Millis SILENT_AFTER(1500);     ///< Beyond the wait: a box that is silent for so long gets no longer lease.
+constexpr Millis FORGET_AFTER(10000);    ///< A box without report, tasks and answers is forgotten after this.
+constexpr size_t ENDS_AT_ONCE = 500;     ///< Ends that a box lists at once; a list of this size may not be whole.
+
+} // namespace
+
+void Shard::OnReport(const BoxReport &report)
+{
+	if (report.service != this->service) {
+		return;
+	}
+	auto [it, added] = this->boxes.try_emplace(report.life);
+	ShardBox &box = it->second;
+	const bool was_leaving = box.report.leaving;
+	const bool changed = added || was_leaving != report.leaving || box.report.capacity != report.capacity || !box.listed;
+	box.report = report;
+	box.listed = true;
+	if (added) {
+		/* Nothing of ours runs there, but an earlier owner may have placed what we can't see yet. */
+		box.lapse_at = this->owned_since + this->limits.owner_term + this->limits.lease_max;
+		box.answered_at = this->scheduler.Now();
+	}
+	if (!changed) {
+		return;
+	}
+	this->log.Write("box_report", {{"box", report.box.Value()},
+								   {"life", report.life.Value()},
+								   {"cpu", std::to_string(report.capacity.cpu)},
+								   {"leaving", report.leaving ? "yes" : "no"}});
+	if (report.leaving && !was_leaving) {
+		this->Evacuate(box);
+	}
+	this->PumpLease(box);
+}
+
+void Shard::OnReportGone(const BoxLife &life)
+{
+	const auto it = this->boxes.find(life);
+	if (it != this->boxes.end() && it->second.listed) {
+		it->second.listed = false;
+		this->log.Write("box_report_gone", {{"life", life.Value()}, {"placed", std::to_string(it->second.placed.size())}});
+		this->Wake();
+	}
+}
+
+std::optional<Millis> Shard::LeaseEnd(const ShardBox &box) const
+{
+	const Millis now = this->scheduler.Now();
+	const Millis confirmed = std::max(this->confirmed_at, this->journal.ConfirmedAt());
+	const bool silent = now - box.answered_at > this->limits.lease_wait + SILENT_AFTER;
+	if (!box.clock || silent || now - confirmed > this->limits.owner_term) {
+		return std::nullopt;
+	}
+	return *box.clock + (now - box.clock_at) + std::min(this->limits.lease, this->limits.lease_max);
+}
+
+void Shard::NoteLeaseAsked(ShardBox &box, Millis until)
+{
+	const auto span = static_cast<double>((until - *box.clock).Value()) / CLOCK_RATE_MIN;
+	box.lapse_at = std::max(box.lapse_at, box.clock_at + Millis(static_cast<int64_t>(span)) + LAPSE_SLACK);
+}
+
+void Shard::PumpAfter(const BoxLife &life, Millis delay)
+{
+	ShardBox &box = this->boxes.at(life);
+	this->scheduler.Cancel(box.timer);
+	box.timer = this->scheduler.After(delay, [this, life] {
+		const auto it = this->boxes.find(life);
+		if (it != this->boxes.end()) {
+			it->second.timer = TimerId();
+			this->PumpLease(it->second);
+		}
+	});
+}
+
+void Shard::PumpLease(ShardBox &box)
+{
+	if (box.asking || box.over || box.report.address.empty() || this->deposed) {
+		return;
+	}
+	const Millis now = this->scheduler.Now();
+	if (const Millis since = now - box.asked_at; box.adopted && since < LOOK_GAP) {
+		this->PumpAfter(box.report.life, LOOK_GAP - since);
+		return;
+	}
+	LeaseOrder order;
+	order.fence = this->fence;
+	order.ends_noted = box.ends_durable;
+	order.lease_until = this->LeaseEnd(box);
+	order.wait = box.adopted ? this->limits.lease_wait : Millis(0);
+	if (order.lease_until) {
+		this->NoteLeaseAsked(box, *order.lease_until);
+	}
+	this->scheduler.Cancel(box.timer);
+	box.asking = true;
+	box.asked_at = now;
+	this->counters.looks++;
+	this->orders.Lease(box.report, order,
+					   [this, life = box.report.life, now,
+						still = std::weak_ptr<bool>(this->alive)](const LeaseAnswer &answer) {
+						   if (!still.expired()) {
+							   this->OnLease(life, now, answer);
+						   }
+					   });
+}
+
+void Shard::OnLease(const BoxLife &life, Millis sent, const LeaseAnswer &answer)
+{
+	const auto it = this->boxes.find(life);
+	if (it == this->boxes.end()) {
+		return;
+	}
+	ShardBox &box = it->second;
+	box.asking = false;
+	if (answer.order.outcome != OrderOutcome::OO_DONE) {
+		this->OnNoLease(box, answer.order.outcome);
+		return;
+	}
+	const Millis now = this->scheduler.Now();
+	box.answered_at = now;
+	if (answer.order.box_clock) {
+		box.clock = answer.order.box_clock;
+		box.clock_at = now;
+	}
+	std::set<std::pair<TaskId, RunNumber>> listed;
+	std::ranges::for_each(answer.running, [&](const RunningRow &row) { listed.emplace(row.task, row.run); });
+	std::ranges::for_each(answer.ended, [&](const EndedRow &row) { listed.emplace(row.task, row.run); });
+	this->TakeRunning(box, answer.running, sent);
+	const bool new_ends = this->TakeEnded(box, answer.ended);
+	if (answer.ended.size() < ENDS_AT_ONCE) {
+		this->TakeMissing(box, listed, sent);
+	}
+	if (!box.adopted) {
+		this->Adopt(box);
+	}
+	/* With ends to be recorded, OnCommitted() asks on; when the log can't be reached, this timer does. */
+	const bool waits_for_record = new_ends || box.ends_seen > box.ends_durable;
+	this->PumpAfter(life, waits_for_record ? UNRECORDED_GAP : Millis(0));
+	if (new_ends) {
+		this->Wake();
+	}
+}
+
+void Shard::Adopt(ShardBox &box)
+{
+	box.adopted = true;
+	this->log.Write("box_adopted", {{"life", box.report.life.Value()}, {"placed", std::to_string(box.placed.size())}});
+	if (box.report.leaving) {
+		this->Evacuate(box);
+	}
+	this->Wake();
+}
+
+void Shard::OnNoLease(ShardBox &box, OrderOutcome outcome)
+{
+	if (outcome == OrderOutcome::OO_FENCED) {
+		this->Depose();
+		return;
+	}
+	if (outcome == OrderOutcome::OO_OTHER_LIFE) {
+		this->EndLife(box, "other_life");
+		return;
+	}
+	this->log.Write("box_silent", {{"life", box.report.life.Value()},
+								   {"outcome", std::to_string(static_cast<int>(outcome))},
+								   {"placed", std::to_string(box.placed.size())},
+								   {"silent_ms", std::to_string((this->scheduler.Now() - box.answered_at).Value())}});
+	this->PumpAfter(box.report.life, RETRY_AFTER);
+}
+
+void Shard::TakeRunning(ShardBox &box, const std::vector<RunningRow> &rows, Millis sent)
+{
+	box.strangers = false;
+	for (const RunningRow &row : rows) {
+		ShardTask *task = this->FindTask(row.task);
+		const bool ours = task != nullptr && task->phase == TaskPhase::TP_PLACED && task->run == row.run &&
+						  task->box == box.report.life;
+		if (!ours) {
+			box.strangers = true;
+			this->StopStranger(box, row);
+			continue;
+		}
+		if (task->run_state == RunState::RS_RESTORED || task->run_state == RunState::RS_UNKNOWN) {
+			task->run_state = RunState::RS_RUNNING;
+			task->settled_at = sent;
+		}
+		if (!row.saved.empty()) {
+			task->saved = row.saved;
+		}
+		if (task->stop_wanted && !task->stop_confirmed) {
+			this->SendStop(row.task);
+		}
+	}
+}
+
+void Shard::StopStranger(ShardBox &box, const RunningRow &row)
+{
+	this->log.Write("stranger", {{"job", row.task.job.Value()},
+								 {"run", std::to_string(row.run.Value())},
+								 {"box", box.report.life.Value()}});
+	this->counters.stops++;
+	this->orders.Stop(box.report, row.task, row.run, this->fence, [](const OrderAnswer &) {
+		/* The next list tells whether it is gone; it is stopped again until then. */
+	});
+}
+
+bool Shard::TakeEnded(ShardBox &box, const std::vector<EndedRow> &rows)
+{
+	bool any = false;
+	for (const EndedRow &row : rows) {
+		if (row.number <= box.ends_seen) {
+			continue;
+		}
+		box.ends_seen = row.number;
+		any = true;
+		ShardTask *task = this->FindTask(row.task);
+		if (task == nullptr) {
+			continue;
+		}
+		const bool current =
+				task->phase == TaskPhase::TP_PLACED && task->run == row.run && task->box == box.report.life;
+		if (current) {
+			this->Resolve(row.task, row.ending, row.saved, "listed");
+		} else if (task->phase == TaskPhase::TP_WAITING && row.ending == RunEnding::RE_DONE) {
+			/* A run taken for lost had ended well. */
+			this->Resolve(row.task, row.ending, row.saved, "listed_late");
+		}
+	}
+	return any;
+}
+
+void Shard::TakeMissing(ShardBox &box, const std::set<std::pair<TaskId, RunNumber>> &listed, Millis sent)
+{
+	for (const TaskId &id : std::set<TaskId>(box.placed)) {
+		ShardTask *task = this->FindTask(id);
+		if (task == nullptr || task->phase != TaskPhase::TP_PLACED || listed.contains({id, task->run})) {
+			continue;
+		}
+		if (task->run_state == RunState::RS_RESTORED) {
+			/* The box has taken our token: an earlier owner's order can't come any more. */
+			this->Resolve(id, RunEnding::RE_STOPPED, {}, "not_there");
+		} else if (task->stop_confirmed && task->settled_at < sent) {
+			this->Resolve(id, RunEnding::RE_STOPPED, {}, "stopped_before_start");
+		} else if ((task->run_state == RunState::RS_UNKNOWN || task->run_state == RunState::RS_RUNNING) &&
+				   task->settled_at < sent) {
+			/* The order may still come: only a stop makes sure that it doesn't. */
+			this->WantStop(id, *task, "not_listed");
+		}
+	}
+}
+
+void Shard::LoseTasks(ShardBox &box, const char *why)
+{
+	for (const TaskId &id : std::set<TaskId>(box.placed)) {
+		this->Resolve(id, RunEnding::RE_LAPSED, {}, why);
+	}
+}
+
+void Shard::EndLife(ShardBox &box, const char *why)
+{
+	if (box.over) {
+		return;
+	}
+	box.over = true;
+	this->scheduler.Cancel(box.timer);
+	this->log.Write("box_over", {{"life", box.report.life.Value()}, {"why", why}});
+	this->LoseTasks(box, why);
+	this->Wake();
+}
+
+void Shard::LapseBoxes()
+{
+	const Millis now = this->scheduler.Now();
+	std::vector<BoxLife> forget;
+	for (auto &[life, box] : this->boxes) {
+		const bool lapsed = now >= box.lapse_at && now - box.answered_at > this->limits.lease_wait;
+		if (lapsed && !box.placed.empty()) {
+			this->LoseTasks(box, "lease_lapsed");
+		}
+		const bool useless = !box.listed && box.placed.empty() && !box.asking;
+		if (useless && (box.over || now - box.answered_at > FORGET_AFTER)) {
+			forget.push_back(life);
+		}
+	}
+	for (const BoxLife &life : forget) {
+		this->scheduler.Cancel(this->boxes.at(life).timer);
+		this->boxes.erase(life);
+	}
+}
+
+void Shard::Evacuate(ShardBox &box)
+{
+	for (const TaskId &id : std::set<TaskId>(box.placed)) {
+		ShardJob &job = this->jobs.at(id.job);
+		const StepSpec &step = job.spec.steps[id.step];
+		/* What saves its progress loses little by moving now; the others may still end where they are. */
+		if (step.lasting || step.checkpoints) {
+			this->WantStop(id, job.tasks[job.IndexOf(id)], "box_leaving");
+		}
+	}
+}
+
+void Shard::Depose()
+{
+	if (std::exchange(this->deposed, true)) {
+		return;
+	}
+	this->log.Write("deposed", {{"service", this->service.Value()}, {"fence", std::to_string(this->fence.Value())}});
+	if (this->on_deposed) {
+		this->on_deposed();
+	}
+}
--- /dev/null
+++ b/src/jobs/shard_jobs.cpp
@@ -0,0 +1,307 @@
+/** @file shard_jobs.cpp Shard: jobs come, are recorded, and end. */
+#include "shard_base.h"
+
+#include <algorithm>
+#include <numeric>
+#include <ranges>
+
+namespace {
+
+constexpr Millis TICK(500); ///< Turn without an event: lapsed leases and boxes to be tried again are noticed so late.
+
+} // namespace
+
+bool ShardJob::Has(const TaskId &task) const
+{
+	return task.occurrence < this->spec.Occurrences() && task.step < this->spec.steps.size() &&
+		   task.index < this->spec.steps[task.step].count;
+}
+
+TaskId ShardJob::TaskAt(size_t place) const
+{
+	TaskId id{this->spec.id, static_cast<uint32_t>(place / this->per_occurrence), 0, 0};
+	const auto rest = static_cast<uint32_t>(place % this->per_occurrence);
+	const auto behind = std::ranges::upper_bound(this->step_offsets, rest);
+	id.step = static_cast<uint32_t>(std::distance(this->step_offsets.begin(), behind)) - 1;
+	id.index = rest - this->step_offsets[id.step];
+	return id;
+}
+
+Shard::Shard(Scheduler &scheduler, ShardJournal &journal, BoxOrders &orders, EventLog &log, ServiceName service,
+			 FenceToken fence, ShardLimits limits)
+		: scheduler(scheduler), journal(journal), orders(orders), log(log), service(std::move(service)), fence(fence),
+		  limits(limits), owned_since(scheduler.Now()), confirmed_at(scheduler.Now())
+{
+}
+
+Shard::~Shard()
+{
+	this->scheduler.Cancel(this->timer);
+	std::ranges::for_each(this->boxes | std::views::values,
+						  [this](const ShardBox &it) { this->scheduler.Cancel(it.timer); });
+}
+
+void Shard::Restore(const JobId &id, const StoredProgress &progress)
+{
+	this->restored[id] = progress;
+}
+
+ShardJob Shard::MakeJob(const JobSpec &spec) const
+{
+	ShardJob job;
+	job.spec = spec;
+	job.taken_at = this->scheduler.Now();
+	job.route.name = spec.route;
+	for (const StepSpec &step : spec.steps) {
+		job.step_offsets.push_back(job.per_occurrence);
+		job.per_occurrence += step.count;
+	}
+	job.tasks.resize(size_t{job.per_occurrence} * spec.Occurrences());
+	std::ranges::for_each(job.tasks, [&job](ShardTask &it) { it.since = job.taken_at; });
+	return job;
+}
+
+void Shard::ApplyRoute(ShardJob &job) const
+{
+	/* A route that was removed keeps its last figures for the jobs that it took. */
+	if (const JobRoute *route = this->config.FindRoute(job.spec.route); route != nullptr) {
+		job.route = *route;
+	}
+}
+
+void Shard::Submit(const JobSpec &spec)
+{
+	if (this->jobs.contains(spec.id)) {
+		return;
+	}
+	ShardJob job = this->MakeJob(spec);
+	this->ApplyRoute(job);
+	if (const auto old = this->restored.find(spec.id); old != this->restored.end()) {
+		job.phase = job.durable_phase = old->second.phase;
+		/* A record of another size can only come from a fault: the tasks keep their fresh state, the phase counts. */
+		if (old->second.tasks.size() == job.tasks.size()) {
+			std::ranges::transform(old->second.tasks, job.tasks.begin(), [&job](const StoredTask &it) {
+				ShardTask task;
+				static_cast<StoredTask &>(task) = it;
+				task.run_state = RunState::RS_RESTORED;
+				task.since = job.taken_at;
+				return task;
+			});
+		}
+		this->restored.erase(old);
+	}
+	ShardJob &kept = this->jobs.emplace(spec.id, std::move(job)).first->second;
+	for (size_t place = 0; place < kept.tasks.size(); place++) {
+		ShardTask &task = kept.tasks[place];
+		if (task.phase != TaskPhase::TP_PLACED) {
+			continue;
+		}
+		auto [it, added] = this->boxes.try_emplace(task.box);
+		if (added) {
+			/* Its report has not come (yet). An earlier owner may prolong its lease for another term. */
+			it->second.report.life = task.box;
+			it->second.listed = false;
+			it->second.lapse_at = this->owned_since + this->limits.owner_term + this->limits.lease_max;
+		}
+		const TaskId id = kept.TaskAt(place);
+		it->second.placed.insert(id);
+		it->second.used += kept.spec.steps[id.step].demand;
+	}
+	this->log.Write("job_taken", {{"job", spec.id.Value()},
+								  {"route", spec.route.Value()},
+								  {"tasks", std::to_string(kept.tasks.size())},
+								  {"age_ms", std::to_string((this->scheduler.WallNow() - spec.accepted).Value())},
+								  {"phase", std::to_string(static_cast<int>(kept.phase))}});
+	if (!kept.Over()) {
+		this->live.insert(spec.id);
+	}
+	if (this->cancelled.contains(spec.id)) {
+		this->EndJob(kept, JobPhase::JP_CANCELLED, "cancelled");
+	}
+	if (kept.Over()) {
+		for (size_t place = 0; place < kept.tasks.size(); place++) {
+			if (kept.tasks[place].phase == TaskPhase::TP_PLACED) {
+				this->WantStop(kept.TaskAt(place), kept.tasks[place], "job_over");
+			}
+		}
+	}
+	this->Wake();
+}
+
+void Shard::Cancel(const JobId &id)
+{
+	if (!this->cancelled.insert(id).second) {
+		return;
+	}
+	const auto it = this->jobs.find(id);
+	if (it != this->jobs.end() && !it->second.Over()) {
+		this->EndJob(it->second, JobPhase::JP_CANCELLED, "cancelled");
+	}
+	this->Wake();
+}
+
+void Shard::Configure(const JobConfig &config)
+{
+	this->config = config;
+	std::ranges::for_each(this->jobs | std::views::values, [this](ShardJob &it) { this->ApplyRoute(it); });
+	this->Wake();
+}
+
+void Shard::Begin()
+{
+	this->begun = true;
+	this->log.Write("shard_begun", {{"service", this->service.Value()},
+									{"fence", std::to_string(this->fence.Value())},
+									{"jobs", std::to_string(this->jobs.size())},
+									{"live", std::to_string(this->live.size())},
+									{"boxes", std::to_string(this->boxes.size())}});
+	this->Wake();
+}
+
+void Shard::Confirm(Millis at)
+{
+	this->confirmed_at = std::max(this->confirmed_at, at);
+}
+
+JobView Shard::View(const JobId &id) const
+{
+	if (const auto it = this->jobs.find(id); it != this->jobs.end()) {
+		return JobView{true, it->second.durable_phase};
+	}
+	if (const auto it = this->restored.find(id); it != this->restored.end()) {
+		return JobView{true, it->second.phase};
+	}
+	return JobView{};
+}
+
+uint32_t Shard::Waiting(const RouteName &route) const
+{
+	return static_cast<uint32_t>(std::ranges::count_if(this->live, [&](const JobId &id) {
+		const ShardJob &job = this->jobs.at(id);
+		return job.spec.route == route && job.phase == JobPhase::JP_QUEUED;
+	}));
+}
+
+ShardTask *Shard::FindTask(const TaskId &id)
+{
+	const auto it = this->jobs.find(id.job);
+	if (it == this->jobs.end() || !it->second.Has(id)) {
+		return nullptr;
+	}
+	return &it->second.tasks[it->second.IndexOf(id)];
+}
+
+void Shard::Touch(const JobId &id)
+{
+	this->dirty.insert(id);
+	this->Wake();
+}
+
+StoredProgress Shard::Stored(const ShardJob &job) const
+{
+	StoredProgress out;
+	out.phase = job.phase;
+	out.route = job.spec.route;
+	out.changed = this->scheduler.WallNow();
+	std::ranges::transform(job.tasks, std::back_inserter(out.tasks),
+						   [](const ShardTask &it) -> const StoredTask & { return it; });
+	return out;
+}
+
+void Shard::Wake()
+{
+	if (this->woken || !this->begun || this->deposed) {
+		return;
+	}
+	this->woken = true;
+	this->scheduler.Cancel(this->timer);
+	this->timer = this->scheduler.After(Millis(0), [this] { this->Turn(); });
+}
+
+void Shard::Turn()
+{
+	this->woken = false;
+	this->LapseBoxes();
+	this->Place();
+	this->Commit();
+	if (!this->woken) {
+		this->timer = this->scheduler.After(TICK, [this] { this->Turn(); });
+	}
+}
+
+void Shard::Commit()
+{
+	if (this->journal.Busy()) {
+		return;
+	}
+	/* Nothing is under way, so all that was taken in is either recorded or among the dirty jobs. */
+	std::map<BoxLife, uint64_t> ends;
+	for (const auto &[life, box] : this->boxes) {
+		if (box.ends_seen > box.ends_durable) {
+			ends[life] = box.ends_seen;
+		}
+	}
+	std::vector<KeyedRecord> records;
+	std::map<JobId, JobPhase> phases;
+	for (const JobId &id : this->dirty) {
+		const ShardJob &job = this->jobs.at(id);
+		records.push_back(KeyedRecord{id.Value(), EncodeProgress(this->Stored(job))});
+		phases[id] = job.phase;
+	}
+	this->dirty.clear();
+	const std::vector<PendingStart> due = std::exchange(this->starts, {});
+	if (records.empty()) {
+		this->OnCommitted(due, ends, phases);
+		return;
+	}
+	this->journal.Append(std::move(records),
+						 [this, due, ends, phases] { this->OnCommitted(due, ends, phases); });
+}
+
+void Shard::OnCommitted(const std::vector<PendingStart> &due, const std::map<BoxLife, uint64_t> &ends,
+						const std::map<JobId, JobPhase> &phases)
+{
+	for (const auto &[id, phase] : phases) {
+		ShardJob &job = this->jobs.at(id);
+		if (job.durable_phase != phase) {
+			this->log.Write("job_phase", {{"job", id.Value()},
+										  {"phase", std::to_string(static_cast<int>(phase))},
+										  {"age_ms", std::to_string((this->scheduler.Now() - job.taken_at).Value())}});
+		}
+		job.durable_phase = phase;
+	}
+	std::ranges::for_each(due, [this](const PendingStart &it) { this->SendStart(it); });
+	for (const auto &[life, number] : ends) {
+		const auto it = this->boxes.find(life);
+		if (it != this->boxes.end()) {
+			it->second.ends_durable = std::max(it->second.ends_durable, number);
+			this->PumpLease(it->second);
+		}
+	}
+	if (!this->dirty.empty()) {
+		this->Wake();
+	}
+}
+
+void Shard::EndJob(ShardJob &job, JobPhase phase, const char *why)
+{
+	job.phase = phase;
+	this->live.erase(job.spec.id);
+	this->log.Write("job_over", {{"job", job.spec.id.Value()},
+								 {"phase", std::to_string(static_cast<int>(phase))},
+								 {"why", why},
+								 {"age_ms", std::to_string((this->scheduler.Now() - job.taken_at).Value())}});
+	for (size_t place = 0; place < job.tasks.size(); place++) {
+		if (job.tasks[place].phase == TaskPhase::TP_PLACED) {
+			this->WantStop(job.TaskAt(place), job.tasks[place], why);
+		}
+	}
+	this->Touch(job.spec.id);
+}
+
+void Shard::CheckCompleted(ShardJob &job)
+{
+	if (!job.Over() && std::ranges::all_of(job.tasks, [](const ShardTask &it) { return it.phase == TaskPhase::TP_DONE; })) {
+		this->EndJob(job, JobPhase::JP_COMPLETED, "all_done");
+	}
+}
--- /dev/null
+++ b/src/jobs/shard_journal.cpp
@@ -0,0 +1,73 @@
+/** @file shard_journal.cpp Appends of a shard's owner. */
+#include "shard_journal.h"
+
+namespace {
+
+constexpr Millis APPEND_PATIENCE(1000); ///< An answer later than this counts as lost; a slow store takes a few 100 ms.
+constexpr Millis REFUSED_PAUSE(100);    ///< Before the next try when the store refused: about 10 tries a second.
+constexpr Millis LOST_PAUSE(20);        ///< Before a repeat whose first answer was lost; it has already waited long.
+
+} // namespace
+
+ShardJournal::ShardJournal(Scheduler &scheduler, KeyedLog &log, PartitionId partition, uint64_t epoch)
+		: scheduler(scheduler), log(log), partition(std::move(partition)), epoch(epoch), confirmed_at(scheduler.Now())
+{
+}
+
+ShardJournal::~ShardJournal()
+{
+	this->scheduler.Cancel(this->timer);
+}
+
+void ShardJournal::Append(std::vector<KeyedRecord> records, Done done)
+{
+	this->queue.push_back(Pending{std::move(records), std::move(done)});
+	if (!this->busy) {
+		this->busy = true;
+		this->Send();
+	}
+}
+
+void ShardJournal::Send()
+{
+	const Millis sent = this->scheduler.Now();
+	this->sendings++;
+	const AppendCondition condition{std::nullopt, OWNER_PRODUCER, this->epoch, this->sequence};
+	this->log.Append(this->partition, this->queue.front().records, condition, APPEND_PATIENCE,
+					 [this, sent, still = std::weak_ptr<bool>(this->alive)](const KeyedAppendAnswer &answer) {
+						 if (!still.expired()) {
+							 this->OnAnswer(answer, sent);
+						 }
+					 });
+}
+
+void ShardJournal::OnAnswer(const KeyedAppendAnswer &answer, Millis sent)
+{
+	switch (answer.code) {
+	case ResultCode::RC_OK: {
+		this->confirmed_at = sent;
+		this->sequence++;
+		const Done done = std::move(this->queue.front().done);
+		this->queue.pop_front();
+		this->busy = !this->queue.empty();
+		if (this->busy) {
+			this->Send();
+		}
+		done();
+		return;
+	}
+	case ResultCode::RC_FENCED:
+	case ResultCode::RC_STALE_TERM:
+		/* A sequence that the log doesn't want is as final as a higher epoch: only a new claim gets out of it. */
+		if (this->on_deposed) {
+			this->on_deposed();
+		}
+		return;
+	case ResultCode::RC_LOG_ANSWER_LOST:
+		this->timer = this->scheduler.After(LOST_PAUSE, [this] { this->Send(); });
+		return;
+	default:
+		this->timer = this->scheduler.After(REFUSED_PAUSE, [this] { this->Send(); });
+		return;
+	}
+}
--- /dev/null
+++ b/src/jobs/shard_journal.h
@@ -0,0 +1,74 @@
+/** @file shard_journal.h Appends of a shard's owner: one at a time, in order, repeated until their outcome is known. */
+#ifndef SHARD_JOURNAL_H
+#define SHARD_JOURNAL_H
+
+#include "../scheduler_type.h"
+#include "../store/keyed_log.h"
+
+#include <deque>
+#include <memory>
+
+/** Name under which owners of a shard append: the log refuses all but the latest owner's epoch. */
+inline constexpr const char *OWNER_PRODUCER = "owner";
+
+/**
+ * Writes the records of one ownership. Since each append carries the owner's epoch and a sequence number, a repeated
+ * append has its effect once, and none at all after a later owner has claimed the shard.
+ */
+class ShardJournal {
+public:
+	using Done = std::function<void()>;
+
+	/**
+	 * @param scheduler Clock and timers.
+	 * @param log The log; outlives this.
+	 * @param partition Where the shard's state lies.
+	 * @param epoch The ownership; its claim had sequence number 0.
+	 */
+	ShardJournal(Scheduler &scheduler, KeyedLog &log, PartitionId partition, uint64_t epoch);
+	~ShardJournal();
+	ShardJournal(const ShardJournal &) = delete;
+	ShardJournal &operator=(const ShardJournal &) = delete;
+
+	/**
+	 * Appends records.
+	 * @param records What; all or none are written.
+	 * @param done Called once they are durable; never when this ownership has ended.
+	 */
+	void Append(std::vector<KeyedRecord> records, Done done);
+
+	/** @return Whether an append is under way. */
+	[[nodiscard]] bool Busy() const { return this->busy; }
+
+	/** @return When the last append that succeeded was sent: this ownership was the latest then. */
+	[[nodiscard]] Millis ConfirmedAt() const { return this->confirmed_at; }
+
+	/** @return Appends sent, with repeats. */
+	[[nodiscard]] uint64_t Sendings() const { return this->sendings; }
+
+	std::function<void()> on_deposed; ///< A later owner has claimed the shard.
+
+private:
+	/** An append that waits for its turn. */
+	struct Pending {
+		std::vector<KeyedRecord> records; ///< What.
+		Done done;                        ///< Told when durable.
+	};
+
+	Scheduler &scheduler;                                       ///< Clock and timers.
+	KeyedLog &log;                                              ///< The log.
+	PartitionId partition;                                      ///< Where.
+	uint64_t epoch;                                             ///< The ownership.
+	uint64_t sequence = 1;                                      ///< Of the append under way or the next one.
+	std::deque<Pending> queue;                                  ///< Appends; the first may be under way.
+	bool busy = false;                                          ///< Whether the first is under way.
+	Millis confirmed_at;                                        ///< For ConfirmedAt().
+	uint64_t sendings = 0;                                      ///< For Sendings().
+	TimerId timer;                                              ///< Next repeat.
+	std::shared_ptr<bool> alive = std::make_shared<bool>(true); ///< Expires with this.
+
+	void Send();
+	void OnAnswer(const KeyedAppendAnswer &answer, Millis sent);
+};
+
+#endif /* SHARD_JOURNAL_H */
--- /dev/null
+++ b/src/jobs/shard_owner.h
@@ -0,0 +1,89 @@
+/** @file shard_owner.h Claims a shard in the log, loads it, runs it, and lets go of it. */
+#ifndef SHARD_OWNER_H
+#define SHARD_OWNER_H
+
+#include "../store/keyed_follower.h"
+#include "shard_base.h"
+
+/** Partition of a service's topic in which the owner records progress. */
+inline constexpr uint32_t PROGRESS_PART = 0;
+/** Partition of a service's topic in which any node records submissions and cancellations. */
+inline constexpr uint32_t INBOX_PART = 1;
+/** Key of the owner's record; jobs are named by hexadecimal digits. */
+inline constexpr const char *OWNER_KEY = "owner";
+/** Before the id of a job in the key of its cancellation. */
+inline constexpr char CANCEL_MARK = 'x';
+
+/** @return Topic of a service. @param service The service. */
+std::string TopicOf(const ServiceName &service);
+
+/** What an owner needs of its node. */
+struct OwnerParts {
+	Scheduler &scheduler; ///< Clock and timers.
+	KeyedLog &log;        ///< The log.
+	BoxOrders &orders;    ///< Boxes.
+	EventLog &events;     ///< Lines.
+	std::string address;  ///< Where this node answers others.
+	ShardLimits limits;   ///< Figures.
+};
+
+/** Ownership of one shard, from the wish to own it on. Destroying it lets go. */
+class ShardOwner {
+public:
+	/**
+	 * @param parts What it needs; outlives this.
+	 * @param service The service.
+	 */
+	ShardOwner(const OwnerParts &parts, ServiceName service);
+	~ShardOwner();
+	ShardOwner(const ShardOwner &) = delete;
+	ShardOwner &operator=(const ShardOwner &) = delete;
+
+	/** Begins to claim. */
+	void Start();
+	/** Takes a configuration. @param config It. */
+	void Configure(const JobConfig &config);
+	/** Takes a box's report. @param report It. */
+	void OnReport(const BoxReport &report);
+	/** A box's report is gone. @param life The box's life. */
+	void OnReportGone(const BoxLife &life);
+	/** The group has confirmed that this node should own the shard. @param at When the question was sent. */
+	void Confirm(Millis at);
+
+	/** @return The shard, once it has been loaded; null before. */
+	[[nodiscard]] const Shard *Running() const { return this->running ? this->shard.get() : nullptr; }
+	/** @return Whether everything submitted until shortly ago is known: a job that isn't known doesn't exist. */
+	[[nodiscard]] bool Fresh() const;
+
+	std::function<void()> on_running; ///< Told when the shard runs.
+	std::function<void()> on_lost;    ///< A later owner has claimed the shard: this object may be destroyed from here.
+
+private:
+	OwnerParts parts;                                           ///< What it needs.
+	ServiceName service;                                        ///< The service.
+	PartitionId progress;                                       ///< Where progress lies.
+	uint64_t epoch_tried = 0;                                   ///< Highest epoch that this owner has tried to claim with.
+	std::map<JobId, StoredProgress> found;                      ///< Progress read by the claim under way.
+	uint64_t epoch_found = 0;                                   ///< Epoch of the latest owner read.
+	std::optional<uint64_t> first_end;                          ///< End told by the first page read.
+	JobConfig config;                                           ///< The configuration in force.
+	std::map<BoxLife, BoxReport> reports;                       ///< Reports of the service's boxes.
+	std::unique_ptr<ShardJournal> journal;                      ///< Records, once claimed.
+	std::unique_ptr<Shard> shard;                               ///< Once claimed.
+	std::unique_ptr<KeyedFollower> inbox;                       ///< Once claimed.
+	bool running = false;                                       ///< Whether the inbox is loaded.
+	TimerId timer;                                              ///< Next try.
+	std::shared_ptr<bool> alive = std::make_shared<bool>(true); ///< Expires with this.
+
+	void Load();
+	void LoadPage(const std::string &after);
+	void OnPage(const NewestPage &page);
+	void Claim();
+	void OnClaimed(uint64_t epoch, const KeyedAppendAnswer &answer);
+	void Run(uint64_t epoch);
+	void OnInbox(const KeyedRecord &record);
+	void LetGo();
+	void TryAgain(Millis delay);
+};
+
+#endif /* SHARD_OWNER_H */
--- /dev/null
+++ b/src/jobs/shard_runs.cpp
@@ -0,0 +1,172 @@
+/** @file shard_runs.cpp Shard: runs end or are stopped. */
+#include "shard_base.h"
+
+#include <algorithm>
+#include <ranges>
+
+namespace {
+
+constexpr Millis STOP_AGAIN(400); ///< A stop without an answer is repeated after this: as long as a stop may take.
+
+} // namespace
+
+void Shard::Release(const TaskId &id, ShardTask &task)
+{
+	if (const auto it = this->boxes.find(task.box); it != this->boxes.end() && it->second.placed.erase(id) > 0) {
+		it->second.used -= this->jobs.at(id.job).spec.steps[id.step].demand;
+	}
+	task.box = BoxLife();
+	task.phase = TaskPhase::TP_WAITING;
+	task.stop_wanted = task.stop_sent = task.stop_confirmed = false;
+	task.pace = 100;
+	task.since = this->scheduler.Now();
+	this->Touch(id.job);
+}
+
+void Shard::Resolve(const TaskId &id, RunEnding ending, const std::string &saved, const char *why)
+{
+	ShardJob &job = this->jobs.at(id.job);
+	ShardTask &task = job.tasks[job.IndexOf(id)];
+	const StepSpec &step = job.spec.steps[id.step];
+	this->log.Write("run_ended", {{"job", id.job.Value()},
+								  {"task", std::to_string(job.IndexOf(id))},
+								  {"run", std::to_string(task.run.Value())},
+								  {"box", task.box.Value()},
+								  {"ending", std::to_string(static_cast<int>(ending))},
+								  {"why", why},
+								  {"ran_ms", std::to_string((this->scheduler.Now() - task.since).Value())}});
+	if (!saved.empty()) {
+		task.saved = saved;
+	}
+	this->Release(id, task);
+	switch (ending) {
+	case RunEnding::RE_DONE:
+		this->counters.done++;
+		if (!step.lasting) {
+			task.phase = TaskPhase::TP_DONE;
+			if (step.gang) {
+				this->FinishGang(job, id);
+			}
+			this->CheckCompleted(job);
+		}
+		return;
+	case RunEnding::RE_FAILED:
+		this->counters.failed++;
+		this->ResolveFailed(job, id, task);
+		return;
+	case RunEnding::RE_LAPSED:
+		this->counters.lapsed++;
+		break;
+	default:
+		break;
+	}
+	if (step.gang) {
+		this->BreakGang(job, id);
+	}
+}
+
+void Shard::ResolveFailed(ShardJob &job, const TaskId &id, ShardTask &task)
+{
+	task.failures++;
+	const StepSpec &step = job.spec.steps[id.step];
+	if (!step.lasting && !job.Over() && task.failures >= job.route.failures_max) {
+		this->EndJob(job, JobPhase::JP_FAILED, "task_failed");
+		return;
+	}
+	if (step.gang) {
+		this->BreakGang(job, id);
+	}
+}
+
+void Shard::BreakGang(ShardJob &job, const TaskId &id)
+{
+	/* The others of its run can't go on without it. */
+	for (TaskId other = id; const uint32_t index : std::views::iota(0U, job.spec.steps[id.step].count)) {
+		other.index = index;
+		ShardTask &task = job.tasks[job.IndexOf(other)];
+		if (task.phase == TaskPhase::TP_PLACED) {
+			this->WantStop(other, task, "gang_broken");
+		}
+	}
+}
+
+void Shard::FinishGang(ShardJob &job, const TaskId &id)
+{
+	for (TaskId other = id; const uint32_t index : std::views::iota(0U, job.spec.steps[id.step].count)) {
+		other.index = index;
+		ShardTask &task = job.tasks[job.IndexOf(other)];
+		if (task.phase != TaskPhase::TP_DONE) {
+			this->Release(other, task);
+			task.phase = TaskPhase::TP_DONE;
+		}
+	}
+}
+
+void Shard::WantStop(const TaskId &id, ShardTask &task, const char *why)
+{
+	if (task.stop_wanted) {
+		return;
+	}
+	task.stop_wanted = true;
+	this->log.Write("run_stopping", {{"job", id.job.Value()},
+									 {"task", std::to_string(this->jobs.at(id.job).IndexOf(id))},
+									 {"run", std::to_string(task.run.Value())},
+									 {"box", task.box.Value()},
+									 {"why", why}});
+	if (task.run_state != RunState::RS_RECORDING) {
+		this->SendStop(id);
+	}
+}
+
+void Shard::SendStop(const TaskId &id)
+{
+	ShardTask *task = this->FindTask(id);
+	if (task == nullptr || task->phase != TaskPhase::TP_PLACED || !task->stop_wanted || task->stop_sent || this->deposed) {
+		return;
+	}
+	const auto it = this->boxes.find(task->box);
+	if (it == this->boxes.end() || it->second.over || it->second.report.address.empty()) {
+		return;
+	}
+	task->stop_sent = true;
+	this->counters.stops++;
+	this->orders.Stop(it->second.report, id, task->run, this->fence,
+					  [this, id, run = task->run, life = task->box,
+					   still = std::weak_ptr<bool>(this->alive)](const OrderAnswer &answer) {
+						  if (!still.expired()) {
+							  this->OnStopped(id, run, life, answer);
+						  }
+					  });
+}
+
+void Shard::OnStopped(const TaskId &id, RunNumber run, const BoxLife &life, OrderAnswer answer)
+{
+	if (answer.outcome == OrderOutcome::OO_FENCED) {
+		this->Depose();
+		return;
+	}
+	const auto box = this->boxes.find(life);
+	if (box != this->boxes.end() && answer.outcome == OrderOutcome::OO_OTHER_LIFE) {
+		this->EndLife(box->second, "other_life");
+		return;
+	}
+	ShardTask *task = this->FindTask(id);
+	if (task == nullptr || task->phase != TaskPhase::TP_PLACED || task->run != run || task->box != life) {
+		return;
+	}
+	task->stop_sent = false;
+	if (answer.outcome == OrderOutcome::OO_DONE) {
+		/* The end comes with the next list; when it doesn't, the run never was there. */
+		task->stop_confirmed = true;
+		task->settled_at = this->scheduler.Now();
+		if (box != this->boxes.end()) {
+			this->PumpLease(box->second);
+		}
+		return;
+	}
+	this->scheduler.After(STOP_AGAIN, [this, id, still = std::weak_ptr<bool>(this->alive)] {
+		if (!still.expired()) {
+			this->SendStop(id);
+		}
+	});
+}
--- /dev/null
+++ b/src/jobs/site_feed.h
@@ -0,0 +1,38 @@
+/** @file site_feed.h What operators and boxes publish: the configuration and the boxes' reports. */
+#ifndef SITE_FEED_H
+#define SITE_FEED_H
+
+#include "job_type.h"
+
+/** Maintenance that operators ask for. */
+struct WaveOrder {
+	uint64_t number = 0;           ///< Its number.
+	std::vector<BoxName> boxes;    ///< Boxes due.
+	Millis within;                 ///< Time for the whole of it.
+	uint32_t down_max = 1;         ///< Boxes of the wave that may be down at once.
+};
+
+/** Gets what is published. */
+class SiteFeedEvents {
+public:
+	virtual ~SiteFeedEvents() = default;
+	virtual void OnConfig(const JobConfig &config) = 0;       ///< A configuration, newer than the last one told.
+	virtual void OnWave(const WaveOrder &wave) = 0;           ///< A maintenance wave.
+	virtual void OnReport(const BoxReport &report) = 0;       ///< A box's report.
+	virtual void OnReportGone(const BoxLife &life) = 0;       ///< A box's report was removed.
+};
+
+/** Follows what is published. */
+class SiteFeed {
+public:
+	virtual ~SiteFeed() = default;
+
+	/** Begins to follow the configuration and waves. @param events Gets them; outlives this. */
+	virtual void Start(SiteFeedEvents &events) = 0;
+	/** Follows boxes' reports, or stops to. @param wanted Whether to follow. */
+	virtual void WatchBoxes(bool wanted) = 0;
+	/** @return When the last answered question for the configuration was sent. */
+	[[nodiscard]] virtual Millis FreshAt() const = 0;
+};
+
+#endif /* SITE_FEED_H */
--- /dev/null
+++ b/src/net/http_caller.cpp
@@ -0,0 +1,73 @@
+/** @file http_caller.cpp Whole HTTP calls with a time limit. */
+#include "http_caller.h"
+
+#include <algorithm>
+
+class HttpCaller::Pending : public CallEvents {
+public:
+	Pending(HttpCaller &caller, Done done) : done(std::move(done)), caller(caller) {}
+	~Pending() override { this->caller.scheduler.Cancel(this->timer); }
+	Pending(const Pending &) = delete;
+	Pending &operator=(const Pending &) = delete;
+
+	void Start(const HttpCallSpec &spec)
+	{
+		this->timer = this->caller.scheduler.After(spec.patience, [this] { this->End(CallResult::CR_UNKNOWN); });
+		this->call = this->caller.dialer.Start(spec.address, spec.request, *this);
+	}
+
+	void OnAnswerHead(AnswerHead head) override { this->reply.status = head.status; }
+	void OnAnswerBody(std::string_view data) override { this->reply.body += data; }
+	void OnAnswerEnd() override { this->End(CallResult::CR_ANSWERED); }
+
+	void OnCallFailed(CallFailure failure) override
+	{
+		this->End(failure == CallFailure::CF_NOT_CONNECTED ? CallResult::CR_NOT_SENT : CallResult::CR_UNKNOWN);
+	}
+
+	/** Cuts the connection, unless the answer is whole. */
+	void Drop()
+	{
+		this->caller.scheduler.Cancel(this->timer);
+		this->call.reset();
+	}
+
+	Done done; ///< Gets the answer.
+
+private:
+	HttpCaller &caller;                 ///< Owns this.
+	std::unique_ptr<EndpointCall> call; ///< The call.
+	HttpReply reply;                    ///< What came so far.
+	TimerId timer;                      ///< Time limit.
+
+	void End(CallResult result)
+	{
+		this->reply.result = result;
+		this->caller.Finish(this, this->reply);
+	}
+};
+
+HttpCaller::HttpCaller(QtScheduler &scheduler, DialLimits limits) : scheduler(scheduler), dialer(scheduler, limits) {}
+
+HttpCaller::~HttpCaller() = default;
+
+void HttpCaller::Call(const HttpCallSpec &spec, Done done)
+{
+	this->open.push_back(std::make_unique<Pending>(*this, std::move(done)));
+	this->open.back()->Start(spec);
+}
+
+void HttpCaller::Finish(Pending *it, const HttpReply &reply)
+{
+	const auto at = std::ranges::find(this->open, it, &std::unique_ptr<Pending>::get);
+	/* The events of its socket are still on the stack. */
+	this->over.push_back(std::move(*at));
+	this->open.erase(at);
+	if (this->over.size() == 1) {
+		this->scheduler.Post([this] {
+			std::ranges::for_each(this->over, [](const auto &late) { late->Drop(); });
+			this->over.clear();
+		});
+	}
+	it->done(reply);
+}
--- /dev/null
+++ b/src/node/job_desk.h
@@ -0,0 +1,75 @@
+/** @file job_desk.h What callers may ask of jobs, on any node: hand in, look up, cancel, count. */
+#ifndef JOB_DESK_H
+#define JOB_DESK_H
+
+#include "owner_lookup.h"
+#include "shard_host.h"
+
+/** Answers callers. Submissions and cancellations are durable in the log before they are confirmed. */
+class JobDesk {
+public:
+	using Done = std::function<void(ResultCode)>;
+
+	/**
+	 * @param scheduler Clock and timers.
+	 * @param log The log; outlives this.
+	 * @param host Shards of this node; outlives this.
+	 * @param lookup Owners elsewhere; outlives this.
+	 * @param events Lines; outlives this.
+	 * @param partitions Partitions of a topic.
+	 */
+	JobDesk(Scheduler &scheduler, KeyedLog &log, ShardHost &host, OwnerLookup &lookup, EventLog &events,
+			uint32_t partitions);
+
+	/** Takes a configuration. @param config It; one with an older version is ignored. */
+	void Configure(const JobConfig &config);
+	/** @return The configuration in force; version 0 before the first. */
+	[[nodiscard]] const JobConfig &Config() const { return this->config; }
+
+	/**
+	 * Hands a job in.
+	 * @param spec The job, checked.
+	 * @param service Service that runs it.
+	 * @param deadline When the caller stops waiting.
+	 * @param done Gets RC_OK once it is durable; RC_LOG_THROTTLED or RC_LOG_UNAVAILABLE when it certainly isn't and never
+	 * will be; RC_OUTCOME_UNKNOWN when it may be.
+	 */
+	void Submit(const JobSpec &spec, const ServiceName &service, Millis deadline, Done done);
+	/** Cancels a job, with the same results as Submit(). @param id The job. @param service Its service. @param deadline
+	 * When the caller stops waiting. @param done Gets the result. */
+	void Cancel(const JobId &id, const ServiceName &service, Millis deadline, Done done);
+	/** Looks up. @param question The question. @param deadline When the caller stops waiting. @param done Gets the
+	 * answer. */
+	void Ask(const JobQuestion &question, Millis deadline, OwnerLookup::Done done);
+	/** @return The answer of this node alone. @param question The question. */
+	[[nodiscard]] JobAnswer AnswerHere(const JobQuestion &question) const;
+	/** @return Appends under way: a stop waits for them. */
+	[[nodiscard]] size_t Open() const { return this->open; }
+
+private:
+	/** An append until its outcome is known or nobody waits any more. */
+	struct Pending {
+		PartitionId partition;  ///< Where.
+		KeyedRecord record;     ///< What.
+		Millis begun;           ///< When the caller asked.
+		Millis deadline;        ///< When the caller stops waiting.
+		bool uncertain = false; ///< Whether one of the tries may have had an effect.
+		Done done;              ///< Gets the result.
+	};
+
+	Scheduler &scheduler;                                       ///< Clock and timers.
+	KeyedLog &log;                                              ///< The log.
+	ShardHost &host;                                            ///< Shards of this node.
+	OwnerLookup &lookup;                                        ///< Owners elsewhere.
+	EventLog &events;                                           ///< Lines.
+	uint32_t partitions;                                        ///< Partitions of a topic.
+	JobConfig config;                                           ///< The configuration in force.
+	size_t open = 0;                                            ///< Appends under way.
+	std::shared_ptr<bool> alive = std::make_shared<bool>(true); ///< Expires with this.
+
+	void Try(const std::shared_ptr<Pending> &it);
+	void OnAppended(const std::shared_ptr<Pending> &it, ResultCode code);
+	void Finish(const std::shared_ptr<Pending> &it, ResultCode code);
+};
+
+#endif /* JOB_DESK_H */
--- /dev/null
+++ b/src/node/metrics_page.cpp
@@ -0,0 +1,77 @@
+/** @file metrics_page.cpp Counters of a node as text, and its state dump. */
+#include "metrics_page.h"
+
+#include <QJsonArray>
+
+#include <algorithm>
+#include <array>
+#include <ranges>
+
+namespace {
+
+/** A counter of shards, by name. */
+struct CounterRow {
+	const char *name;                   ///< Name on the page and in the dump.
+	uint64_t ShardCounters::*member;    ///< The counter.
+};
+
+constexpr std::array COUNTERS = {
+		CounterRow{"starts", &ShardCounters::starts},   CounterRow{"stops", &ShardCounters::stops},
+		CounterRow{"looks", &ShardCounters::looks},     CounterRow{"runs_done", &ShardCounters::done},
+		CounterRow{"runs_failed", &ShardCounters::failed}, CounterRow{"runs_lapsed", &ShardCounters::lapsed},
+		CounterRow{"starts_refused", &ShardCounters::refused}, CounterRow{"starts_unknown", &ShardCounters::unknown},
+};
+
+int64_t LiveJobs(const Shard &shard)
+{
+	return std::ranges::count_if(shard.Jobs() | std::views::values, [](const ShardJob &it) { return !it.Over(); });
+}
+
+} // namespace
+
+QJsonObject DumpNode(const NodeCore &core)
+{
+	QJsonObject out{{"config", static_cast<qint64>(core.Desk().Config().version)},
+					{"ready", core.Ready()},
+					{"appends_open", static_cast<qint64>(core.Desk().Open())}};
+	QJsonArray shards;
+	for (const auto &[service, owner] : core.Host().Owners()) {
+		QJsonObject row{{"service", QString::fromStdString(service.Value())}, {"running", owner->Running() != nullptr}};
+		if (const Shard *shard = owner->Running(); shard != nullptr) {
+			row["jobs"] = static_cast<qint64>(shard->Jobs().size());
+			row["live"] = static_cast<qint64>(LiveJobs(*shard));
+			row["boxes"] = static_cast<qint64>(shard->Boxes().size());
+			for (const CounterRow &counter : COUNTERS) {
+				row[counter.name] = static_cast<qint64>(shard->Counters().*counter.member);
+			}
+		}
+		shards.push_back(row);
+	}
+	out["shards"] = shards;
+	return out;
+}
+
+std::shared_ptr<ServedRequest> MetricsPage::Serve(CallerSink &sink, CallerRequest)
+{
+	std::string text = "glade_config_version " + std::to_string(this->core.Desk().Config().version) + "\nglade_ready " +
+					   (this->core.Ready() ? "1" : "0") + "\n";
+	for (const auto &[service, owner] : this->core.Host().Owners()) {
+		const Shard *shard = owner->Running();
+		const std::string label = "{service=\"" + service.Value() + "\"} ";
+		text += "glade_shard_running" + label + (shard == nullptr ? "0" : "1") + "\n";
+		if (shard == nullptr) {
+			continue;
+		}
+		text += "glade_jobs_live" + label + std::to_string(LiveJobs(*shard)) + "\n";
+		for (const CounterRow &counter : COUNTERS) {
+			text += std::string("glade_") + counter.name + label + std::to_string(shard->Counters().*counter.member) + "\n";
+		}
+	}
+	AnswerHead head;
+	head.headers.Add("Content-Type", "text/plain");
+	head.length = text.size();
+	sink.Begin(head);
+	sink.Body(text);
+	sink.End();
+	return nullptr;
+}
--- /dev/null
+++ b/src/node/owner_lookup.h
@@ -0,0 +1,76 @@
+/** @file owner_lookup.h Questions to the node that owns a shard, over frames. */
+#ifndef OWNER_LOOKUP_H
+#define OWNER_LOOKUP_H
+
+#include "../event_log.h"
+#include "../jobs/job_type.h"
+#include "../net/frame_link.h"
+#include "../store/keyed_log.h"
+
+/** A question about a job, or about a route's waiting jobs. */
+struct JobQuestion {
+	ServiceName service; ///< Service whose shard knows.
+	RouteName route;     ///< The route, for a count.
+	JobId job;           ///< The job; empty for a count.
+};
+
+/** Answer to a JobQuestion. */
+struct JobAnswer {
+	ResultCode code = ResultCode::RC_PEER_UNAVAILABLE; ///< RC_OK, RC_UNKNOWN_JOB or RC_PEER_UNAVAILABLE.
+	JobPhase phase = JobPhase::JP_QUEUED;              ///< Where the job stands.
+	uint32_t waiting = 0;                              ///< Jobs that wait.
+};
+
+/** Finds owners and asks them. */
+class OwnerLookup {
+public:
+	using Done = std::function<void(const JobAnswer &)>;
+
+	/**
+	 * @param scheduler Clock and timers.
+	 * @param log The log, which knows the holders; outlives this.
+	 * @param events Lines; outlives this.
+	 */
+	OwnerLookup(Scheduler &scheduler, KeyedLog &log, EventLog &events);
+
+	/**
+	 * Asks until an owner answers or time is up.
+	 * @param question The question.
+	 * @param part Partition that stands for the shard.
+	 * @param deadline Until when.
+	 * @param done Gets the answer, RC_PEER_UNAVAILABLE when nobody knew in time.
+	 */
+	void Ask(const JobQuestion &question, uint32_t part, Millis deadline, Done done);
+
+private:
+	/** A question under way. */
+	struct Open {
+		JobQuestion question; ///< The question.
+		uint32_t part = 0;    ///< Partition that stands for the shard.
+		Millis deadline;      ///< Until when.
+		Done done;            ///< Gets the answer.
+		std::string asked;    ///< Node that was asked last.
+		TimerId timer;        ///< Next try.
+	};
+
+	Scheduler &scheduler;                                        ///< Clock and timers.
+	KeyedLog &log;                                               ///< Knows the holders.
+	EventLog &events;                                            ///< Lines.
+	std::map<uint32_t, std::string> holders;                     ///< Node by partition.
+	bool refreshing = false;                                     ///< Whether the holders are being asked for.
+	Millis refreshed_at{-1000000};                               ///< When they were asked for last.
+	std::map<std::string, std::unique_ptr<FrameClient>> clients; ///< Connections by address.
+	std::map<uint64_t, Open> open;                               ///< Questions under way.
+	uint64_t last_number = 0;                                    ///< Last question's number.
+	std::shared_ptr<bool> alive = std::make_shared<bool>(true);  ///< Expires with this.
+
+	void Try(uint64_t number);
+	void Again(uint64_t number);
+	void Refresh();
+	void Send(uint64_t number);
+	void OnFrame(const MessageUnion &message);
+	void Finish(uint64_t number, const JobAnswer &answer);
+	FrameClient &ClientOf(const std::string &address);
+};
+
+#endif /* OWNER_LOOKUP_H */
--- /dev/null
+++ b/src/node/shard_host.cpp
@@ -0,0 +1,89 @@
+/** @file shard_host.cpp The shards that this node owns. */
+#include "shard_host.h"
+
+#include <algorithm>
+#include <ranges>
+
+std::optional<uint32_t> PartitionOf(const JobConfig &config, const ServiceName &service, uint32_t partitions)
+{
+	std::vector<ServiceName> names;
+	for (const JobService &it : config.services) {
+		if (!it.reserve) {
+			names.push_back(it.name);
+		}
+	}
+	std::ranges::sort(names);
+	const auto it = std::ranges::find(names, service);
+	if (it == names.end()) {
+		return std::nullopt;
+	}
+	const auto place = static_cast<size_t>(std::distance(names.begin(), it));
+	return static_cast<uint32_t>(place * partitions / names.size());
+}
+
+ShardHost::ShardHost(OwnerParts parts, GroupMember &member, SiteFeed &feed, uint32_t partitions)
+		: parts(std::move(parts)), member(member), feed(feed), partitions(partitions)
+{
+}
+
+void ShardHost::Configure(const JobConfig &config)
+{
+	this->config = config;
+	std::ranges::for_each(this->owners | std::views::values, [&config](const auto &it) { it->Configure(config); });
+	this->OnMembership();
+}
+
+void ShardHost::OnMembership()
+{
+	for (const JobService &service : this->config.services) {
+		const std::optional<uint32_t> part = PartitionOf(this->config, service.name, this->partitions);
+		const bool wanted = part && this->member.Holds(*part);
+		const auto it = this->owners.find(service.name);
+		if (wanted && it == this->owners.end()) {
+			this->Begin(service.name);
+		} else if (wanted) {
+			it->second->Confirm(this->member.ConfirmedAt());
+		} else if (it != this->owners.end()) {
+			this->parts.events.Write("shard_dealt_away", {{"service", service.name.Value()}});
+			this->owners.erase(it);
+		}
+	}
+	this->feed.WatchBoxes(!this->owners.empty());
+	if (this->owners.empty()) {
+		this->reports.clear();
+	}
+}
+
+void ShardHost::Begin(const ServiceName &service)
+{
+	auto owner = std::make_unique<ShardOwner>(this->parts, service);
+	owner->on_lost = [this, service] { this->owners.erase(service); };
+	owner->Configure(this->config);
+	std::ranges::for_each(this->reports | std::views::values, [&owner](const BoxReport &it) { owner->OnReport(it); });
+	owner->Start();
+	this->owners.emplace(service, std::move(owner));
+}
+
+void ShardHost::OnReport(const BoxReport &report)
+{
+	this->reports[report.life] = report;
+	std::ranges::for_each(this->owners | std::views::values, [&report](const auto &it) { it->OnReport(report); });
+}
+
+void ShardHost::OnReportGone(const BoxLife &life)
+{
+	this->reports.erase(life);
+	std::ranges::for_each(this->owners | std::views::values, [&life](const auto &it) { it->OnReportGone(life); });
+}
+
+void ShardHost::Clear()
+{
+	this->owners.clear();
+	this->feed.WatchBoxes(false);
+}
+
+const ShardOwner *ShardHost::Find(const ServiceName &service) const
+{
+	const auto it = this->owners.find(service);
+	return it == this->owners.end() ? nullptr : it->second.get();
+}
--- /dev/null
+++ b/src/node/shard_host.h
@@ -0,0 +1,61 @@
+/** @file shard_host.h The shards that this node owns, by its part in the group of nodes. */
+#ifndef SHARD_HOST_H
+#define SHARD_HOST_H
+
+#include "../jobs/shard_owner.h"
+#include "../jobs/site_feed.h"
+#include "../store/group_member.h"
+
+/** Names of the group of nodes, and of the topic whose partitions stand for shards. */
+inline constexpr const char *NODE_GROUP = "nodes";
+inline constexpr const char *NODE_TOPIC = "shards";
+
+/**
+ * Number of the partition that stands for a service's shard.
+ * @param config The configuration: services are spread evenly, since the group deals neighbours to one member.
+ * @param service The service.
+ * @param partitions Partitions of a topic.
+ * @return The partition, or nothing when the service is not configured or runs no jobs.
+ */
+std::optional<uint32_t> PartitionOf(const JobConfig &config, const ServiceName &service, uint32_t partitions);
+
+/** Owns shards while the group says so. */
+class ShardHost {
+public:
+	/**
+	 * @param parts What owners need.
+	 * @param member This node's part in the group; outlives this.
+	 * @param feed For boxes' reports; outlives this.
+	 * @param partitions Partitions of a topic.
+	 */
+	ShardHost(OwnerParts parts, GroupMember &member, SiteFeed &feed, uint32_t partitions);
+
+	/** Takes a configuration. @param config It. */
+	void Configure(const JobConfig &config);
+	/** The group has answered: begins and ends ownerships. */
+	void OnMembership();
+	/** Takes a box's report. @param report It. */
+	void OnReport(const BoxReport &report);
+	/** A box's report is gone. @param life The box's life. */
+	void OnReportGone(const BoxLife &life);
+	/** Lets go of everything. */
+	void Clear();
+
+	/** @return The owner of a service here, or null. @param service The service. */
+	[[nodiscard]] const ShardOwner *Find(const ServiceName &service) const;
+	/** @return All owners here. */
+	[[nodiscard]] const std::map<ServiceName, std::unique_ptr<ShardOwner>> &Owners() const { return this->owners; }
+
+private:
+	OwnerParts parts;                                          ///< What owners need.
+	GroupMember &member;                                       ///< This node's part in the group.
+	SiteFeed &feed;                                            ///< For boxes' reports.
+	uint32_t partitions;                                       ///< Partitions of a topic.
+	JobConfig config;                                          ///< The configuration in force.
+	std::map<BoxLife, BoxReport> reports;                      ///< Boxes' reports.
+	std::map<ServiceName, std::unique_ptr<ShardOwner>> owners; ///< Shards owned or being claimed.
+
+	void Begin(const ServiceName &service);
+};
+
+#endif /* SHARD_HOST_H */
--- a/src/program/logging.cpp
+++ b/src/program/logging.cpp
@@ -53,6 +53,11 @@
 }
 
 void LogEvent(LogLevel level, const char *event, std::initializer_list<LogField> fields)
+{
+	LogEvent(level, event, std::span<const LogField>(fields.begin(), fields.size()));
+}
+
+void LogEvent(LogLevel level, const char *event, std::span<const LogField> fields)
 {
 	if (level < _least) {
 		return;
--- a/src/program/logging.h
+++ b/src/program/logging.h
@@ -4,6 +4,7 @@
 #define LOGGING_H
 
 #include <initializer_list>
+#include <span>
 #include <string>
 
 /** One field of a log line. */
@@ -36,4 +37,12 @@
  */
 void LogEvent(LogLevel level, const char *event, std::initializer_list<LogField> fields);
 
+/**
+ * Writes a line, as above.
+ * @param level Weight.
+ * @param event What happened, one word.
+ * @param fields Its fields.
+ */
+void LogEvent(LogLevel level, const char *event, std::span<const LogField> fields);
+
 #endif /* LOGGING_H */
--- a/src/program/program.cpp
+++ b/src/program/program.cpp
@@ -46,7 +46,10 @@
 /** Serves until a signal asks for the stop. */
 class Runner {
 public:
-	Runner(QCoreApplication &app, Server &server, const char *name) : app(app), server(server), name(name) {}
+	Runner(QCoreApplication &app, Server &server, const ProgramSpec &spec, std::string file)
+			: app(app), server(server), spec(spec), file(std::move(file))
+	{
+	}
 
 	int Run()
 	{
@@ -55,7 +58,7 @@
 		}
 		QSocketNotifier notifier(_signal_pipe[0], QSocketNotifier::Read);
 		QObject::connect(&notifier, &QSocketNotifier::activated, &notifier, [this] { this->OnByte(); });
-		for (const int number : {SIGTERM, SIGINT, SIGUSR1}) {
+		for (const int number : {SIGTERM, SIGINT, SIGUSR1, SIGHUP}) {
 			std::signal(number, OnSignal);
 		}
 		std::signal(SIGPIPE, SIG_IGN);
@@ -70,8 +73,24 @@
 private:
 	QCoreApplication &app; ///< The application.
 	Server &server;        ///< The server.
-	const char *name;      ///< Name of the program.
-	bool stopping = false; ///< Whether a stop is under way.
+	const ProgramSpec &spec; ///< The program.
+	std::string file;        ///< Its settings.
+	bool stopping = false;   ///< Whether a stop is under way.
+
+	void Reload()
+	{
+		std::string text;
+		if (!ReadTextFile(this->file, text)) {
+			LogEvent(LogLevel::LL_WARNING, "reload_failed", {{"file", this->file}, {"why", "can't be read"}});
+			return;
+		}
+		const SettingsFile settings = ReadSettings(this->file, text, this->spec.table);
+		if (!settings.result.Ok()) {
+			LogEvent(LogLevel::LL_WARNING, "reload_failed", {{"file", this->file}, {"why", settings.result.Text()}});
+			return;
+		}
+		this->server.Reload(settings.settings);
+	}
 
 	void OnByte()
 	{
@@ -83,6 +102,10 @@
 			std::cout << QJsonDocument(this->server.Dump()).toJson(QJsonDocument::Compact).toStdString() << std::endl;
 			return;
 		}
+		if (byte == SIGHUP) {
+			this->Reload();
+			return;
+		}
 		if (this->stopping) {
 			return;
 		}
@@ -164,7 +187,7 @@
 	UseFastEventLoop();
 	QCoreApplication app(argc, argv);
 	const std::unique_ptr<Server> server = spec.make(settings.settings);
-	return Runner(app, *server, spec.name).Run();
+	return Runner(app, *server, spec, file).Run();
 }
 
 StatusPage::StatusPage(const Server &server)
--- a/src/program/program.h
+++ b/src/program/program.h
@@ -37,6 +37,9 @@
 	 */
 	virtual void Stop(std::function<void()> done) = 0;
 
+	/** The settings were read anew, on SIGHUP. @param now They are valid. */
+	virtual void Reload(const Settings &) {}
+
 	/** @return The state, for the dump. */
 	[[nodiscard]] virtual QJsonObject Dump() const = 0;
 
--- a/src/program/settings_tables.cpp
+++ b/src/program/settings_tables.cpp
@@ -105,8 +105,34 @@
 		SettingSpec{"work", SK_DURATION, "5ms", 0, ONE_DAY, "", "Time that a request takes."},
 };
 
+constexpr std::array _node = {
+		SettingSpec{"name", SK_NAME, nullptr, 0, 0, "", "Name of this process, unique in the deployment."},
+		SettingSpec{"zone", SK_NAME, nullptr, 0, 0, "", "Availability zone of this process."},
+		SettingSpec{"callers", SK_ADDRESS, nullptr, 0, 0, "", "Where callers connect, behind the balancer."},
+		SettingSpec{"ready", SK_ADDRESS, nullptr, 0, 0, "", "Where the balancer asks whether callers may come."},
+		SettingSpec{"frames", SK_ADDRESS, nullptr, 0, 0, "", "Where other nodes ask about jobs; only they may reach it."},
+		SettingSpec{"metrics", SK_ADDRESS, nullptr, 0, 0, "", "Where counters and histograms are read as text."},
+		SettingSpec{"store", SK_ADDRESS, nullptr, 0, 0, "", "The platform's keyed log."},
+		SettingSpec{"partitions", SK_NUMBER, "12", 1, 10000, "", "Partitions of a topic of the store."},
+		SettingSpec{"group_silence", SK_DURATION, "1500ms", 1000, ONE_DAY, "",
+					"A node that the store has not heard of for so long loses its shards."},
+		SettingSpec{"lease", SK_DURATION, "4500ms", 500, ONE_DAY, "",
+					"Lease of what runs on a box: bridges a change of owner, delays the restart from a dark box."},
+		SettingSpec{"lease_max", SK_DURATION, "6s", 500, ONE_DAY, "", "Longest lease that boxes grant."},
+		SettingSpec{"lines_per_second", SK_NUMBER, "40", 1, 100000, "", "Log lines of one kind written in a second."},
+		SettingSpec{"leave_wait", SK_DURATION, "2200ms", 0, ONE_DAY, "",
+					"Time that a stop goes on serving until the balancer has seen it."},
+		SettingSpec{"stop_wait", SK_DURATION, "2500ms", 0, ONE_DAY, "",
+					"Time that requests under way are given after that."},
+};
+
 } // namespace
 
+std::span<const SettingSpec> NodeSettings()
+{
+	return _node;
+}
+
 std::span<const SettingSpec> EntrySettings()
 {
 	return _entry;
@@ -132,5 +158,6 @@
 	return "# Settings\n\nMade from the settings tables in `src/program/settings_tables.cpp`; a test compares them.\n"
 		   "`PROGRAM --settings FILE --check` validates a file without starting.\n\n" +
 		   SettingsPage("glade_entry", _entry) + SettingsPage("glade_keeper", _keeper) +
+		   SettingsPage("glade_node", _node) +
 		   SettingsPage("standin_platform", _platform) + SettingsPage("standin_endpoint", _endpoint);
 }
--- a/src/program/settings_tables.h
+++ b/src/program/settings_tables.h
@@ -10,6 +10,9 @@
 /** @return Settings of glade_keeper. */
 std::span<const SettingSpec> KeeperSettings();
 
+/** @return Settings of glade_node. */
+std::span<const SettingSpec> NodeSettings();
+
 /** @return Settings of standin_platform. */
 std::span<const SettingSpec> PlatformStandinSettings();
 
