--- a/src/jobs/shard_boxes.cpp
+++ b/src/jobs/shard_boxes.cpp
@@ -88,7 +88,8 @@
 
 void Shard::PumpLease(ShardBox &box)
 {
-	if (box.asking || box.over || box.report.address.empty() || this->deposed) {
+	/* Before all submissions are known, everything that a box lists would look like a stranger's. */
+	if (!this->begun || box.asking || box.over || box.report.address.empty() || this->deposed) {
 		return;
 	}
 	const Millis now = this->scheduler.Now();
--- a/src/jobs/shard_jobs.cpp
+++ b/src/jobs/shard_jobs.cpp
@@ -155,6 +155,7 @@
 									{"jobs", std::to_string(this->jobs.size())},
 									{"live", std::to_string(this->live.size())},
 									{"boxes", std::to_string(this->boxes.size())}});
+	std::ranges::for_each(this->boxes | std::views::values, [this](ShardBox &it) { this->PumpLease(it); });
 	this->Wake();
 }
 
--- a/src/jobs/shard_journal.h
+++ b/src/jobs/shard_journal.h
@@ -3,14 +3,11 @@
 #define SHARD_JOURNAL_H
 
 #include "../scheduler_type.h"
-#include "../store/keyed_log.h"
+#include "../store/partition_claim.h"
 
 #include <deque>
 #include <memory>
 
-/** Name under which owners of a shard append: the log refuses all but the latest owner's epoch. */
-inline constexpr const char *OWNER_PRODUCER = "owner";
-
 /**
  * Writes the records of one ownership. Since each append carries the owner's epoch and a sequence number, a repeated
  * append has its effect once, and none at all after a later owner has claimed the shard.
--- a/src/jobs/shard_owner.cpp
+++ b/src/jobs/shard_owner.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-constexpr Millis CLAIM_PATIENCE(1000); ///< An answer to a claim later than this counts as lost.
-constexpr Millis CLAIM_AGAIN(150);     ///< Before the next try to claim after the log refused or kept silent.
 constexpr Millis FRESH_FOR(2500);      ///< A view of the inbox older than this can't tell that a job doesn't exist.
 constexpr FollowPace INBOX_PACE{Millis(1000), Millis(0), Millis(100)}; ///< Long polls: a submission is read at once.
 
@@ -19,18 +17,17 @@
 }
 
 ShardOwner::ShardOwner(const OwnerParts &parts, ServiceName service)
-		: parts(parts), service(std::move(service)), progress{TopicOf(this->service), PROGRESS_PART}
+		: parts(parts), service(std::move(service)), progress{TopicOf(this->service), PROGRESS_PART}, codec(parts.address)
 {
 }
 
-ShardOwner::~ShardOwner()
-{
-	this->parts.scheduler.Cancel(this->timer);
-}
+ShardOwner::~ShardOwner() = default;
 
 void ShardOwner::Start()
 {
-	this->Load();
+	this->claim = std::make_unique<PartitionClaim>(this->parts.scheduler, this->parts.log, this->parts.events,
+												   this->codec, this->progress);
+	this->claim->Start([this](uint64_t epoch, const PartitionClaim::Records &records) { this->Run(epoch, records); });
 }
 
 bool ShardOwner::Fresh() const
@@ -38,86 +35,8 @@
 	return this->running && this->parts.scheduler.Now() - this->inbox->FreshAt() <= FRESH_FOR;
 }
 
-void ShardOwner::TryAgain(Millis delay)
-{
-	this->timer = this->parts.scheduler.After(delay, [this] { this->Load(); });
-}
-
-void ShardOwner::Load()
+void ShardOwner::Run(uint64_t epoch, const PartitionClaim::Records &records)
 {
-	this->found.clear();
-	this->first_end.reset();
-	this->LoadPage({});
-}
-
-void ShardOwner::LoadPage(const std::string &after)
-{
-	this->parts.log.Newest(this->progress, after, [this, still = std::weak_ptr<bool>(this->alive)](const NewestPage &page) {
-		if (!still.expired()) {
-			this->OnPage(page);
-		}
-	});
-}
-
-void ShardOwner::OnPage(const NewestPage &page)
-{
-	if (page.code != ResultCode::RC_OK) {
-		this->TryAgain(CLAIM_AGAIN);
-		return;
-	}
-	if (!this->first_end) {
-		this->first_end = page.end;
-	}
-	for (const KeyedRecord &record : page.records) {
-		if (record.key == OWNER_KEY) {
-			const std::optional<StoredOwner> owner = DecodeOwner(record.value.value_or(std::string()));
-			this->epoch_found = std::max(this->epoch_found, owner ? owner->epoch : 0);
-		} else if (const auto progress = DecodeProgress(record.value.value_or(std::string())); progress) {
-			this->found[JobId(record.key)] = *progress;
-		} else {
-			this->parts.events.Write("bad_record", {{"topic", this->progress.topic}, {"key", record.key}});
-		}
-	}
-	if (page.more && !page.records.empty()) {
-		this->LoadPage(page.records.back().key);
-		return;
-	}
-	this->Claim();
-}
-
-void ShardOwner::Claim()
-{
-	/* An own claim whose answer was lost may still come: the next one has to be above it. */
-	const uint64_t epoch = std::max(this->epoch_found, this->epoch_tried) + 1;
-	this->epoch_tried = epoch;
-	const AppendCondition condition{this->first_end, OWNER_PRODUCER, epoch, 0};
-	const KeyedRecord record{OWNER_KEY, EncodeOwner(StoredOwner{epoch, this->parts.address})};
-	this->parts.log.Append(this->progress, {record}, condition, CLAIM_PATIENCE,
-						   [this, epoch, still = std::weak_ptr<bool>(this->alive)](const KeyedAppendAnswer &answer) {
-							   if (!still.expired()) {
-								   this->OnClaimed(epoch, answer);
-							   }
-						   });
-}
-
-void ShardOwner::OnClaimed(uint64_t epoch, const KeyedAppendAnswer &answer)
-{
-	if (answer.code == ResultCode::RC_OK) {
-		this->Run(epoch);
-		return;
-	}
-	this->parts.events.Write("claim_failed", {{"service", this->service.Value()},
-											  {"epoch", std::to_string(epoch)},
-											  {"code", SymbolOf(answer.code)}});
-	/* What was read is old when the log has moved on: read again at once. */
-	this->TryAgain(answer.code == ResultCode::RC_STALE_TERM ? Millis(0) : CLAIM_AGAIN);
-}
-
-void ShardOwner::Run(uint64_t epoch)
-{
-	this->parts.events.Write("claimed", {{"service", this->service.Value()},
-										 {"epoch", std::to_string(epoch)},
-										 {"jobs", std::to_string(this->found.size())}});
 	this->journal = std::make_unique<ShardJournal>(this->parts.scheduler, this->parts.log, this->progress, epoch);
 	this->shard = std::make_unique<Shard>(this->parts.scheduler, *this->journal, this->parts.orders, this->parts.events,
 										  this->service, FenceToken(epoch), this->parts.limits);
@@ -130,8 +49,12 @@
 	};
 	this->journal->on_deposed = let_go;
 	this->shard->on_deposed = let_go;
-	for (const auto &[id, progress] : std::exchange(this->found, {})) {
-		this->shard->Restore(id, progress);
+	for (const auto &[key, bytes] : records) {
+		if (const auto progress = DecodeProgress(bytes); progress) {
+			this->shard->Restore(JobId(key), *progress);
+		} else {
+			this->parts.events.Write("bad_record", {{"topic", this->progress.topic}, {"key", key}});
+		}
 	}
 	this->shard->Configure(this->config);
 	std::ranges::for_each(this->reports | std::views::values, [this](const BoxReport &it) { this->shard->OnReport(it); });
@@ -166,7 +89,7 @@
 
 void ShardOwner::LetGo()
 {
-	this->parts.events.Write("let_go", {{"service", this->service.Value()}, {"epoch", std::to_string(this->epoch_tried)}});
+	this->parts.events.Write("let_go", {{"service", this->service.Value()}});
 	this->running = false;
 	/* Claiming again on the old word of the group would fight the new owner: the next join decides. */
 	if (this->on_lost) {
--- a/src/jobs/shard_owner.h
+++ b/src/jobs/shard_owner.h
@@ -3,20 +3,35 @@
 #define SHARD_OWNER_H
 
 #include "../store/keyed_follower.h"
+#include "../store/partition_claim.h"
 #include "shard_base.h"
 
 /** Partition of a service's topic in which the owner records progress. */
 inline constexpr uint32_t PROGRESS_PART = 0;
 /** Partition of a service's topic in which any node records submissions and cancellations. */
 inline constexpr uint32_t INBOX_PART = 1;
-/** Key of the owner's record; jobs are named by hexadecimal digits. */
-inline constexpr const char *OWNER_KEY = "owner";
 /** Before the id of a job in the key of its cancellation. */
 inline constexpr char CANCEL_MARK = 'x';
 
 /** @return Topic of a service. @param service The service. */
 std::string TopicOf(const ServiceName &service);
 
+/** Owner's records of shards. */
+class JobOwnerCodec : public OwnerRecordCodec {
+public:
+	/** @param address Where the owner answers other nodes. */
+	explicit JobOwnerCodec(std::string address) : address(std::move(address)) {}
+	[[nodiscard]] std::string Encode(uint64_t epoch) const override { return EncodeOwner(StoredOwner{epoch, this->address}); }
+	[[nodiscard]] uint64_t EpochOf(const std::string &bytes) const override
+	{
+		const std::optional<StoredOwner> owner = DecodeOwner(bytes);
+		return owner ? owner->epoch : 0;
+	}
+
+private:
+	std::string address; ///< Where the owner answers other nodes.
+};
+
 /** What an owner needs of its node. */
 struct OwnerParts {
 	Scheduler &scheduler; ///< Clock and timers.
@@ -62,28 +77,19 @@
 	OwnerParts parts;                                           ///< What it needs.
 	ServiceName service;                                        ///< The service.
 	PartitionId progress;                                       ///< Where progress lies.
-	uint64_t epoch_tried = 0;                                   ///< Highest epoch that this owner has tried to claim with.
-	std::map<JobId, StoredProgress> found;                      ///< Progress read by the claim under way.
-	uint64_t epoch_found = 0;                                   ///< Epoch of the latest owner read.
-	std::optional<uint64_t> first_end;                          ///< End told by the first page read.
+	JobOwnerCodec codec;                                        ///< Of the owner's record.
+	std::unique_ptr<PartitionClaim> claim;                      ///< The claim.
 	JobConfig config;                                           ///< The configuration in force.
 	std::map<BoxLife, BoxReport> reports;                       ///< Reports of the service's boxes.
 	std::unique_ptr<ShardJournal> journal;                      ///< Records, once claimed.
 	std::unique_ptr<Shard> shard;                               ///< Once claimed.
 	std::unique_ptr<KeyedFollower> inbox;                       ///< Once claimed.
 	bool running = false;                                       ///< Whether the inbox is loaded.
-	TimerId timer;                                              ///< Next try.
 	std::shared_ptr<bool> alive = std::make_shared<bool>(true); ///< Expires with this.
 
-	void Load();
-	void LoadPage(const std::string &after);
-	void OnPage(const NewestPage &page);
-	void Claim();
-	void OnClaimed(uint64_t epoch, const KeyedAppendAnswer &answer);
-	void Run(uint64_t epoch);
+	void Run(uint64_t epoch, const PartitionClaim::Records &records);
 	void OnInbox(const KeyedRecord &record);
 	void LetGo();
-	void TryAgain(Millis delay);
 };
 
 #endif /* SHARD_OWNER_H */
--- a/src/node/shard_host.cpp
+++ b/src/node/shard_host.cpp
@@ -57,7 +57,10 @@
 void ShardHost::Begin(const ServiceName &service)
 {
 	auto owner = std::make_unique<ShardOwner>(this->parts, service);
-	owner->on_lost = [this, service] { this->owners.erase(service); };
+	owner->on_lost = [this, service] {
+		/* Not from inside the owner's own call. */
+		this->parts.scheduler.After(Millis(0), [this, service] { this->owners.erase(service); });
+	};
 	owner->Configure(this->config);
 	std::ranges::for_each(this->reports | std::views::values, [&owner](const BoxReport &it) { owner->OnReport(it); });
 	owner->Start();
