--- a/src/jobs/job_codec.cpp
+++ b/src/jobs/job_codec.cpp
@@ -1,7 +1,7 @@
 /** @file job_codec.cpp Records that a shard keeps in the keyed log, as bytes. */
 #include "job_codec.h"
 
-#include "../generated/shard_generated.h"
+#include "../store/record_codec.h"
 
 #include <algorithm>
 #include <map>
@@ -10,30 +10,6 @@
 
 namespace {
 
-constexpr uint32_t RECORD_FORMAT = 1; ///< Format written; a later one is not read.
-
-/** Packs a native record. */
-template <class Table, class Native>
-std::string Packed(const Native &native)
-{
-	flatbuffers::FlatBufferBuilder builder;
-	builder.Finish(Table::Pack(builder, &native));
-	return {reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize()};
-}
-
-/** Verifies and unpacks a record; null when it is not one. */
-template <class Table>
-std::unique_ptr<typename Table::NativeTableType> Unpacked(std::string_view bytes)
-{
-	const auto *data = reinterpret_cast<const uint8_t *>(bytes.data());
-	flatbuffers::Verifier verifier(data, bytes.size());
-	if (!verifier.VerifyBuffer<Table>(nullptr)) {
-		return nullptr;
-	}
-	std::unique_ptr<typename Table::NativeTableType> native(flatbuffers::GetRoot<Table>(data)->UnPack());
-	return native->format <= RECORD_FORMAT ? std::move(native) : nullptr;
-}
-
 std::unique_ptr<wire::StepRecordT> NativeStep(const StepSpec &step)
 {
 	auto out = std::make_unique<wire::StepRecordT>();
@@ -169,21 +145,3 @@
 	}
 	return progress;
 }
-
-std::string EncodeOwner(const StoredOwner &owner)
-{
-	wire::OwnerRecordT out;
-	out.format = RECORD_FORMAT;
-	out.epoch = owner.epoch;
-	out.address = owner.address;
-	return Packed<wire::OwnerRecord>(out);
-}
-
-std::optional<StoredOwner> DecodeOwner(std::string_view bytes)
-{
-	const auto in = Unpacked<wire::OwnerRecord>(bytes);
-	if (!in) {
-		return std::nullopt;
-	}
-	return StoredOwner{in->epoch, in->address};
-}
--- a/src/jobs/job_codec.h
+++ b/src/jobs/job_codec.h
@@ -25,20 +25,10 @@
 	bool operator==(const StoredProgress &) const = default;
 };
 
-/** Who owns a shard. */
-struct StoredOwner {
-	uint64_t epoch = 0;  ///< Rises with each owner.
-	std::string address; ///< Where its node answers others.
-
-	bool operator==(const StoredOwner &) const = default;
-};
-
 /** @return Bytes of a submission, without the job's id: that is the record's key. */
 std::string EncodeSubmission(const JobSpec &spec);
 /** @return Bytes of a job's progress. */
 std::string EncodeProgress(const StoredProgress &progress);
-/** @return Bytes of an owner. */
-std::string EncodeOwner(const StoredOwner &owner);
 /**
  * Reads a submission.
  * @param id Its job.
@@ -48,7 +38,5 @@
 std::optional<JobSpec> DecodeSubmission(const JobId &id, std::string_view bytes);
 /** @return Progress, or nothing when the bytes are no such record or of a later format. @param bytes The record. */
 std::optional<StoredProgress> DecodeProgress(std::string_view bytes);
-/** @return The owner, or nothing when the bytes are no such record or of a later format. @param bytes The record. */
-std::optional<StoredOwner> DecodeOwner(std::string_view bytes);
 
 #endif /* JOB_CODEC_H */
--- a/src/jobs/shard_base.h
+++ b/src/jobs/shard_base.h
@@ -15,7 +15,9 @@
 	Millis lease = Millis(4500);      ///< Lease asked for; bridges a change of owner (about 2.5 s), ends a dark box soon.
 	Millis lease_max = Millis(10000); ///< Longest lease that boxes grant (setting).
 	Millis lease_wait = Millis(1000); ///< A box holds its answer back so long for an end: also the refresh of the lease.
-	Millis owner_term = Millis(12000); ///< An owner that has not heard of the log for so long prolongs no lease.
+	/** An owner that has not heard of the log for so long prolongs no lease: with the lease it bridges outages of 11 s,
+	 * and another owner has to wait as long for a box that it can't reach. */
+	Millis owner_term = Millis(6500);
 };
 
 /** Counters of a shard, for metrics and tests. */
@@ -47,6 +49,7 @@
 	bool stop_confirmed = false;                 ///< The box has confirmed the stop: it can't start any more.
 	Millis settled_at;                           ///< When the newest order for the run was answered.
 	Millis since;                                ///< When it was placed, or began to wait.
+	bool at_work = false;                        ///< The box lists it at full pace.
 	int64_t pace = 100;                          ///< Percent of full pace last ordered.
 };
 
@@ -89,12 +92,30 @@
 	Millis avoid_until;                 ///< Nothing is placed there before.
 	uint64_t ends_seen = 0;             ///< Ends up to this number are taken in.
 	uint64_t ends_durable = 0;          ///< Ends up to this number are recorded.
+	Millis drain_until;                 ///< Until then it is being emptied for planned work.
+	bool due = false;                   ///< It will be emptied before long.
 	bool strangers = false;             ///< It runs something that this shard has not placed.
 	Resources used;                     ///< Taken by the tasks placed there.
 	std::set<TaskId> placed;            ///< Tasks placed there.
 	TimerId timer;                      ///< Next lease order.
 };
 
+/** A box as its pool's owner sees it. */
+struct PoolBox {
+	BoxName box;          ///< The box.
+	BoxLife life;         ///< Its life.
+	uint32_t tasks = 0;   ///< Tasks placed there.
+	int64_t used_cpu = 0; ///< Thousandths of a core taken.
+	int64_t cpu = 0;      ///< Thousandths of a core that it has.
+	bool placing = false; ///< Whether tasks may be placed there.
+};
+
+/** How a pool stands. */
+struct PoolStatus {
+	std::vector<PoolBox> boxes; ///< Its boxes.
+	int64_t waiting_cpu = 0;    ///< Thousandths of a core that waiting tasks ask for, whose turn has come.
+};
+
 /** Answer about a job. */
 struct JobView {
 	bool known = false;                   ///< Whether there is such a job.
@@ -125,6 +146,18 @@
 
 	/** Takes over recorded progress, before Begin(). @param id The job. @param progress What is recorded. */
 	void Restore(const JobId &id, const StoredProgress &progress);
+	/** The owner before has let go by itself, or there was none: nobody else prolongs leases. Before Begin(). */
+	void NoOtherOwner() { this->other_owner_until = this->owned_since; }
+	/** @return Whether no earlier owner can prolong leases any more. */
+	[[nodiscard]] bool SoleOwner() const { return this->scheduler.Now() >= this->other_owner_until; }
+	/**
+	 * Empties boxes for planned work: nothing is placed there, and what lasts moves away as its limits allow.
+	 * @param drain The boxes, until the next call or for a short time.
+	 * @param due Boxes that will be emptied before long: what lasts is rather placed elsewhere.
+	 */
+	void Drain(const std::set<BoxName> &drain, const std::set<BoxName> &due);
+	/** @return How the pool stands. */
+	[[nodiscard]] PoolStatus Status() const;
 	/** Takes a job; one that is known is ignored. @param spec The job. */
 	void Submit(const JobSpec &spec);
 	/** Cancels a job, also one that comes later. @param id The job. */
@@ -169,6 +202,7 @@
 	ShardLimits limits;                             ///< Figures.
 	Millis owned_since;                             ///< When this ownership began.
 	Millis confirmed_at;                            ///< When the log last confirmed it.
+	Millis other_owner_until;                       ///< Until then an earlier owner may prolong leases.
 	bool begun = false;                             ///< Whether Begin().
 	bool woken = false;                             ///< Whether a turn is due.
 	bool deposed = false;                           ///< Whether a box has seen a higher token.
@@ -204,6 +238,8 @@
 	void PlaceStep(ShardJob &job, uint32_t occurrence, uint32_t step);
 	void PlaceGang(ShardJob &job, uint32_t occurrence, uint32_t step);
 	[[nodiscard]] bool StepReady(const ShardJob &job, uint32_t occurrence, uint32_t step) const;
+	[[nodiscard]] bool Due(const ShardJob &job, uint32_t occurrence) const;
+	[[nodiscard]] int64_t WaitingCpu(const ShardJob &job) const;
 	[[nodiscard]] std::vector<ShardBox *> Candidates(const StepSpec &step);
 	ShardBox *Choose(const std::vector<ShardBox *> &open, const ShardJob &job, const TaskId &first);
 	[[nodiscard]] uint32_t CountOn(const ShardBox &box, const TaskId &first) const;
@@ -232,11 +268,15 @@
 	void TakeMissing(ShardBox &box, const std::set<std::pair<TaskId, RunNumber>> &listed, Millis sent);
 	void StopStranger(ShardBox &box, const RunningRow &row);
 	[[nodiscard]] std::optional<Millis> LeaseEnd(const ShardBox &box) const;
+	[[nodiscard]] Millis FirstLapse() const;
 	void NoteLeaseAsked(ShardBox &box, Millis until);
 	void LoseTasks(ShardBox &box, const char *why);
 	void EndLife(ShardBox &box, const char *why);
 	void LapseBoxes();
 	void Evacuate(ShardBox &box);
+	void EvacuateDrained();
+	[[nodiscard]] bool MayStop(const ShardJob &job, const TaskId &id) const;
+	[[nodiscard]] bool Placing(const ShardBox &box) const;
 	void Depose();
 };
 
--- a/src/jobs/shard_boxes.cpp
+++ b/src/jobs/shard_boxes.cpp
@@ -8,11 +8,14 @@
 
 constexpr double CLOCK_RATE_MIN = 0.98;  ///< A box's clock may run 2% slow (the platform's page on running tasks).
 constexpr Millis LAPSE_SLACK(150);       ///< On top of a lapsed lease: the box needs a moment to end what runs.
+constexpr Millis OVERDUE(400);            ///< Beyond the wait: a box whose answer is overdue by so much gets nothing new.
 constexpr Millis RETRY_AFTER(300);       ///< Next lease order to a box that didn't answer.
 constexpr Millis LOOK_GAP(25);           ///< Least time between two lease orders to a box: ends are taken in together.
 constexpr Millis UNRECORDED_GAP(700);    ///< The same while ends can't be recorded: the box answers at once each time.
 constexpr Millis SILENT_AFTER(1500);     ///< Beyond the wait: a box that is silent for so long gets no longer lease.
 constexpr Millis FORGET_AFTER(10000);    ///< A box without report, tasks and answers is forgotten after this.
+constexpr int64_t FULL_SHARE = 100;       ///< Percent of a task that is at work.
+constexpr Millis DRAIN_FOR(2000);         ///< A box is kept empty for so long after it was last asked for.
 constexpr size_t ENDS_AT_ONCE = 500;     ///< Ends that a box lists at once; a list of this size may not be whole.
 
 } // namespace
@@ -30,7 +33,7 @@
 	box.listed = true;
 	if (added) {
 		/* Nothing of ours runs there, but an earlier owner may have placed what we can't see yet. */
-		box.lapse_at = this->owned_since + this->limits.owner_term + this->limits.lease_max;
+		box.lapse_at = this->FirstLapse();
 		box.answered_at = this->scheduler.Now();
 	}
 	if (!changed) {
@@ -56,6 +59,14 @@
 	}
 }
 
+Millis Shard::FirstLapse() const
+{
+	/* Earlier owners ask for leases of the same length; the last one just before they stop to prolong. */
+	const Millis lease = std::min(this->limits.lease, this->limits.lease_max);
+	return this->other_owner_until + Millis(static_cast<int64_t>(static_cast<double>(lease.Value()) / CLOCK_RATE_MIN)) +
+		   LAPSE_SLACK;
+}
+
 std::optional<Millis> Shard::LeaseEnd(const ShardBox &box) const
 {
 	const Millis now = this->scheduler.Now();
@@ -201,6 +212,7 @@
 		if (!row.saved.empty()) {
 			task->saved = row.saved;
 		}
+		task->at_work = row.share == FULL_SHARE;
 		if (task->stop_wanted && !task->stop_confirmed) {
 			this->SendStop(row.task);
 		}
@@ -314,6 +326,74 @@
 	}
 }
 
+void Shard::Drain(const std::set<BoxName> &drain, const std::set<BoxName> &due)
+{
+	const Millis now = this->scheduler.Now();
+	for (ShardBox &box : this->boxes | std::views::values) {
+		box.drain_until = drain.contains(box.report.box) ? now + DRAIN_FOR : Millis(0);
+		box.due = due.contains(box.report.box);
+	}
+	this->Wake();
+}
+
+bool Shard::MayStop(const ShardJob &job, const TaskId &id) const
+{
+	const StepSpec &step = job.spec.steps[id.step];
+	if (!step.absent_max) {
+		return true;
+	}
+	uint32_t absent = 0;
+	for (TaskId other = id; const uint32_t index : std::views::iota(0U, step.count)) {
+		other.index = index;
+		const ShardTask &task = job.tasks[job.IndexOf(other)];
+		const bool works = task.phase == TaskPhase::TP_PLACED && task.at_work && !task.stop_wanted;
+		absent += index != id.index && !works ? 1 : 0;
+	}
+	return absent < *step.absent_max;
+}
+
+void Shard::EvacuateDrained()
+{
+	const Millis now = this->scheduler.Now();
+	for (ShardBox &box : this->boxes | std::views::values) {
+		if (box.drain_until <= now) {
+			continue;
+		}
+		for (const TaskId &id : std::set<TaskId>(box.placed)) {
+			ShardJob &job = this->jobs.at(id.job);
+			ShardTask &task = job.tasks[job.IndexOf(id)];
+			const StepSpec &step = job.spec.steps[id.step];
+			const bool running = task.run_state == RunState::RS_RUNNING && !task.stop_wanted;
+			if (running && step.lasting && this->MayStop(job, id)) {
+				this->WantStop(id, task, "box_drained");
+			}
+		}
+	}
+}
+
+bool Shard::Placing(const ShardBox &box) const
+{
+	const Millis now = this->scheduler.Now();
+	const bool overdue = box.asking && now - box.asked_at > this->limits.lease_wait + OVERDUE;
+	return box.listed && box.adopted && !box.over && !box.report.leaving && !box.strangers && !overdue && box.clock &&
+		   now >= box.avoid_until && now >= box.drain_until;
+}
+
+PoolStatus Shard::Status() const
+{
+	PoolStatus out;
+	for (const auto &[life, box] : this->boxes) {
+		if (box.listed && !box.over) {
+			out.boxes.push_back(PoolBox{box.report.box, life, static_cast<uint32_t>(box.placed.size()), box.used.cpu,
+										box.report.capacity.cpu, this->Placing(box)});
+		}
+	}
+	for (const JobId &id : this->live) {
+		out.waiting_cpu += this->WaitingCpu(this->jobs.at(id));
+	}
+	return out;
+}
+
 void Shard::Depose()
 {
 	if (std::exchange(this->deposed, true)) {
--- a/src/jobs/shard_jobs.cpp
+++ b/src/jobs/shard_jobs.cpp
@@ -30,7 +30,8 @@
 Shard::Shard(Scheduler &scheduler, ShardJournal &journal, BoxOrders &orders, EventLog &log, ServiceName service,
 			 FenceToken fence, ShardLimits limits)
 		: scheduler(scheduler), journal(journal), orders(orders), log(log), service(std::move(service)), fence(fence),
-		  limits(limits), owned_since(scheduler.Now()), confirmed_at(scheduler.Now())
+		  limits(limits), owned_since(scheduler.Now()), confirmed_at(scheduler.Now()),
+		  other_owner_until(scheduler.Now() + limits.owner_term)
 {
 }
 
@@ -98,10 +99,10 @@
 		}
 		auto [it, added] = this->boxes.try_emplace(task.box);
 		if (added) {
-			/* Its report has not come (yet). An earlier owner may prolong its lease for another term. */
+			/* Its report has not come (yet). */
 			it->second.report.life = task.box;
 			it->second.listed = false;
-			it->second.lapse_at = this->owned_since + this->limits.owner_term + this->limits.lease_max;
+			it->second.lapse_at = this->FirstLapse();
 		}
 		const TaskId id = kept.TaskAt(place);
 		it->second.placed.insert(id);
@@ -223,6 +224,7 @@
 {
 	this->woken = false;
 	this->LapseBoxes();
+	this->EvacuateDrained();
 	this->Place();
 	this->Commit();
 	if (!this->woken) {
--- a/src/jobs/shard_owner.cpp
+++ b/src/jobs/shard_owner.cpp
@@ -1,6 +1,8 @@
 /** @file shard_owner.cpp Claims a shard in the log, loads it, runs it. */
 #include "shard_owner.h"
 
+#include "../store/owner_record.h"
+
 #include <algorithm>
 #include <ranges>
 
@@ -17,7 +19,7 @@
 }
 
 ShardOwner::ShardOwner(const OwnerParts &parts, ServiceName service)
-		: parts(parts), service(std::move(service)), progress{TopicOf(this->service), PROGRESS_PART}, codec(parts.address)
+		: parts(parts), service(std::move(service)), progress{TopicOf(this->service), PROGRESS_PART}
 {
 }
 
@@ -26,8 +28,8 @@
 void ShardOwner::Start()
 {
 	this->claim = std::make_unique<PartitionClaim>(this->parts.scheduler, this->parts.log, this->parts.events,
-												   this->codec, this->progress);
-	this->claim->Start([this](uint64_t epoch, const PartitionClaim::Records &records) { this->Run(epoch, records); });
+												   this->parts.address, this->progress);
+	this->claim->Start([this](const ClaimedPartition &claimed) { this->Run(claimed); });
 }
 
 bool ShardOwner::Fresh() const
@@ -35,11 +37,16 @@
 	return this->running && this->parts.scheduler.Now() - this->inbox->FreshAt() <= FRESH_FOR;
 }
 
-void ShardOwner::Run(uint64_t epoch, const PartitionClaim::Records &records)
+void ShardOwner::Run(const ClaimedPartition &claimed)
 {
-	this->journal = std::make_unique<ShardJournal>(this->parts.scheduler, this->parts.log, this->progress, epoch);
+	this->epoch = claimed.epoch;
+	this->journal =
+			std::make_unique<ShardJournal>(this->parts.scheduler, this->parts.log, this->progress, claimed.epoch);
 	this->shard = std::make_unique<Shard>(this->parts.scheduler, *this->journal, this->parts.orders, this->parts.events,
-										  this->service, FenceToken(epoch), this->parts.limits);
+										  this->service, FenceToken(claimed.epoch), this->parts.limits);
+	if (claimed.released) {
+		this->shard->NoOtherOwner();
+	}
 	const auto let_go = [this, still = std::weak_ptr<bool>(this->alive)] {
 		this->parts.scheduler.After(Millis(0), [this, still] {
 			if (!still.expired()) {
@@ -49,7 +56,7 @@
 	};
 	this->journal->on_deposed = let_go;
 	this->shard->on_deposed = let_go;
-	for (const auto &[key, bytes] : records) {
+	for (const auto &[key, bytes] : claimed.records) {
 		if (const auto progress = DecodeProgress(bytes); progress) {
 			this->shard->Restore(JobId(key), *progress);
 		} else {
@@ -97,6 +104,22 @@
 	}
 }
 
+void ShardOwner::Release(std::function<void()> done)
+{
+	this->running = false;
+	this->claim.reset();
+	this->inbox.reset();
+	if (!this->journal) {
+		done();
+		return;
+	}
+	/* Only an owner that has outlasted the leases of those before it may say that nobody holds any. */
+	const StoredOwner last{this->epoch, this->parts.address, this->shard->SoleOwner()};
+	this->shard.reset();
+	this->journal->on_deposed = done;
+	this->journal->Append({KeyedRecord{OWNER_KEY, EncodeOwner(last)}}, done);
+}
+
 void ShardOwner::Configure(const JobConfig &config)
 {
 	this->config = config;
--- a/src/jobs/shard_owner.h
+++ b/src/jobs/shard_owner.h
@@ -16,22 +16,6 @@
 /** @return Topic of a service. @param service The service. */
 std::string TopicOf(const ServiceName &service);
 
-/** Owner's records of shards. */
-class JobOwnerCodec : public OwnerRecordCodec {
-public:
-	/** @param address Where the owner answers other nodes. */
-	explicit JobOwnerCodec(std::string address) : address(std::move(address)) {}
-	[[nodiscard]] std::string Encode(uint64_t epoch) const override { return EncodeOwner(StoredOwner{epoch, this->address}); }
-	[[nodiscard]] uint64_t EpochOf(const std::string &bytes) const override
-	{
-		const std::optional<StoredOwner> owner = DecodeOwner(bytes);
-		return owner ? owner->epoch : 0;
-	}
-
-private:
-	std::string address; ///< Where the owner answers other nodes.
-};
-
 /** What an owner needs of its node. */
 struct OwnerParts {
 	Scheduler &scheduler; ///< Clock and timers.
@@ -56,6 +40,9 @@
 
 	/** Begins to claim. */
 	void Start();
+	/** Lets go because another node is to own the shard: no lease is prolonged from now on, and the log tells so. The
+	 * object may be destroyed once `done` was called. @param done Called when the log has it, or another owner came. */
+	void Release(std::function<void()> done);
 	/** Takes a configuration. @param config It. */
 	void Configure(const JobConfig &config);
 	/** Takes a box's report. @param report It. */
@@ -67,6 +54,8 @@
 
 	/** @return The shard, once it has been loaded; null before. */
 	[[nodiscard]] const Shard *Running() const { return this->running ? this->shard.get() : nullptr; }
+	/** @return The same, to be asked to do something. */
+	[[nodiscard]] Shard *Running() { return this->running ? this->shard.get() : nullptr; }
 	/** @return Whether everything submitted until shortly ago is known: a job that isn't known doesn't exist. */
 	[[nodiscard]] bool Fresh() const;
 
@@ -77,7 +66,7 @@
 	OwnerParts parts;                                           ///< What it needs.
 	ServiceName service;                                        ///< The service.
 	PartitionId progress;                                       ///< Where progress lies.
-	JobOwnerCodec codec;                                        ///< Of the owner's record.
+	uint64_t epoch = 0;                                         ///< Of the claim.
 	std::unique_ptr<PartitionClaim> claim;                      ///< The claim.
 	JobConfig config;                                           ///< The configuration in force.
 	std::map<BoxLife, BoxReport> reports;                       ///< Reports of the service's boxes.
@@ -87,7 +76,7 @@
 	bool running = false;                                       ///< Whether the inbox is loaded.
 	std::shared_ptr<bool> alive = std::make_shared<bool>(true); ///< Expires with this.
 
-	void Run(uint64_t epoch, const PartitionClaim::Records &records);
+	void Run(const ClaimedPartition &claimed);
 	void OnInbox(const KeyedRecord &record);
 	void LetGo();
 };
--- a/src/jobs/shard_place.cpp
+++ b/src/jobs/shard_place.cpp
@@ -3,12 +3,12 @@
 
 #include <algorithm>
 #include <ranges>
+#include <tuple>
 
 namespace {
 
 constexpr Millis AVOID_REFUSED(200); ///< A box that had no room is tried again after this.
 constexpr Millis AVOID_BUSY(1000);   ///< A box that is unhealthy or can't be reached is tried again after this.
-constexpr Millis OVERDUE(400);       ///< Beyond the wait: a box whose answer is overdue by so much gets nothing new.
 
 } // namespace
 
@@ -31,13 +31,32 @@
 	std::ranges::for_each(order, [this](ShardJob *it) { this->PlaceJob(*it); });
 }
 
+bool Shard::Due(const ShardJob &job, uint32_t occurrence) const
+{
+	const int64_t due = job.spec.first_due.Value() + int64_t{occurrence} * job.spec.interval.Value();
+	return job.spec.repeats == 0 || this->scheduler.WallNow().Value() >= due;
+}
+
+int64_t Shard::WaitingCpu(const ShardJob &job) const
+{
+	int64_t sum = 0;
+	for (const uint32_t occurrence : std::views::iota(0U, job.spec.Occurrences())) {
+		for (uint32_t step = 0; step < job.spec.steps.size() && this->Due(job, occurrence); step++) {
+			const size_t first = job.IndexOf(TaskId{job.spec.id, occurrence, step, 0});
+			const auto tasks = job.tasks | std::views::drop(first) | std::views::take(job.spec.steps[step].count);
+			const auto waiting = std::ranges::count(tasks, TaskPhase::TP_WAITING, &ShardTask::phase);
+			if (waiting > 0 && this->StepReady(job, occurrence, step)) {
+				sum += waiting * job.spec.steps[step].demand.cpu;
+			}
+		}
+	}
+	return sum;
+}
+
 void Shard::PlaceJob(ShardJob &job)
 {
-	const Millis wall = this->scheduler.WallNow();
 	for (const uint32_t occurrence : std::views::iota(0U, job.spec.Occurrences())) {
-		const bool due = job.spec.repeats == 0 ||
-						 wall.Value() >= job.spec.first_due.Value() + int64_t{occurrence} * job.spec.interval.Value();
-		if (!due) {
+		if (!this->Due(job, occurrence)) {
 			return;
 		}
 		for (const uint32_t step : std::views::iota(0U, static_cast<uint32_t>(job.spec.steps.size()))) {
@@ -55,14 +74,10 @@
 
 std::vector<ShardBox *> Shard::Candidates(const StepSpec &step)
 {
-	const Millis now = this->scheduler.Now();
 	std::vector<ShardBox *> open;
 	for (auto &[life, box] : this->boxes) {
-		const bool overdue = box.asking && now - box.asked_at > this->limits.lease_wait + OVERDUE;
-		const bool usable = box.listed && box.adopted && !box.over && !box.report.leaving && !box.strangers && !overdue &&
-							box.clock && now >= box.avoid_until;
 		const bool fits_label = step.required_label.empty() || box.report.HasLabel(step.required_label);
-		if (usable && fits_label) {
+		if (fits_label && this->Placing(box)) {
 			open.push_back(&box);
 		}
 	}
@@ -80,7 +95,7 @@
 {
 	const StepSpec &step = job.spec.steps[first.step];
 	ShardBox *best = nullptr;
-	std::pair<bool, int64_t> best_rank;
+	std::tuple<bool, bool, int64_t> best_rank;
 	for (ShardBox *box : open) {
 		Resources free = box->report.capacity;
 		free -= box->used;
@@ -88,8 +103,10 @@
 		if (!room) {
 			continue;
 		}
-		/* Near its data first, then where most is left: a lost box takes fewer tasks with it. */
-		const std::pair rank(!step.data_rack.empty() && box->report.HasLabel(step.data_rack), free.cpu);
+		/* Near its data first; what lasts, rather where it can stay; then where most is left: a lost box takes fewer
+		 * tasks with it. */
+		const std::tuple rank(!step.data_rack.empty() && box->report.HasLabel(step.data_rack), !(step.lasting && box->due),
+							  free.cpu);
 		if (best == nullptr || rank > best_rank) {
 			best = box;
 			best_rank = rank;
--- a/src/jobs/shard_runs.cpp
+++ b/src/jobs/shard_runs.cpp
@@ -18,6 +18,7 @@
 	task.box = BoxLife();
 	task.phase = TaskPhase::TP_WAITING;
 	task.stop_wanted = task.stop_sent = task.stop_confirmed = false;
+	task.at_work = false;
 	task.pace = 100;
 	task.since = this->scheduler.Now();
 	this->Touch(id.job);
--- a/src/net/http_caller.cpp
+++ b/src/net/http_caller.cpp
@@ -2,6 +2,7 @@
 #include "http_caller.h"
 
 #include <algorithm>
+#include <utility>
 
 class HttpCaller::Pending : public CallEvents {
 public:
@@ -39,9 +40,16 @@
 	std::unique_ptr<EndpointCall> call; ///< The call.
 	HttpReply reply;                    ///< What came so far.
 	TimerId timer;                      ///< Time limit.
+	bool ended = false;                 ///< Whether the answer was told.
 
 	void End(CallResult result)
 	{
+		/* Answer and time limit may fall due in the same turn of the event loop: the first one counts. */
+		if (std::exchange(this->ended, true)) {
+			return;
+		}
+		this->caller.scheduler.Cancel(this->timer);
+		this->call->Abandon();
 		this->reply.result = result;
 		this->caller.Finish(this, this->reply);
 	}
--- a/src/node/job_desk.cpp
+++ b/src/node/job_desk.cpp
@@ -107,7 +107,7 @@
 	return JobAnswer{owner->Fresh() ? ResultCode::RC_UNKNOWN_JOB : ResultCode::RC_PEER_UNAVAILABLE, JobPhase::JP_QUEUED, 0};
 }
 
-void JobDesk::Ask(const JobQuestion &question, Millis deadline, OwnerLookup::Done done)
+void JobDesk::Ask(const JobQuestion &question, Millis deadline, std::function<void(const JobAnswer &)> done)
 {
 	const JobAnswer here = this->AnswerHere(question);
 	if (here.code != ResultCode::RC_PEER_UNAVAILABLE) {
@@ -119,5 +119,19 @@
 		done(JobAnswer{});
 		return;
 	}
-	this->lookup.Ask(question, *part, deadline - ANSWER_MARGIN, std::move(done));
+	const auto make = [question](uint64_t number) {
+		glade::wire::JobQuestionT out;
+		out.number = number;
+		out.service = question.service.Value();
+		out.route = question.route.Value();
+		out.job = question.job.Value();
+		return MakeMessage(std::move(out));
+	};
+	const std::string what = question.job.Value().empty() ? question.route.Value() : question.job.Value();
+	this->lookup.Ask(*part, what, deadline - ANSWER_MARGIN, make,
+					 [done = std::move(done)](ResultCode code, const MessageUnion *message) {
+						 const auto *in = message == nullptr ? nullptr : message->AsJobAnswer();
+						 done(in == nullptr ? JobAnswer{}
+											: JobAnswer{code, static_cast<JobPhase>(in->phase), in->waiting});
+					 });
 }
--- a/src/node/job_desk.h
+++ b/src/node/job_desk.h
@@ -40,7 +40,7 @@
 	void Cancel(const JobId &id, const ServiceName &service, Millis deadline, Done done);
 	/** Looks up. @param question The question. @param deadline When the caller stops waiting. @param done Gets the
 	 * answer. */
-	void Ask(const JobQuestion &question, Millis deadline, OwnerLookup::Done done);
+	void Ask(const JobQuestion &question, Millis deadline, std::function<void(const JobAnswer &)> done);
 	/** @return The answer of this node alone. @param question The question. */
 	[[nodiscard]] JobAnswer AnswerHere(const JobQuestion &question) const;
 	/** @return Appends under way: a stop waits for them. */
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -1,23 +1,52 @@
 /** @file node_core.cpp A node without its transport to callers. */
 #include "node_core.h"
 
+#include <algorithm>
+#include <ranges>
+
 namespace {
 
 constexpr Millis STORE_SEEN_WITHIN(2600); ///< A node that has not reached the store for so long asks for no new callers:
 										  ///< two polls of a second each may fail.
+constexpr Millis POOL_WAIT(600);          ///< Time that the owner of a pool has to answer the fleet's owner.
+
+std::set<BoxName> BoxesOf(const std::vector<std::string> &names)
+{
+	std::set<BoxName> out;
+	std::ranges::for_each(names, [&out](const std::string &it) { out.insert(BoxName(it)); });
+	return out;
+}
+
+std::vector<std::string> NamesOf(const std::set<BoxName> &boxes)
+{
+	std::vector<std::string> out;
+	std::ranges::transform(boxes, std::back_inserter(out), [](const BoxName &it) { return it.Value(); });
+	return out;
+}
+
+PoolStatus StatusOf(const glade::wire::PoolAnswerT &in)
+{
+	PoolStatus out;
+	out.waiting_cpu = in.waiting_cpu;
+	std::ranges::transform(in.boxes, std::back_inserter(out.boxes), [](const auto &it) {
+		return PoolBox{BoxName(it->box), BoxLife(it->life), it->tasks, it->used_cpu, it->cpu, it->placing};
+	});
+	return out;
+}
 
 } // namespace
 
-NodeCore::NodeCore(Scheduler &scheduler, KeyedLog &log, BoxOrders &orders, SiteFeed &feed, EventLog &events,
-				   const NodeIdentity &self)
-		: scheduler(scheduler), events(events), feed(feed), self(self),
-		  member(scheduler, log, events, GroupSpec{NODE_GROUP, self.frames, NODE_TOPIC, self.silence}),
-		  host(OwnerParts{scheduler, log, orders, events, self.frames, self.limits}, this->member, feed, self.partitions),
-		  lookup(scheduler, log, events), desk(scheduler, log, this->host, this->lookup, events, self.partitions),
+NodeCore::NodeCore(Scheduler &scheduler, const NodeLinks &links, const NodeIdentity &self)
+		: scheduler(scheduler), links(links), self(self),
+		  member(scheduler, links.log, links.events, GroupSpec{NODE_GROUP, self.frames, NODE_TOPIC, self.silence}),
+		  host(OwnerParts{scheduler, links.log, links.orders, links.events, self.frames, self.limits}, this->member,
+			   links.feed, self.partitions),
+		  lookup(scheduler, links.log, links.events),
+		  desk(scheduler, links.log, this->host, this->lookup, links.events, self.partitions),
 		  frames([this](FrameLink &link, const MessageUnion &message) { this->OnFrame(link, message); },
 				 [](FrameLink &) {})
 {
-	this->member.on_answer = [this] { this->host.OnMembership(); };
+	this->member.on_answer = [this] { this->OnMembership(); };
 }
 
 bool NodeCore::Start()
@@ -26,7 +55,7 @@
 	if (!address || !this->frames.Listen(*address)) {
 		return false;
 	}
-	this->feed.Start(*this);
+	this->links.feed.Start(*this);
 	this->member.Start();
 	return true;
 }
@@ -34,31 +63,67 @@
 void NodeCore::Leave(std::function<void()> done)
 {
 	this->leaving = true;
+	this->fleet.reset();
 	this->host.Clear();
 	this->member.Leave(std::move(done));
 }
 
 bool NodeCore::Ready() const
 {
-	const bool reached = this->scheduler.Now() - this->feed.FreshAt() <= STORE_SEEN_WITHIN;
+	const bool reached = this->scheduler.Now() - this->links.feed.FreshAt() <= STORE_SEEN_WITHIN;
 	return !this->leaving && this->desk.Config().version > 0 && reached;
 }
 
+void NodeCore::OnMembership()
+{
+	this->host.OnMembership();
+	/* The last partition stands for the fleet: services take the first of each even share. */
+	const bool wanted = this->member.Holds(this->self.partitions - 1) && this->desk.Config().version > 0;
+	if (!wanted) {
+		this->fleet.reset();
+	} else if (!this->fleet) {
+		this->BeginFleet();
+	} else {
+		this->fleet->Confirm(this->member.ConfirmedAt());
+	}
+}
+
+void NodeCore::BeginFleet()
+{
+	this->fleet = std::make_unique<FleetOwner>(FleetParts{this->scheduler, this->links.log, this->links.machines,
+														  this->links.reports, *this, this->links.events, this->self.name,
+														  this->self.frames, this->self.turn_gap});
+	this->fleet->on_lost = [this] {
+		/* Not from inside its own call; the group's next word decides whether this node tries again. */
+		this->scheduler.After(Millis(0), [this] { this->fleet.reset(); });
+	};
+	this->fleet->Configure(this->desk.Config());
+	std::ranges::for_each(this->waves | std::views::values, [this](const WaveOrder &it) { this->fleet->OnWave(it); });
+	this->fleet->Start();
+}
+
 void NodeCore::OnConfig(const JobConfig &config)
 {
-	this->events.Write("config", {{"version", std::to_string(config.version)},
-								  {"before", std::to_string(this->desk.Config().version)},
-								  {"routes", std::to_string(config.routes.size())},
-								  {"services", std::to_string(config.services.size())}});
+	this->links.events.Write("config", {{"version", std::to_string(config.version)},
+										{"before", std::to_string(this->desk.Config().version)},
+										{"routes", std::to_string(config.routes.size())},
+										{"services", std::to_string(config.services.size())}});
 	this->desk.Configure(config);
+	if (this->fleet) {
+		this->fleet->Configure(config);
+	}
 }
 
 void NodeCore::OnWave(const WaveOrder &wave)
 {
-	this->events.Write("wave", {{"wave", std::to_string(wave.number)},
-								{"boxes", std::to_string(wave.boxes.size())},
-								{"down_max", std::to_string(wave.down_max)},
-								{"within_ms", std::to_string(wave.within.Value())}});
+	this->links.events.Write("wave", {{"wave", std::to_string(wave.number)},
+									  {"boxes", std::to_string(wave.boxes.size())},
+									  {"down_max", std::to_string(wave.down_max)},
+									  {"within_ms", std::to_string(wave.within.Value())}});
+	this->waves[wave.number] = wave;
+	if (this->fleet) {
+		this->fleet->OnWave(wave);
+	}
 }
 
 void NodeCore::OnReport(const BoxReport &report)
@@ -71,19 +136,87 @@
 	this->host.OnReportGone(life);
 }
 
-void NodeCore::OnFrame(FrameLink &link, const MessageUnion &message)
+std::optional<PoolStatus> NodeCore::PoolHere(const ServiceName &service, const std::set<BoxName> &drain,
+											 const std::set<BoxName> &due)
 {
-	const auto *in = message.AsJobQuestion();
-	if (in == nullptr) {
-		this->events.Write("bad_frame", {{"kind", std::to_string(static_cast<int>(message.type))}});
+	ShardOwner *owner = this->host.Find(service);
+	Shard *shard = owner == nullptr ? nullptr : owner->Running();
+	if (shard == nullptr) {
+		return std::nullopt;
+	}
+	shard->Drain(drain, due);
+	return shard->Status();
+}
+
+void NodeCore::Ask(const ServiceName &service, const std::set<BoxName> &drain, const std::set<BoxName> &due,
+				   std::function<void(std::optional<PoolStatus>)> done)
+{
+	if (std::optional<PoolStatus> here = this->PoolHere(service, drain, due); here) {
+		done(std::move(here));
+		return;
+	}
+	const std::optional<uint32_t> part = PartitionOf(this->desk.Config(), service, this->self.partitions);
+	if (!part) {
+		done(std::nullopt);
 		return;
 	}
+	const auto make = [service, drain = NamesOf(drain), due = NamesOf(due)](uint64_t number) {
+		glade::wire::PoolQuestionT out;
+		out.number = number;
+		out.service = service.Value();
+		out.drain = drain;
+		out.due = due;
+		return MakeMessage(std::move(out));
+	};
+	this->lookup.Ask(*part, service.Value(), this->scheduler.Now() + POOL_WAIT, make,
+					 [done = std::move(done)](ResultCode, const MessageUnion *message) {
+						 const auto *in = message == nullptr ? nullptr : message->AsPoolAnswer();
+						 done(in == nullptr ? std::nullopt : std::optional(StatusOf(*in)));
+					 });
+}
+
+void NodeCore::OnFrame(FrameLink &link, const MessageUnion &message)
+{
+	if (const auto *job = message.AsJobQuestion(); job != nullptr) {
+		this->OnJobQuestion(link, *job);
+	} else if (const auto *pool = message.AsPoolQuestion(); pool != nullptr) {
+		this->OnPoolQuestion(link, *pool);
+	} else {
+		this->links.events.Write("bad_frame", {{"kind", std::to_string(static_cast<int>(message.type))}});
+	}
+}
+
+void NodeCore::OnJobQuestion(FrameLink &link, const glade::wire::JobQuestionT &in)
+{
 	const JobAnswer answer =
-			this->desk.AnswerHere(JobQuestion{ServiceName(in->service), RouteName(in->route), JobId(in->job)});
+			this->desk.AnswerHere(JobQuestion{ServiceName(in.service), RouteName(in.route), JobId(in.job)});
 	glade::wire::JobAnswerT out;
-	out.number = in->number;
+	out.number = in.number;
 	out.code = static_cast<uint32_t>(answer.code);
 	out.phase = static_cast<uint8_t>(answer.phase);
 	out.waiting = answer.waiting;
 	link.Send(MakeMessage(std::move(out)));
 }
+
+void NodeCore::OnPoolQuestion(FrameLink &link, const glade::wire::PoolQuestionT &in)
+{
+	const std::optional<PoolStatus> status =
+			this->PoolHere(ServiceName(in.service), BoxesOf(in.drain), BoxesOf(in.due));
+	glade::wire::PoolAnswerT out;
+	out.number = in.number;
+	out.code = static_cast<uint32_t>(status ? ResultCode::RC_OK : ResultCode::RC_PEER_UNAVAILABLE);
+	if (status) {
+		out.waiting_cpu = status->waiting_cpu;
+		for (const PoolBox &box : status->boxes) {
+			auto row = std::make_unique<glade::wire::PoolBoxT>();
+			row->box = box.box.Value();
+			row->life = box.life.Value();
+			row->tasks = box.tasks;
+			row->used_cpu = box.used_cpu;
+			row->cpu = box.cpu;
+			row->placing = box.placing;
+			out.boxes.push_back(std::move(row));
+		}
+	}
+	link.Send(MakeMessage(std::move(out)));
+}
--- a/src/node/node_core.h
+++ b/src/node/node_core.h
@@ -2,29 +2,38 @@
 #ifndef NODE_CORE_H
 #define NODE_CORE_H
 
+#include "../upkeep/fleet_owner.h"
 #include "job_desk.h"
 
 /** Who this node is. */
 struct NodeIdentity {
+	std::string name;        ///< Name of this process.
 	std::string frames;      ///< IP:port where other nodes ask; also its name in the group.
 	uint32_t partitions = 1; ///< Partitions of a topic.
 	Millis silence;          ///< A node not heard of for so long loses its shards.
 	ShardLimits limits;      ///< Figures of shards.
+	Millis turn_gap;         ///< Time between the orders to machines of two nodes.
+};
+
+/** What a node speaks to. All outlive it. */
+struct NodeLinks {
+	KeyedLog &log;            ///< The store.
+	BoxOrders &orders;        ///< Boxes.
+	SiteFeed &feed;           ///< What is published.
+	MachineControl &machines; ///< Machines.
+	WaveReports &reports;     ///< For operators.
+	EventLog &events;         ///< Lines.
 };
 
 /** The node without its transport to callers. */
-class NodeCore : public SiteFeedEvents {
+class NodeCore : public SiteFeedEvents, public PoolOwners {
 public:
 	/**
 	 * @param scheduler Clock and timers.
-	 * @param log The store; outlives this.
-	 * @param orders Boxes; outlives this.
-	 * @param feed What is published; outlives this.
-	 * @param events Lines; outlives this.
+	 * @param links What it speaks to.
 	 * @param self Who this node is.
 	 */
-	NodeCore(Scheduler &scheduler, KeyedLog &log, BoxOrders &orders, SiteFeed &feed, EventLog &events,
-			 const NodeIdentity &self);
+	NodeCore(Scheduler &scheduler, const NodeLinks &links, const NodeIdentity &self);
 
 	/** Begins. @return Whether the frames' address could be listened on. */
 	bool Start();
@@ -38,6 +47,8 @@
 	void OnWave(const WaveOrder &wave) override;
 	void OnReport(const BoxReport &report) override;
 	void OnReportGone(const BoxLife &life) override;
+	void Ask(const ServiceName &service, const std::set<BoxName> &drain, const std::set<BoxName> &due,
+			 std::function<void(std::optional<PoolStatus>)> done) override;
 
 	JobDesk &Desk() { return this->desk; }                           ///< Answers to callers.
 	[[nodiscard]] const ShardHost &Host() const { return this->host; } ///< Shards owned.
@@ -45,8 +56,7 @@
 
 private:
 	Scheduler &scheduler;  ///< Clock and timers.
-	EventLog &events;      ///< Lines.
-	SiteFeed &feed;        ///< What is published.
+	NodeLinks links;       ///< What it speaks to.
 	NodeIdentity self;     ///< Who this node is.
 	GroupMember member;    ///< Its part in the group.
 	ShardHost host;        ///< Shards owned.
@@ -54,8 +64,16 @@
 	JobDesk desk;          ///< Answers.
 	FrameServer frames;    ///< Other nodes ask here.
 	bool leaving = false;  ///< Whether Leave() was called.
+	std::map<uint64_t, WaveOrder> waves; ///< Waves heard of.
+	std::unique_ptr<FleetOwner> fleet;   ///< While this node gives orders to machines.
 
+	void OnMembership();
+	void BeginFleet();
 	void OnFrame(FrameLink &link, const MessageUnion &message);
+	void OnJobQuestion(FrameLink &link, const glade::wire::JobQuestionT &in);
+	void OnPoolQuestion(FrameLink &link, const glade::wire::PoolQuestionT &in);
+	std::optional<PoolStatus> PoolHere(const ServiceName &service, const std::set<BoxName> &drain,
+									   const std::set<BoxName> &due);
 };
 
 #endif /* NODE_CORE_H */
--- a/src/node/owner_lookup.cpp
+++ b/src/node/owner_lookup.cpp
@@ -19,10 +19,10 @@
 {
 }
 
-void OwnerLookup::Ask(const JobQuestion &question, uint32_t part, Millis deadline, Done done)
+void OwnerLookup::Ask(uint32_t part, const std::string &what, Millis deadline, Make make, Done done)
 {
 	const uint64_t number = ++this->last_number;
-	this->open.emplace(number, Open{question, part, deadline, std::move(done), {}, TimerId()});
+	this->open.emplace(number, Open{part, what, deadline, std::move(make), std::move(done), {}, TimerId()});
 	this->Try(number);
 }
 
@@ -34,10 +34,10 @@
 	}
 	const Millis now = this->scheduler.Now();
 	if (now >= it->second.deadline) {
-		this->events.Write("owner_silent", {{"service", it->second.question.service.Value()},
-											{"job", it->second.question.job.Value()},
+		this->events.Write("owner_silent", {{"what", it->second.what},
+											{"part", std::to_string(it->second.part)},
 											{"asked", it->second.asked.empty() ? "nobody" : it->second.asked}});
-		this->Finish(number, JobAnswer{});
+		this->Finish(number, ResultCode::RC_PEER_UNAVAILABLE, nullptr);
 		return;
 	}
 	if (now - this->refreshed_at > HOLDERS_VALID) {
@@ -119,36 +119,38 @@
 	it.asked = this->holders.contains(it.part) ? this->holders.at(it.part) : it.asked;
 	FrameClient &client = this->ClientOf(it.asked);
 	if (client.Up()) {
-		glade::wire::JobQuestionT out;
-		out.number = number;
-		out.service = it.question.service.Value();
-		out.route = it.question.route.Value();
-		out.job = it.question.job.Value();
-		client.Send(MakeMessage(std::move(out)));
+		client.Send(it.make(number));
 	}
 	this->Again(number);
 }
 
 void OwnerLookup::OnFrame(const MessageUnion &message)
 {
-	const auto *in = message.AsJobAnswer();
-	if (in == nullptr || !this->open.contains(in->number)) {
-		return;
+	uint64_t number = 0;
+	auto code = ResultCode::RC_PEER_UNAVAILABLE;
+	if (const auto *job = message.AsJobAnswer(); job != nullptr) {
+		number = job->number;
+		code = static_cast<ResultCode>(job->code);
+	} else if (const auto *pool = message.AsPoolAnswer(); pool != nullptr) {
+		number = pool->number;
+		code = static_cast<ResultCode>(pool->code);
 	}
-	const auto code = static_cast<ResultCode>(in->code);
-	if (code != ResultCode::RC_OK && code != ResultCode::RC_UNKNOWN_JOB) {
-		Open &it = this->open.at(in->number);
-		it.asked.clear();
-		this->Refresh();
-		this->Again(in->number);
+	const auto it = this->open.find(number);
+	if (it == this->open.end()) {
+		return; /* Answered before, by a repeated question. */
+	}
+	if (code == ResultCode::RC_OK || code == ResultCode::RC_UNKNOWN_JOB) {
+		this->Finish(number, code, &message);
 		return;
 	}
-	this->Finish(in->number, JobAnswer{code, static_cast<JobPhase>(in->phase), in->waiting});
+	it->second.asked.clear();
+	this->Refresh();
+	this->Again(number);
 }
 
-void OwnerLookup::Finish(uint64_t number, const JobAnswer &answer)
+void OwnerLookup::Finish(uint64_t number, ResultCode code, const MessageUnion *answer)
 {
 	const auto node = this->open.extract(number);
 	this->scheduler.Cancel(node.mapped().timer);
-	node.mapped().done(answer);
+	node.mapped().done(code, answer);
 }
--- a/src/node/owner_lookup.h
+++ b/src/node/owner_lookup.h
@@ -7,7 +7,7 @@
 #include "../net/frame_link.h"
 #include "../store/keyed_log.h"
 
-/** A question about a job, or about a route's waiting jobs. */
+/** A question about a job, or about a route's waiting jobs. Its answer comes from the owner of the service's shard. */
 struct JobQuestion {
 	ServiceName service; ///< Service whose shard knows.
 	RouteName route;     ///< The route, for a count.
@@ -24,7 +24,10 @@
 /** Finds owners and asks them. */
 class OwnerLookup {
 public:
-	using Done = std::function<void(const JobAnswer &)>;
+	/** Makes the frame of a question. */
+	using Make = std::function<MessageUnion(uint64_t number)>;
+	/** Gets the answer's frame, or RC_PEER_UNAVAILABLE and null when nobody knew in time. */
+	using Done = std::function<void(ResultCode, const MessageUnion *)>;
 
 	/**
 	 * @param scheduler Clock and timers.
@@ -35,19 +38,21 @@
 
 	/**
 	 * Asks until an owner answers or time is up.
-	 * @param question The question.
 	 * @param part Partition that stands for the shard.
+	 * @param what What is asked, for the log.
 	 * @param deadline Until when.
-	 * @param done Gets the answer, RC_PEER_UNAVAILABLE when nobody knew in time.
+	 * @param make Makes the question.
+	 * @param done Gets the answer.
 	 */
-	void Ask(const JobQuestion &question, uint32_t part, Millis deadline, Done done);
+	void Ask(uint32_t part, const std::string &what, Millis deadline, Make make, Done done);
 
 private:
 	/** A question under way. */
 	struct Open {
-		JobQuestion question; ///< The question.
 		uint32_t part = 0;    ///< Partition that stands for the shard.
+		std::string what;     ///< What is asked, for the log.
 		Millis deadline;      ///< Until when.
+		Make make;            ///< Makes the question.
 		Done done;            ///< Gets the answer.
 		std::string asked;    ///< Node that was asked last.
 		TimerId timer;        ///< Next try.
@@ -69,7 +74,7 @@
 	void Refresh();
 	void Send(uint64_t number);
 	void OnFrame(const MessageUnion &message);
-	void Finish(uint64_t number, const JobAnswer &answer);
+	void Finish(uint64_t number, ResultCode code, const MessageUnion *answer);
 	FrameClient &ClientOf(const std::string &address);
 };
 
--- a/src/node/shard_host.cpp
+++ b/src/node/shard_host.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <ranges>
+#include <utility>
 
 std::optional<uint32_t> PartitionOf(const JobConfig &config, const ServiceName &service, uint32_t partitions)
 {
@@ -45,7 +46,7 @@
 			it->second->Confirm(this->member.ConfirmedAt());
 		} else if (it != this->owners.end()) {
 			this->parts.events.Write("shard_dealt_away", {{"service", service.name.Value()}});
-			this->owners.erase(it);
+			this->Release(service.name);
 		}
 	}
 	this->feed.WatchBoxes(!this->owners.empty());
@@ -67,6 +68,17 @@
 	this->owners.emplace(service, std::move(owner));
 }
 
+void ShardHost::Release(const ServiceName &service)
+{
+	auto node = this->owners.extract(service);
+	node.mapped()->Release([this, owner = node.mapped().get()] {
+		this->parts.scheduler.After(Millis(0), [this, owner] {
+			std::erase_if(this->releasing, [owner](const auto &it) { return it.get() == owner; });
+		});
+	});
+	this->releasing.push_back(std::move(node.mapped()));
+}
+
 void ShardHost::OnReport(const BoxReport &report)
 {
 	this->reports[report.life] = report;
@@ -81,7 +93,9 @@
 
 void ShardHost::Clear()
 {
-	this->owners.clear();
+	while (!this->owners.empty()) {
+		this->Release(ServiceName(this->owners.begin()->first));
+	}
 	this->feed.WatchBoxes(false);
 }
 
@@ -90,3 +104,8 @@
 	const auto it = this->owners.find(service);
 	return it == this->owners.end() ? nullptr : it->second.get();
 }
+
+ShardOwner *ShardHost::Find(const ServiceName &service)
+{
+	return const_cast<ShardOwner *>(std::as_const(*this).Find(service));
+}
--- a/src/node/shard_host.h
+++ b/src/node/shard_host.h
@@ -43,6 +43,8 @@
 
 	/** @return The owner of a service here, or null. @param service The service. */
 	[[nodiscard]] const ShardOwner *Find(const ServiceName &service) const;
+	/** @return The same, to be asked to do something. @param service The service. */
+	ShardOwner *Find(const ServiceName &service);
 	/** @return All owners here. */
 	[[nodiscard]] const std::map<ServiceName, std::unique_ptr<ShardOwner>> &Owners() const { return this->owners; }
 
@@ -54,8 +56,10 @@
 	JobConfig config;                                          ///< The configuration in force.
 	std::map<BoxLife, BoxReport> reports;                      ///< Boxes' reports.
 	std::map<ServiceName, std::unique_ptr<ShardOwner>> owners; ///< Shards owned or being claimed.
+	std::vector<std::unique_ptr<ShardOwner>> releasing;        ///< Shards being let go.
 
 	void Begin(const ServiceName &service);
+	void Release(const ServiceName &service);
 };
 
 #endif /* SHARD_HOST_H */
--- /dev/null
+++ b/src/store/owner_record.cpp
@@ -0,0 +1,23 @@
+/** @file owner_record.cpp The record that tells who owns a partition. */
+#include "owner_record.h"
+
+#include "record_codec.h"
+
+std::string EncodeOwner(const StoredOwner &owner)
+{
+	glade::shard::OwnerRecordT out;
+	out.format = RECORD_FORMAT;
+	out.epoch = owner.epoch;
+	out.address = owner.address;
+	out.released = owner.released;
+	return Packed<glade::shard::OwnerRecord>(out);
+}
+
+std::optional<StoredOwner> DecodeOwner(std::string_view bytes)
+{
+	const auto in = Unpacked<glade::shard::OwnerRecord>(bytes);
+	if (!in) {
+		return std::nullopt;
+	}
+	return StoredOwner{in->epoch, in->address, in->released};
+}
--- a/src/store/partition_claim.cpp
+++ b/src/store/partition_claim.cpp
@@ -1,6 +1,8 @@
 /** @file partition_claim.cpp Claims a partition of the keyed log. */
 #include "partition_claim.h"
 
+#include "owner_record.h"
+
 #include <algorithm>
 
 namespace {
@@ -10,9 +12,9 @@
 
 } // namespace
 
-PartitionClaim::PartitionClaim(Scheduler &scheduler, KeyedLog &log, EventLog &events, const OwnerRecordCodec &codec,
+PartitionClaim::PartitionClaim(Scheduler &scheduler, KeyedLog &log, EventLog &events, std::string address,
 							   PartitionId partition)
-		: scheduler(scheduler), log(log), events(events), codec(codec), partition(std::move(partition))
+		: scheduler(scheduler), log(log), events(events), address(std::move(address)), partition(std::move(partition))
 {
 }
 
@@ -34,7 +36,7 @@
 
 void PartitionClaim::Load()
 {
-	this->found.clear();
+	this->found = ClaimedPartition{0, true, {}};
 	this->first_end.reset();
 	this->LoadPage({});
 }
@@ -60,9 +62,11 @@
 	for (const KeyedRecord &record : page.records) {
 		const std::string value = record.value.value_or(std::string());
 		if (record.key == OWNER_KEY) {
-			this->epoch_found = std::max(this->epoch_found, this->codec.EpochOf(value));
+			const std::optional<StoredOwner> owner = DecodeOwner(value);
+			this->epoch_found = std::max(this->epoch_found, owner ? owner->epoch : 0);
+			this->found.released = owner && owner->released;
 		} else {
-			this->found[record.key] = value;
+			this->found.records[record.key] = value;
 		}
 	}
 	if (page.more && !page.records.empty()) {
@@ -78,7 +82,7 @@
 	const uint64_t epoch = std::max(this->epoch_found, this->epoch_tried) + 1;
 	this->epoch_tried = epoch;
 	const AppendCondition condition{this->first_end, OWNER_PRODUCER, epoch, 0};
-	this->log.Append(this->partition, {KeyedRecord{OWNER_KEY, this->codec.Encode(epoch)}}, condition, CLAIM_PATIENCE,
+	this->log.Append(this->partition, {KeyedRecord{OWNER_KEY, EncodeOwner(StoredOwner{epoch, this->address, false})}}, condition, CLAIM_PATIENCE,
 					 [this, epoch, still = std::weak_ptr<bool>(this->alive)](const KeyedAppendAnswer &answer) {
 						 if (!still.expired()) {
 							 this->OnClaimed(epoch, answer);
@@ -98,6 +102,8 @@
 	}
 	this->events.Write("claimed", {{"topic", this->partition.topic},
 								   {"epoch", std::to_string(epoch)},
-								   {"records", std::to_string(this->found.size())}});
-	this->done(epoch, this->found);
+								   {"released", this->found.released ? "yes" : "no"},
+								   {"records", std::to_string(this->found.records.size())}});
+	this->found.epoch = epoch;
+	this->done(this->found);
 }
--- a/src/store/partition_claim.h
+++ b/src/store/partition_claim.h
@@ -14,14 +14,11 @@
 /** Key of the owner's record. */
 inline constexpr const char *OWNER_KEY = "owner";
 
-/** Reads and writes the owner's record. */
-class OwnerRecordCodec {
-public:
-	virtual ~OwnerRecordCodec() = default;
-	/** @return Bytes of the record. @param epoch The owner's epoch. */
-	[[nodiscard]] virtual std::string Encode(uint64_t epoch) const = 0;
-	/** @return The epoch; 0 when the bytes are no such record. @param bytes The record. */
-	[[nodiscard]] virtual uint64_t EpochOf(const std::string &bytes) const = 0;
+/** What the claim has found. */
+struct ClaimedPartition {
+	uint64_t epoch = 0;                         ///< Epoch of the claim.
+	bool released = false;                      ///< Whether the owner before had let go by itself, or there was none.
+	std::map<std::string, std::string> records; ///< Values by key, without the owner's record.
 };
 
 /**
@@ -30,33 +27,31 @@
  */
 class PartitionClaim {
 public:
-	using Records = std::map<std::string, std::string>; ///< Values by key.
-	using Done = std::function<void(uint64_t epoch, const Records &records)>;
+	using Done = std::function<void(const ClaimedPartition &)>;
 
 	/**
 	 * @param scheduler Clock and timers.
 	 * @param log The log; outlives this.
 	 * @param events Lines; outlives this.
-	 * @param codec Of the owner's record; outlives this.
+	 * @param address Where the owner answers other nodes.
 	 * @param partition What to claim.
 	 */
-	PartitionClaim(Scheduler &scheduler, KeyedLog &log, EventLog &events, const OwnerRecordCodec &codec,
-				   PartitionId partition);
+	PartitionClaim(Scheduler &scheduler, KeyedLog &log, EventLog &events, std::string address, PartitionId partition);
 	~PartitionClaim();
 	PartitionClaim(const PartitionClaim &) = delete;
 	PartitionClaim &operator=(const PartitionClaim &) = delete;
 
-	/** Tries until it is claimed. @param done Gets the epoch and what the partition held, without the owner's record. */
+	/** Tries until it is claimed. @param done Gets what it held. */
 	void Start(Done done);
 
 private:
 	Scheduler &scheduler;                                       ///< Clock and timers.
 	KeyedLog &log;                                              ///< The log.
 	EventLog &events;                                           ///< Lines.
-	const OwnerRecordCodec &codec;                              ///< Of the owner's record.
+	std::string address;                                        ///< Where the owner answers other nodes.
 	PartitionId partition;                                      ///< What to claim.
 	Done done;                                                  ///< Told once.
-	Records found;                                              ///< What was read.
+	ClaimedPartition found;                                     ///< What was read, so far.
 	uint64_t epoch_found = 0;                                   ///< Epoch of the latest owner read.
 	uint64_t epoch_tried = 0;                                   ///< Highest epoch that this claim has tried.
 	std::optional<uint64_t> first_end;                          ///< End told by the first page read.
--- /dev/null
+++ b/src/upkeep/fleet_owner.cpp
@@ -0,0 +1,209 @@
+/** @file fleet_owner.cpp The one node that gives orders to machines. */
+#include "fleet_owner.h"
+
+#include <algorithm>
+#include <ranges>
+
+namespace {
+
+constexpr Millis TICK(300);          ///< Between two looks at the fleet while a wave is under way; a box is down for 2 s.
+constexpr Millis IDLE_TICK(1000);    ///< Between two looks without a wave: only whether one has come.
+constexpr Millis CONFIRM_FOR(900);   ///< A word of the group older than this allows no order: less than the silence
+									 ///< after which the group chooses another node.
+constexpr Millis TURN_SLACK(400);     ///< On top of the gap between two holders: calls under way.
+constexpr Millis PUBLISH_AGAIN(500); ///< Before a report that didn't get through is tried again.
+
+const PartitionId FLEET{"keyed.fleet", 0};
+
+/** Key of the record that maintenance of a box has begun. */
+std::string KeyOf(uint64_t wave, const BoxName &box)
+{
+	return std::to_string(wave) + "/" + box.Value();
+}
+
+} // namespace
+
+FleetOwner::FleetOwner(const FleetParts &parts) : parts(parts), desk(WaveLimits{}), confirmed_at(parts.scheduler.Now()) {}
+
+FleetOwner::~FleetOwner()
+{
+	this->parts.scheduler.Cancel(this->timer);
+}
+
+void FleetOwner::Start()
+{
+	this->claim = std::make_unique<PartitionClaim>(this->parts.scheduler, this->parts.log, this->parts.events,
+												   this->parts.address, FLEET);
+	this->claim->Start([this](const ClaimedPartition &claimed) { this->Run(claimed); });
+}
+
+void FleetOwner::Run(const ClaimedPartition &claimed)
+{
+	for (const auto &[key, value] : claimed.records) {
+		const size_t slash = key.find('/');
+		const uint64_t wave = std::stoull(key);
+		if (slash == std::string::npos) {
+			this->desk.RestoreCompleted(wave);
+		} else {
+			this->desk.Restore(wave, BoxName(key.substr(slash + 1)));
+		}
+	}
+	this->fence = FenceToken(claimed.epoch);
+	this->orders_from = this->parts.scheduler.Now() + this->parts.turn_gap + TURN_SLACK;
+	this->journal = std::make_unique<ShardJournal>(this->parts.scheduler, this->parts.log, FLEET, claimed.epoch);
+	this->journal->on_deposed = [this] { this->Lose(); };
+	this->Tick();
+}
+
+void FleetOwner::Lose()
+{
+	if (std::exchange(this->lost, true)) {
+		return;
+	}
+	this->parts.events.Write("fleet_lost", {{"fence", std::to_string(this->fence.Value())}});
+	if (this->on_lost) {
+		this->on_lost();
+	}
+}
+
+void FleetOwner::OnWave(const WaveOrder &wave)
+{
+	this->desk.Add(wave, this->parts.scheduler.Now());
+}
+
+bool FleetOwner::MayOrder() const
+{
+	const Millis now = this->parts.scheduler.Now();
+	const Millis confirmed = std::max(this->confirmed_at, this->journal->ConfirmedAt());
+	return !this->lost && now >= this->orders_from && now - confirmed <= CONFIRM_FOR;
+}
+
+void FleetOwner::Tick()
+{
+	if (this->lost) {
+		return;
+	}
+	const bool active = this->desk.Active();
+	this->timer = this->parts.scheduler.After(active ? TICK : IDLE_TICK, [this] { this->Tick(); });
+	if (active && this->pending == 0) {
+		this->Look(this->actions);
+	}
+}
+
+void FleetOwner::Look(const WaveActions &last)
+{
+	const auto of = [](const std::map<ServiceName, std::set<BoxName>> &all, const ServiceName &service) {
+		const auto it = all.find(service);
+		return it == all.end() ? std::set<BoxName>() : it->second;
+	};
+	this->view.pools.clear();
+	this->view.reserves.clear();
+	this->pending = 1;
+	for (const JobService &service : this->config.services) {
+		if (service.reserve) {
+			this->view.reserves.insert(service.name);
+			continue;
+		}
+		this->pending++;
+		this->parts.pools.Ask(service.name, of(last.drain, service.name), of(last.due, service.name),
+							  [this, name = service.name, still = std::weak_ptr<bool>(this->alive)](
+									  const std::optional<PoolStatus> &status) {
+								  if (still.expired()) {
+									  return;
+								  }
+								  if (status) {
+									  this->view.pools[name] = *status;
+								  }
+								  this->Answered();
+							  });
+	}
+	this->parts.machines.List([this, still = std::weak_ptr<bool>(this->alive)](ResultCode code,
+																			   const std::vector<MachineRow> &rows) {
+		if (still.expired()) {
+			return;
+		}
+		if (code == ResultCode::RC_OK) {
+			this->view.machines = rows;
+		} else {
+			/* Decisions on an old list would miss boxes that have come back or gone: none are made this time. */
+			this->view.machines.clear();
+		}
+		this->Answered();
+	});
+}
+
+void FleetOwner::Answered()
+{
+	if (--this->pending == 0 && !this->view.machines.empty()) {
+		this->Act();
+	}
+}
+
+void FleetOwner::Act()
+{
+	this->actions = this->desk.Decide(this->view, this->parts.scheduler.Now());
+	for (const auto &[box, wave] : this->actions.maintain) {
+		if (this->MayOrder()) {
+			this->Maintain(box, wave);
+		}
+	}
+	std::ranges::for_each(this->actions.completed, [this](uint64_t wave) { this->Publish(wave, true); });
+}
+
+void FleetOwner::Maintain(const BoxName &box, uint64_t wave)
+{
+	const auto row = std::ranges::find(this->view.machines, box, &MachineRow::box);
+	this->desk.Ordered(box, wave, row->life, this->parts.scheduler.Now());
+	this->parts.events.Write("maintenance_ordered", {{"box", box.Value()},
+													 {"wave", std::to_string(wave)},
+													 {"pool", row->pool.Value()},
+													 {"fence", std::to_string(this->fence.Value())}});
+	this->parts.machines.Maintain(
+			box, wave, ControlLease{this->parts.name, this->fence},
+			[this, box, wave, still = std::weak_ptr<bool>(this->alive)](ControlOutcome outcome) {
+				if (!still.expired()) {
+					this->OnMaintained(box, wave, outcome);
+				}
+			});
+}
+
+void FleetOwner::OnMaintained(const BoxName &box, uint64_t wave, ControlOutcome outcome)
+{
+	this->desk.Answered(box, wave, outcome);
+	if (outcome == ControlOutcome::CO_DONE) {
+		this->journal->Append({KeyedRecord{KeyOf(wave, box), std::string("1")}}, [] {
+			/* Nothing waits for it: without the record, the next owner only asks once more. */
+		});
+		return;
+	}
+	this->parts.events.Write("maintenance_not_begun",
+							 {{"box", box.Value()}, {"outcome", std::to_string(static_cast<int>(outcome))}});
+	if (outcome == ControlOutcome::CO_FENCED) {
+		this->Lose();
+	}
+}
+
+void FleetOwner::Publish(uint64_t wave, bool completed)
+{
+	if (!this->publishing.insert(wave).second) {
+		return;
+	}
+	this->parts.reports.Publish(wave, completed, [this, wave, still = std::weak_ptr<bool>(this->alive)](bool done) {
+		if (still.expired()) {
+			return;
+		}
+		if (!done) {
+			this->parts.scheduler.After(PUBLISH_AGAIN, [this, wave, still] {
+				if (!still.expired()) {
+					this->publishing.erase(wave);
+				}
+			});
+			return;
+		}
+		this->parts.events.Write("wave_completed", {{"wave", std::to_string(wave)}});
+		this->desk.Reported(wave);
+		this->journal->Append({KeyedRecord{std::to_string(wave), std::string("completed")}}, [] {
+			/* Nothing waits for it: without the record, the next owner reports once more. */
+		});
+	});
+}
