--- a/src/jobs/shard_jobs.cpp
+++ b/src/jobs/shard_jobs.cpp
@@ -112,6 +112,8 @@
 								  {"route", spec.route.Value()},
 								  {"tasks", std::to_string(kept.tasks.size())},
 								  {"age_ms", std::to_string((this->scheduler.WallNow() - spec.accepted).Value())},
+								  {"image", kept.spec.steps.empty() ? "" : kept.spec.steps.front().image},
+								  {"estimate_ms", std::to_string(kept.spec.steps.front().estimate.Value())},
 								  {"phase", std::to_string(static_cast<int>(kept.phase))}});
 	if (!kept.Over()) {
 		this->live.insert(spec.id);
--- a/src/jobs/shard_place.cpp
+++ b/src/jobs/shard_place.cpp
@@ -103,10 +103,10 @@
 		if (!room) {
 			continue;
 		}
-		/* Near its data first; what lasts, rather where it can stay; then where most is left: a lost box takes fewer
-		 * tasks with it. */
+		/* Near its data first; what lasts, rather where it can stay; then where least is left: boxes that stay empty can
+		 * be lent to another pool. */
 		const std::tuple rank(!step.data_rack.empty() && box->report.HasLabel(step.data_rack), !(step.lasting && box->due),
-							  free.cpu);
+							  -free.cpu);
 		if (best == nullptr || rank > best_rank) {
 			best = box;
 			best_rank = rank;
--- a/src/upkeep/fleet_owner.cpp
+++ b/src/upkeep/fleet_owner.cpp
@@ -6,8 +6,7 @@
 
 namespace {
 
-constexpr Millis TICK(300);          ///< Between two looks at the fleet while a wave is under way; a box is down for 2 s.
-constexpr Millis IDLE_TICK(1000);    ///< Between two looks without a wave: only whether one has come.
+constexpr Millis TICK(300);          ///< Between two looks at the fleet; a box is away for 1.5 s and more.
 constexpr Millis CONFIRM_FOR(900);   ///< A word of the group older than this allows no order: less than the silence
 									 ///< after which the group chooses another node.
 constexpr Millis TURN_SLACK(400);     ///< On top of the gap between two holders: calls under way.
@@ -23,7 +22,8 @@
 
 } // namespace
 
-FleetOwner::FleetOwner(const FleetParts &parts) : parts(parts), desk(WaveLimits{}), confirmed_at(parts.scheduler.Now()) {}
+FleetOwner::FleetOwner(const FleetParts &parts) : parts(parts), desk(WaveLimits{}), movers(PoolLimits{}),
+		  confirmed_at(parts.scheduler.Now()) {}
 
 FleetOwner::~FleetOwner()
 {
@@ -83,9 +83,8 @@
 	if (this->lost) {
 		return;
 	}
-	const bool active = this->desk.Active();
-	this->timer = this->parts.scheduler.After(active ? TICK : IDLE_TICK, [this] { this->Tick(); });
-	if (active && this->pending == 0) {
+	this->timer = this->parts.scheduler.After(TICK, [this] { this->Tick(); });
+	if (this->pending == 0) {
 		this->Look(this->actions);
 	}
 }
@@ -139,17 +138,68 @@
 	}
 }
 
+void FleetOwner::NotePools() const
+{
+	for (const auto &[service, pool] : this->view.pools) {
+		int64_t used = 0;
+		int64_t cpu = 0;
+		std::ranges::for_each(pool.boxes, [&](const PoolBox &it) {
+			used += it.used_cpu;
+			cpu += it.placing ? it.cpu : 0;
+		});
+		this->parts.events.Write("pool", {{"service", service.Value()},
+										  {"boxes", std::to_string(pool.boxes.size())},
+										  {"placing_cpu", std::to_string(cpu)},
+										  {"used_cpu", std::to_string(used)},
+										  {"waiting_cpu", std::to_string(pool.waiting_cpu)}});
+	}
+}
+
 void FleetOwner::Act()
 {
-	this->actions = this->desk.Decide(this->view, this->parts.scheduler.Now());
-	for (const auto &[box, wave] : this->actions.maintain) {
-		if (this->MayOrder()) {
+	const Millis now = this->parts.scheduler.Now();
+	this->NotePools();
+	this->desk.LeaveAlone(this->movers.Taken());
+	this->actions = this->desk.Decide(this->view, now);
+	const PoolActions moves = this->movers.Decide(this->view, this->desk.Taken(), now);
+	for (const auto &[pool, boxes] : moves.drain) {
+		this->actions.drain[pool].insert(boxes.begin(), boxes.end());
+	}
+	if (this->MayOrder()) {
+		for (const auto &[box, wave] : this->actions.maintain) {
 			this->Maintain(box, wave);
 		}
+		std::ranges::for_each(moves.moves, [this](const PoolMove &it) { this->Move(it); });
 	}
 	std::ranges::for_each(this->actions.completed, [this](uint64_t wave) { this->Publish(wave, true); });
 }
 
+void FleetOwner::Move(const PoolMove &move)
+{
+	const auto row = std::ranges::find(this->view.machines, move.box, &MachineRow::box);
+	this->movers.Ordered(move, this->parts.scheduler.Now());
+	this->parts.events.Write("move_ordered", {{"box", move.box.Value()},
+											  {"from", row->pool.Value()},
+											  {"to", move.to.Value()},
+											  {"fence", std::to_string(this->fence.Value())}});
+	this->parts.machines.Move(move.box, move.to, ControlLease{this->parts.name, this->fence},
+							  [this, move, from = row->pool,
+							   still = std::weak_ptr<bool>(this->alive)](ControlOutcome outcome) {
+								  if (still.expired()) {
+									  return;
+								  }
+								  this->movers.Answered(move, from, outcome);
+								  if (outcome != ControlOutcome::CO_DONE) {
+									  this->parts.events.Write("not_moved",
+															   {{"box", move.box.Value()},
+																{"outcome", std::to_string(static_cast<int>(outcome))}});
+								  }
+								  if (outcome == ControlOutcome::CO_FENCED) {
+									  this->Lose();
+								  }
+							  });
+}
+
 void FleetOwner::Maintain(const BoxName &box, uint64_t wave)
 {
 	const auto row = std::ranges::find(this->view.machines, box, &MachineRow::box);
--- a/src/upkeep/fleet_owner.h
+++ b/src/upkeep/fleet_owner.h
@@ -3,6 +3,7 @@
 #define FLEET_OWNER_H
 
 #include "../store/partition_claim.h"
+#include "pool_desk.h"
 #include "wave_desk.h"
 
 /** Asks the owners of pools. */
@@ -53,6 +54,7 @@
 	FleetParts parts;                       ///< What it needs.
 	JobConfig config;                       ///< The configuration in force.
 	WaveDesk desk;                          ///< Decides on waves.
+	PoolDesk movers;                        ///< Decides on moves.
 	FleetView view;                         ///< What is known.
 	std::unique_ptr<PartitionClaim> claim;  ///< The claim.
 	std::unique_ptr<ShardJournal> journal;  ///< Records, once claimed.
@@ -62,6 +64,7 @@
 	bool lost = false;                      ///< Whether another holder has come.
 	size_t pending = 0;                     ///< Questions of this tick that are not answered.
 	std::set<uint64_t> publishing;          ///< Waves being reported.
+	WaveActions actions;                    ///< Decided last.
 	TimerId timer;                          ///< Next tick.
 	std::shared_ptr<bool> alive = std::make_shared<bool>(true); ///< Expires with this.
 
@@ -72,10 +75,11 @@
 	void Act();
 	void Maintain(const BoxName &box, uint64_t wave);
 	void OnMaintained(const BoxName &box, uint64_t wave, ControlOutcome outcome);
+	void Move(const PoolMove &move);
+	void NotePools() const;
 	void Publish(uint64_t wave, bool completed);
 	void Lose();
 	[[nodiscard]] bool MayOrder() const;
-	WaveActions actions; ///< Decided last.
 };
 
 #endif /* FLEET_OWNER_H */
--- /dev/null
+++ b/src/upkeep/pool_desk.cpp
@@ -0,0 +1,152 @@
+/** @file pool_desk.cpp Moves of boxes between pools and the reserve. */
+#include "pool_desk.h"
+
+#include <algorithm>
+#include <ranges>
+
+void PoolDesk::NoteArrivals(const FleetView &view, Millis now)
+{
+	std::erase_if(this->leaving, [&](const auto &it) {
+		const auto row = std::ranges::find(view.machines, it.first, &MachineRow::box);
+		const bool gone = row == view.machines.end();
+		const bool there = !gone && row->pool == it.second.to && row->state == MachineState::MS_UP;
+		const Millis patience = it.second.ordered ? this->limits.move_within : this->limits.empty_within;
+		return gone || there || now - it.second.since > patience;
+	});
+}
+
+std::set<BoxName> PoolDesk::Taken() const
+{
+	std::set<BoxName> out;
+	std::ranges::copy(this->leaving | std::views::keys, std::inserter(out, out.end()));
+	return out;
+}
+
+std::vector<PoolDesk::Balance> PoolDesk::Balances(const FleetView &view, const std::set<BoxName> &taken) const
+{
+	std::vector<Balance> out;
+	for (const auto &[service, status] : view.pools) {
+		Balance balance;
+		balance.pool = service;
+		int64_t used = 0;
+		for (const PoolBox &box : status.boxes) {
+			const bool stays = !this->leaving.contains(box.box) && !taken.contains(box.box);
+			used += box.used_cpu;
+			balance.have += stays && box.placing ? box.cpu : 0;
+			if (stays && box.placing && box.tasks == 0) {
+				balance.empty.push_back(&box);
+			}
+		}
+		for (const auto &[box, way] : this->leaving) {
+			const auto row = std::ranges::find(view.machines, box, &MachineRow::box);
+			balance.have += way.to == service && row != view.machines.end() ? row->capacity.cpu : 0;
+		}
+		balance.want = static_cast<int64_t>(static_cast<double>(used) * this->limits.used_headroom +
+											static_cast<double>(status.waiting_cpu) * this->limits.waiting_weight);
+		out.push_back(std::move(balance));
+	}
+	return out;
+}
+
+void PoolDesk::Choose(const BoxName &box, const ServiceName &to, Millis now)
+{
+	this->leaving[box] = Leaving{to, now, false};
+}
+
+void PoolDesk::Supply(Balance &needy, std::vector<Balance> &all, const FleetView &view, const std::set<BoxName> &taken,
+					  Millis now)
+{
+	/* From the reserve first: nobody misses those. */
+	for (const MachineRow &row : view.machines) {
+		const bool free = view.reserves.contains(row.pool) && row.state == MachineState::MS_UP && !taken.contains(row.box) &&
+						  !this->leaving.contains(row.box) && !this->refused.contains({row.pool, needy.pool});
+		if (free && needy.have < needy.want) {
+			this->Choose(row.box, needy.pool, now);
+			needy.have += row.capacity.cpu;
+		}
+	}
+	for (Balance &other : all) {
+		while (other.pool != needy.pool && needy.have < needy.want && !other.empty.empty() &&
+			   !this->refused.contains({other.pool, needy.pool})) {
+			const PoolBox *box = other.empty.back();
+			if (other.have - box->cpu < other.want) {
+				break;
+			}
+			other.empty.pop_back();
+			other.have -= box->cpu;
+			needy.have += box->cpu;
+			this->Choose(box->box, needy.pool, now);
+		}
+	}
+}
+
+void PoolDesk::SendAway(Balance &rich, const FleetView &view, Millis now)
+{
+	const bool surplus = !rich.empty.empty() && rich.have - rich.empty.back()->cpu >= rich.want;
+	if (!surplus || view.reserves.empty()) {
+		this->surplus_since.erase(rich.pool);
+		return;
+	}
+	const Millis since = this->surplus_since.try_emplace(rich.pool, now).first->second;
+	if (now - since < this->limits.idle_for) {
+		return;
+	}
+	const ServiceName reserve = *view.reserves.begin();
+	while (!rich.empty.empty() && rich.have - rich.empty.back()->cpu >= rich.want &&
+		   !this->refused.contains({rich.pool, reserve})) {
+		rich.have -= rich.empty.back()->cpu;
+		this->Choose(rich.empty.back()->box, reserve, now);
+		rich.empty.pop_back();
+	}
+}
+
+PoolActions PoolDesk::Decide(const FleetView &view, const std::set<BoxName> &taken, Millis now)
+{
+	this->NoteArrivals(view, now);
+	std::vector<Balance> all = this->Balances(view, taken);
+	/* The neediest first. */
+	std::ranges::sort(all, std::ranges::greater{}, [](const Balance &it) { return it.want - it.have; });
+	for (Balance &it : all) {
+		if (it.have < it.want) {
+			this->Supply(it, all, view, taken, now);
+		}
+	}
+	std::ranges::for_each(all, [&](Balance &it) { this->SendAway(it, view, now); });
+	PoolActions actions;
+	for (const auto &[box, way] : this->leaving) {
+		const auto row = std::ranges::find(view.machines, box, &MachineRow::box);
+		if (way.ordered || row == view.machines.end()) {
+			continue;
+		}
+		if (view.reserves.contains(row->pool)) {
+			actions.moves.push_back(PoolMove{box, way.to});
+			continue;
+		}
+		actions.drain[row->pool].insert(box);
+		const auto pool = view.pools.find(row->pool);
+		if (pool == view.pools.end()) {
+			continue;
+		}
+		const auto status = std::ranges::find(pool->second.boxes, row->life, &PoolBox::life);
+		if (status != pool->second.boxes.end() && status->tasks == 0 && !status->placing) {
+			actions.moves.push_back(PoolMove{box, way.to});
+		}
+	}
+	return actions;
+}
+
+void PoolDesk::Ordered(const PoolMove &move, Millis now)
+{
+	this->leaving[move.box] = Leaving{move.to, now, true};
+}
+
+void PoolDesk::Answered(const PoolMove &move, const ServiceName &from, ControlOutcome outcome)
+{
+	if (outcome == ControlOutcome::CO_REJECTED) {
+		this->refused.emplace(from, move.to);
+	}
+	const bool under_way = outcome == ControlOutcome::CO_DONE || outcome == ControlOutcome::CO_UNKNOWN;
+	if (!under_way) {
+		this->leaving.erase(move.box);
+	}
+}
--- a/src/upkeep/wave_desk.cpp
+++ b/src/upkeep/wave_desk.cpp
@@ -122,7 +122,7 @@
 		left++;
 		if (row->state != MachineState::MS_UP) {
 			this->draining.erase(box);
-		} else if (!this->down.contains(box) && !this->draining.contains(box)) {
+		} else if (!this->down.contains(box) && !this->draining.contains(box) && !this->others.contains(box)) {
 			open.push_back(row);
 			actions.due[row->pool].insert(box);
 		}
@@ -159,6 +159,14 @@
 	}
 }
 
+std::set<BoxName> WaveDesk::Taken() const
+{
+	std::set<BoxName> out;
+	std::ranges::copy(this->draining | std::views::keys, std::inserter(out, out.end()));
+	std::ranges::copy(this->down | std::views::keys, std::inserter(out, out.end()));
+	return out;
+}
+
 void WaveDesk::Ordered(const BoxName &box, uint64_t wave, const BoxLife &life, Millis now)
 {
 	this->draining.erase(box);
--- a/src/upkeep/wave_desk.h
+++ b/src/upkeep/wave_desk.h
@@ -50,6 +50,10 @@
 	/** A wave was reported as completed. @param wave The wave. */
 	void Reported(uint64_t wave) { this->completed.insert(wave); }
 
+	/** @return Boxes that are being emptied or are down for a wave. */
+	[[nodiscard]] std::set<BoxName> Taken() const;
+	/** Boxes were chosen for something else: no wave empties them meanwhile. @param boxes Them. */
+	void LeaveAlone(const std::set<BoxName> &boxes) { this->others = boxes; }
 	/** @return Whether any wave is under way. */
 	[[nodiscard]] bool Active() const;
 	/** @return Whether a box is to be maintained yet. @param box The box. */
@@ -76,6 +80,7 @@
 	std::set<uint64_t> completed;                    ///< Waves reported as completed.
 	std::map<BoxName, Down> down;                    ///< Boxes that are down, or may be.
 	std::map<BoxName, uint64_t> draining;            ///< Boxes being emptied.
+	std::set<BoxName> others;                        ///< Boxes that move meanwhile.
 
 	void NoteReturns(const FleetView &view, Millis now);
 	void DecideWave(const Wave &wave, const FleetView &view, Millis now, WaveActions &actions);
