--- a/src/jobs/shard_base.h
+++ b/src/jobs/shard_base.h
@@ -100,6 +100,23 @@
 	TimerId timer;                      ///< Next lease order.
 };
 
+/** What a job can still be, in the order in which jobs are served. */
+enum class JobHope : uint8_t {
+	JH_LASTING = 0,  ///< Its tasks last: they are to run at all times.
+	JH_ON_TIME = 1,  ///< It can still end within its objective.
+	JH_LATE = 2,     ///< It will be late, but is still worth something.
+	JH_TOO_LATE = 3, ///< Nobody gains by its end any more; it is done when there is room.
+};
+
+/** Place of a job in the order: smaller ones first among equals, since they earn more for the room they take. */
+struct JobRank {
+	int64_t priority = 0;                  ///< Of its route.
+	JobHope hope = JobHope::JH_ON_TIME;    ///< What it can still be.
+	double waiting_work = 0;               ///< Thousandths of a core times ms of its waiting tasks.
+
+	auto operator<=>(const JobRank &) const = default;
+};
+
 /** A box as its pool's owner sees it. */
 struct PoolBox {
 	BoxName box;          ///< The box.
@@ -212,6 +229,7 @@
 	std::map<JobId, StoredProgress> restored;       ///< Recorded progress whose submission is not there yet.
 	std::set<JobId> cancelled;                      ///< Cancellations, also of jobs that are not there.
 	std::map<BoxLife, ShardBox> boxes;              ///< Boxes of the service.
+	std::map<RouteName, double> run_times;          ///< ms that tasks of a route took, on a scale of ratios, smoothed.
 	std::set<JobId> dirty;                          ///< Jobs to be recorded.
 	std::vector<PendingStart> starts;               ///< Orders to send once recorded.
 	ShardCounters counters;                         ///< Counters.
@@ -234,6 +252,8 @@
 
 	/* shard_place.cpp */
 	void Place();
+	[[nodiscard]] JobRank RankOf(const ShardJob &job) const;
+	[[nodiscard]] double RunTimeOf(const ShardJob &job, const StepSpec &step) const;
 	void PlaceJob(ShardJob &job);
 	void PlaceStep(ShardJob &job, uint32_t occurrence, uint32_t step);
 	void PlaceGang(ShardJob &job, uint32_t occurrence, uint32_t step);
@@ -250,6 +270,7 @@
 	/* shard_runs.cpp */
 	void Release(const TaskId &id, ShardTask &task);
 	void Resolve(const TaskId &id, RunEnding ending, const std::string &saved, const char *why);
+	void LearnRunTime(const ShardJob &job, Millis ran);
 	void ResolveFailed(ShardJob &job, const TaskId &id, ShardTask &task);
 	void BreakGang(ShardJob &job, const TaskId &id);
 	void FinishGang(ShardJob &job, const TaskId &id);
--- a/src/jobs/shard_jobs.cpp
+++ b/src/jobs/shard_jobs.cpp
@@ -260,7 +260,12 @@
 		return;
 	}
 	this->journal.Append(std::move(records),
-						 [this, due, ends, phases] { this->OnCommitted(due, ends, phases); });
+						 [this, due, ends, phases, still = std::weak_ptr<bool>(this->alive)] {
+							 /* The journal may outlive the shard, to say in the log that its owner has let go. */
+							 if (!still.expired()) {
+								 this->OnCommitted(due, ends, phases);
+							 }
+						 });
 }
 
 void Shard::OnCommitted(const std::vector<PendingStart> &due, const std::map<BoxLife, uint64_t> &ends,
--- a/src/jobs/shard_place.cpp
+++ b/src/jobs/shard_place.cpp
@@ -2,11 +2,13 @@
 #include "shard_base.h"
 
 #include <algorithm>
+#include <cmath>
 #include <ranges>
 #include <tuple>
 
 namespace {
 
+constexpr double LATE_FACTOR = 3.0;  ///< Beyond this many times its objective a job is worth nothing to its caller.
 constexpr Millis AVOID_REFUSED(200); ///< A box that had no room is tried again after this.
 constexpr Millis AVOID_BUSY(1000);   ///< A box that is unhealthy or can't be reached is tried again after this.
 
@@ -23,12 +25,67 @@
 
 void Shard::Place()
 {
-	std::vector<ShardJob *> order;
-	std::ranges::transform(this->live, std::back_inserter(order), [this](const JobId &id) { return &this->jobs.at(id); });
-	std::ranges::stable_sort(order, {}, [](const ShardJob *it) {
-		return std::pair(it->route.priority, it->spec.accepted);
-	});
-	std::ranges::for_each(order, [this](ShardJob *it) { this->PlaceJob(*it); });
+	std::vector<std::pair<JobRank, ShardJob *>> order;
+	for (const JobId &id : this->live) {
+		ShardJob &job = this->jobs.at(id);
+		if (const JobRank rank = this->RankOf(job); rank.waiting_work > 0) {
+			order.emplace_back(rank, &job);
+		}
+	}
+	std::ranges::stable_sort(order, {}, [](const auto &it) { return it.first; });
+	std::ranges::for_each(order, [this](const auto &it) { this->PlaceJob(*it.second); });
+}
+
+double Shard::RunTimeOf(const ShardJob &job, const StepSpec &step) const
+{
+	/* Callers' guesses are far off; what the route's tasks took so far is not known for this job. The middle of both, on
+	 * a scale of ratios, is better than either. */
+	const auto guess = std::max(static_cast<double>(step.estimate.Value()), 1.0);
+	const auto learned = this->run_times.find(job.spec.route);
+	return learned == this->run_times.end() ? guess : std::sqrt(guess * learned->second);
+}
+
+JobRank Shard::RankOf(const ShardJob &job) const
+{
+	JobRank rank;
+	rank.priority = job.route.priority;
+	std::vector<double> chain_all(job.spec.steps.size());
+	std::vector<double> chain_left(job.spec.steps.size());
+	double longest_all = 0;
+	double longest_left = 0;
+	bool lasting = false;
+	for (uint32_t n = 0; n < job.spec.steps.size(); n++) {
+		const StepSpec &step = job.spec.steps[n];
+		const double takes = this->RunTimeOf(job, step);
+		const size_t first = job.IndexOf(TaskId{job.spec.id, 0, n, 0});
+		const auto tasks = job.tasks | std::views::drop(first) | std::views::take(step.count);
+		const auto open = std::ranges::count_if(tasks, [](const ShardTask &it) { return it.phase != TaskPhase::TP_DONE; });
+		const auto waiting = std::ranges::count(tasks, TaskPhase::TP_WAITING, &ShardTask::phase);
+		lasting = lasting || step.lasting;
+		for (const uint32_t before : step.after) {
+			chain_all[n] = std::max(chain_all[n], chain_all[before]);
+			chain_left[n] = std::max(chain_left[n], chain_left[before]);
+		}
+		chain_all[n] += takes;
+		chain_left[n] += open > 0 ? takes : 0;
+		longest_all = std::max(longest_all, chain_all[n]);
+		longest_left = std::max(longest_left, chain_left[n]);
+		rank.waiting_work += static_cast<double>(waiting) * takes * static_cast<double>(std::max<int64_t>(step.demand.cpu, 1));
+	}
+	if (job.spec.repeats > 0) {
+		/* Only the waiting work of the first occurrence was counted: enough to know that there may be some. */
+		rank.waiting_work = std::max(rank.waiting_work, 1.0);
+	}
+	const auto age = static_cast<double>((this->scheduler.WallNow() - job.spec.accepted).Value());
+	const double objective = job.route.stretch * longest_all + static_cast<double>(job.route.headroom.Value());
+	if (lasting) {
+		rank.hope = JobHope::JH_LASTING;
+	} else if (age + longest_left <= objective) {
+		rank.hope = JobHope::JH_ON_TIME;
+	} else {
+		rank.hope = age + longest_left <= LATE_FACTOR * objective ? JobHope::JH_LATE : JobHope::JH_TOO_LATE;
+	}
+	return rank;
 }
 
 bool Shard::Due(const ShardJob &job, uint32_t occurrence) const
--- a/src/jobs/shard_runs.cpp
+++ b/src/jobs/shard_runs.cpp
@@ -2,10 +2,12 @@
 #include "shard_base.h"
 
 #include <algorithm>
+#include <cmath>
 #include <ranges>
 
 namespace {
 
+constexpr double LEARN_WEIGHT = 0.05; ///< Of the newest run in what is learned of run times: about 20 runs count.
 constexpr Millis STOP_AGAIN(400); ///< A stop without an answer is repeated after this: as long as a stop may take.
 
 } // namespace
@@ -29,13 +31,14 @@
 	ShardJob &job = this->jobs.at(id.job);
 	ShardTask &task = job.tasks[job.IndexOf(id)];
 	const StepSpec &step = job.spec.steps[id.step];
+	const Millis ran = this->scheduler.Now() - task.since;
 	this->log.Write("run_ended", {{"job", id.job.Value()},
 								  {"task", std::to_string(job.IndexOf(id))},
 								  {"run", std::to_string(task.run.Value())},
 								  {"box", task.box.Value()},
 								  {"ending", std::to_string(static_cast<int>(ending))},
 								  {"why", why},
-								  {"ran_ms", std::to_string((this->scheduler.Now() - task.since).Value())}});
+								  {"ran_ms", std::to_string(ran.Value())}});
 	if (!saved.empty()) {
 		task.saved = saved;
 	}
@@ -43,6 +46,7 @@
 	switch (ending) {
 	case RunEnding::RE_DONE:
 		this->counters.done++;
+		this->LearnRunTime(job, ran);
 		if (!step.lasting) {
 			task.phase = TaskPhase::TP_DONE;
 			if (step.gang) {
@@ -66,6 +70,15 @@
 	}
 }
 
+void Shard::LearnRunTime(const ShardJob &job, Millis ran)
+{
+	const double ms = std::max(static_cast<double>(ran.Value()), 1.0);
+	const auto [it, first] = this->run_times.try_emplace(job.spec.route, ms);
+	if (!first) {
+		it->second *= std::pow(ms / it->second, LEARN_WEIGHT);
+	}
+}
+
 void Shard::ResolveFailed(ShardJob &job, const TaskId &id, ShardTask &task)
 {
 	task.failures++;
--- a/src/upkeep/fleet_owner.cpp
+++ b/src/upkeep/fleet_owner.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr Millis TICK(300);          ///< Between two looks at the fleet; a box is away for 1.5 s and more.
+constexpr Millis TICK(200);          ///< Between two looks at the fleet; a box is away for 1.5 s and more.
 constexpr Millis CONFIRM_FOR(900);   ///< A word of the group older than this allows no order: less than the silence
 									 ///< after which the group chooses another node.
 constexpr Millis TURN_SLACK(400);     ///< On top of the gap between two holders: calls under way.
--- a/src/upkeep/pool_desk.cpp
+++ b/src/upkeep/pool_desk.cpp
@@ -4,6 +4,12 @@
 #include <algorithm>
 #include <ranges>
 
+namespace {
+
+constexpr double GROWTH_WEIGHT = 0.5; ///< Of the newest change in the smoothed one: about two looks count.
+
+} // namespace
+
 void PoolDesk::NoteArrivals(const FleetView &view, Millis now)
 {
 	std::erase_if(this->leaving, [&](const auto &it) {
@@ -22,27 +28,61 @@
 	return out;
 }
 
-std::vector<PoolDesk::Balance> PoolDesk::Balances(const FleetView &view, const std::set<BoxName> &taken) const
+double PoolDesk::GrowthOf(const ServiceName &pool, double cpu, Millis now)
 {
-	std::vector<Balance> out;
-	for (const auto &[service, status] : view.pools) {
-		Balance balance;
-		balance.pool = service;
-		int64_t used = 0;
-		for (const PoolBox &box : status.boxes) {
-			const bool stays = !this->leaving.contains(box.box) && !taken.contains(box.box);
-			used += box.used_cpu;
-			balance.have += stays && box.placing ? box.cpu : 0;
-			if (stays && box.placing && box.tasks == 0) {
+	const auto [it, first] = this->asked.try_emplace(pool, Asked{now, cpu, 0});
+	Asked &last = it->second;
+	const auto span = static_cast<double>((now - last.at).Value());
+	if (!first && span > 0) {
+		last.growth += GROWTH_WEIGHT * ((cpu - last.cpu) / span - last.growth);
+		last.at = now;
+		last.cpu = cpu;
+	}
+	return std::max(last.growth, 0.0);
+}
+
+int64_t PoolDesk::FloorOf(const FleetView &view) const
+{
+	int64_t all = 0;
+	std::ranges::for_each(view.machines, [&all](const MachineRow &it) { all += it.capacity.cpu; });
+	const auto pools = static_cast<double>(view.pools.size() + view.reserves.size());
+	return static_cast<int64_t>(static_cast<double>(all) / std::max(pools, 1.0) * this->limits.floor_share);
+}
+
+PoolDesk::Balance PoolDesk::BalanceOf(const ServiceName &pool, const PoolStatus &status, const FleetView &view,
+									  const std::set<BoxName> &taken)
+{
+	Balance balance;
+	balance.pool = pool;
+	for (const PoolBox &box : status.boxes) {
+		/* The report of a box that has moved away stands for a while. */
+		const auto row = std::ranges::find(view.machines, box.box, &MachineRow::box);
+		const bool here = row != view.machines.end() && row->pool == pool && row->life == box.life;
+		if (here && box.placing && !this->leaving.contains(box.box) && !taken.contains(box.box)) {
+			balance.have += box.cpu;
+			if (box.tasks == 0) {
 				balance.empty.push_back(&box);
 			}
 		}
-		for (const auto &[box, way] : this->leaving) {
-			const auto row = std::ranges::find(view.machines, box, &MachineRow::box);
-			balance.have += way.to == service && row != view.machines.end() ? row->capacity.cpu : 0;
-		}
-		balance.want = static_cast<int64_t>(static_cast<double>(used) * this->limits.used_headroom +
-											static_cast<double>(status.waiting_cpu) * this->limits.waiting_weight);
+	}
+	for (const auto &[box, way] : this->leaving) {
+		const auto row = std::ranges::find(view.machines, box, &MachineRow::box);
+		balance.have += way.to == pool && row != view.machines.end() ? row->capacity.cpu : 0;
+	}
+	return balance;
+}
+
+std::vector<PoolDesk::Balance> PoolDesk::Balances(const FleetView &view, const std::set<BoxName> &taken, Millis now)
+{
+	std::vector<Balance> out;
+	for (const auto &[service, status] : view.pools) {
+		Balance balance = this->BalanceOf(service, status, view, taken);
+		int64_t used = 0;
+		std::ranges::for_each(status.boxes, [&used](const PoolBox &it) { used += it.used_cpu; });
+		const double asks = static_cast<double>(used) + static_cast<double>(status.waiting_cpu) * this->limits.waiting_weight;
+		const double ahead = this->GrowthOf(service, asks, now) * static_cast<double>(this->limits.ahead.Value());
+		const double room = static_cast<double>(used) * (this->limits.used_headroom - 1.0);
+		balance.want = std::max(static_cast<int64_t>(asks + ahead + room), this->FloorOf(view));
 		out.push_back(std::move(balance));
 	}
 	return out;
@@ -103,7 +143,7 @@
 PoolActions PoolDesk::Decide(const FleetView &view, const std::set<BoxName> &taken, Millis now)
 {
 	this->NoteArrivals(view, now);
-	std::vector<Balance> all = this->Balances(view, taken);
+	std::vector<Balance> all = this->Balances(view, taken, now);
 	/* The neediest first. */
 	std::ranges::sort(all, std::ranges::greater{}, [](const Balance &it) { return it.want - it.have; });
 	for (Balance &it : all) {
--- a/src/upkeep/pool_desk.h
+++ b/src/upkeep/pool_desk.h
@@ -4,13 +4,15 @@
 
 #include "wave_desk.h"
 
-/** Figures of moves. Prices and times are the greenhouse site's; see docs/design/consortium.md. */
+/** Figures of moves. They weigh the greenhouse site's prices: see docs/design/consortium.md. */
 struct PoolLimits {
-	double waiting_weight = 0.7;       ///< Part of the waiting tasks that room is made for: the others end before it comes.
-	double used_headroom = 1.15;       ///< Room kept above what runs.
-	Millis idle_for = Millis(1500);    ///< A box is sent away after its pool could do without it for so long.
+	double waiting_weight = 1.0;        ///< Part of the waiting tasks that room is made for.
+	double used_headroom = 1.15;        ///< Room kept above what runs.
+	Millis ahead = Millis(1800);        ///< What a pool asks for is extrapolated so far: a move takes 1.5 s and more.
+	double floor_share = 0.4;           ///< A pool keeps this part of an even share of all boxes, for a sudden start.
+	Millis idle_for = Millis(2500);     ///< A box goes to the reserve after its pool could do without it for so long.
 	Millis empty_within = Millis(1500); ///< A box that isn't empty by then is not moved after all.
-	Millis move_within = Millis(6000); ///< A move that isn't seen to end by then is no longer counted on.
+	Millis move_within = Millis(6000);  ///< A move that isn't seen to end by then is no longer counted on.
 };
 
 /** A move to order now. */
@@ -57,13 +59,24 @@
 		std::vector<const PoolBox *> empty; ///< Boxes that run nothing.
 	};
 
+	/** What a pool asked for at the last look. */
+	struct Asked {
+		Millis at;         ///< When.
+		double cpu = 0;    ///< Thousandths of a core that ran or waited.
+		double growth = 0; ///< Change of that in a ms, smoothed.
+	};
+
 	PoolLimits limits;                                     ///< Figures.
 	std::map<BoxName, Leaving> leaving;                    ///< Boxes on their way.
+	std::map<ServiceName, Asked> asked;                    ///< By pool.
 	std::map<ServiceName, Millis> surplus_since;           ///< Since when a pool could do without a box.
 	std::set<std::pair<ServiceName, ServiceName>> refused; ///< Pairs of pools between which boxes can't move.
 
 	void NoteArrivals(const FleetView &view, Millis now);
-	[[nodiscard]] std::vector<Balance> Balances(const FleetView &view, const std::set<BoxName> &taken) const;
+	[[nodiscard]] std::vector<Balance> Balances(const FleetView &view, const std::set<BoxName> &taken, Millis now);
+	Balance BalanceOf(const ServiceName &pool, const PoolStatus &status, const FleetView &view, const std::set<BoxName> &taken);
+	[[nodiscard]] int64_t FloorOf(const FleetView &view) const;
+	double GrowthOf(const ServiceName &pool, double cpu, Millis now);
 	void Supply(Balance &needy, std::vector<Balance> &all, const FleetView &view, const std::set<BoxName> &taken, Millis now);
 	void SendAway(Balance &rich, const FleetView &view, Millis now);
 	void Choose(const BoxName &box, const ServiceName &to, Millis now);
