--- a/src/jobs/job_type.h
+++ b/src/jobs/job_type.h
@@ -49,21 +49,21 @@
 
 /** A step of a job: tasks that are alike. */
 struct StepSpec {
-	uint32_t count = 1;              ///< Tasks.
-	Resources demand;                ///< What each takes.
-	Millis estimate;                 ///< Guess of the run time of each.
-	std::vector<uint32_t> after;     ///< Steps of the same job that must have ended before.
-	bool gang = false;               ///< All tasks start and end together.
-	bool one_rack = false;           ///< Runs much slower when spread over racks.
-	std::string required_label;      ///< Label that the box must have; empty for any.
-	std::string data_rack;           ///< Rack near the data; elsewhere the step is slower. Empty for any.
-	uint32_t per_box = 0;            ///< Tasks that one box may run at most; 0 for any number.
-	bool checkpoints = false;        ///< Saves progress, and resumes from it.
-	bool copies = false;             ///< A second copy of a slow task may run beside the first.
-	bool lasting = false;            ///< Runs until the job is cancelled; restarted however it ends.
-	std::string image;               ///< Program; tasks of one image behave alike.
-	Millis latency_limit;            ///< Limit on the tail latency of a task that serves users; 0 for none.
-	bool filler = false;             ///< Takes only the processor time that others leave.
+	uint32_t count = 1;                 ///< Tasks.
+	Resources demand;                   ///< What each takes.
+	Millis estimate;                    ///< Guess of the run time of each.
+	std::vector<uint32_t> after;        ///< Steps of the same job that must have ended before.
+	bool gang = false;                  ///< All tasks start and end together.
+	bool one_rack = false;              ///< Runs much slower when spread over racks.
+	std::string required_label;         ///< Label that the box must have; empty for any.
+	std::string data_rack;              ///< Rack near the data; elsewhere the step is slower. Empty for any.
+	uint32_t per_box = 0;               ///< Tasks that one box may run at most; 0 for any number.
+	bool checkpoints = false;           ///< Saves progress, and resumes from it.
+	bool copies = false;                ///< A second copy of a slow task may run beside the first.
+	bool lasting = false;               ///< Runs until the job is cancelled; restarted however it ends.
+	std::string image;                  ///< Program; tasks of one image behave alike.
+	Millis latency_limit;               ///< Limit on the tail latency of a task that serves users; 0 for none.
+	bool filler = false;                ///< Takes only the processor time that others leave.
 	std::optional<uint32_t> absent_max; ///< Tasks that planned work may keep away at once; none for no limit.
 
 	bool operator==(const StepSpec &) const = default;
@@ -168,13 +168,13 @@
 
 /** An order to start a task. */
 struct StartOrder {
-	TaskId task;                  ///< The task.
-	bool numbered = false;        ///< Whether the job has occurrences at set times.
-	RunNumber run;                ///< Counts its starts.
-	std::string payload;          ///< The job's payload.
-	std::string saved;            ///< Checkpoint to resume from; empty for none.
-	Millis lease_until;           ///< End of the lease, by the box's clock.
-	FenceToken fence;             ///< The owner's token.
+	TaskId task;           ///< The task.
+	bool numbered = false; ///< Whether the job has occurrences at set times.
+	RunNumber run;         ///< Counts its starts.
+	std::string payload;   ///< The job's payload.
+	std::string saved;     ///< Checkpoint to resume from; empty for none.
+	Millis lease_until;    ///< End of the lease, by the box's clock.
+	FenceToken fence;      ///< The owner's token.
 };
 
 /** How an order ended. */
--- a/src/jobs/shard_base.h
+++ b/src/jobs/shard_base.h
@@ -12,9 +12,10 @@
 
 /** Figures that a shard works with. */
 struct ShardLimits {
-	Millis lease = Millis(4500);      ///< Lease asked for; bridges a change of owner (about 2.5 s), ends a dark box soon.
+	Millis lease = Millis(4500); ///< Lease asked for; bridges a change of owner (about 2.5 s), ends a dark box soon.
 	Millis lease_max = Millis(10000); ///< Longest lease that boxes grant (setting).
-	Millis lease_wait = Millis(1000); ///< A box holds its answer back so long for an end: also the refresh of the lease.
+	Millis lease_wait =
+			Millis(1000); ///< A box holds its answer back so long for an end: also the refresh of the lease.
 	/** An owner that has not heard of the log for so long prolongs no lease: with the lease it bridges outages of 11 s,
 	 * and another owner has to wait as long for a box that it can't reach. */
 	Millis owner_term = Millis(6500);
@@ -22,14 +23,14 @@
 
 /** Counters of a shard, for metrics and tests. */
 struct ShardCounters {
-	uint64_t starts = 0;   ///< Start orders sent.
-	uint64_t stops = 0;    ///< Stop orders sent.
-	uint64_t looks = 0;    ///< Lease orders sent.
-	uint64_t done = 0;     ///< Runs that ended well.
-	uint64_t failed = 0;   ///< Runs that failed.
-	uint64_t lapsed = 0;   ///< Runs lost with their box or lease.
-	uint64_t refused = 0;  ///< Starts that boxes refused.
-	uint64_t unknown = 0;  ///< Starts without an answer.
+	uint64_t starts = 0;  ///< Start orders sent.
+	uint64_t stops = 0;   ///< Stop orders sent.
+	uint64_t looks = 0;   ///< Lease orders sent.
+	uint64_t done = 0;    ///< Runs that ended well.
+	uint64_t failed = 0;  ///< Runs that failed.
+	uint64_t lapsed = 0;  ///< Runs lost with their box or lease.
+	uint64_t refused = 0; ///< Starts that boxes refused.
+	uint64_t unknown = 0; ///< Starts without an answer.
 };
 
 /** What a run of a placed task is known to do. Not stored: a new owner asks the boxes. */
@@ -55,14 +56,14 @@
 
 /** A job with its tasks. */
 struct ShardJob {
-	JobSpec spec;                                ///< As handed in.
-	JobPhase phase = JobPhase::JP_QUEUED;        ///< Where it stands.
+	JobSpec spec;                                 ///< As handed in.
+	JobPhase phase = JobPhase::JP_QUEUED;         ///< Where it stands.
 	JobPhase durable_phase = JobPhase::JP_QUEUED; ///< What is recorded: others are told only this.
-	std::vector<ShardTask> tasks;                ///< By occurrence, step, index.
-	std::vector<uint32_t> step_offsets;          ///< Where each step begins within an occurrence.
-	uint32_t per_occurrence = 0;                 ///< Tasks of an occurrence.
-	Millis taken_at;                             ///< When this owner learned of it.
-	JobRoute route;                              ///< Its route, as last configured.
+	std::vector<ShardTask> tasks;                 ///< By occurrence, step, index.
+	std::vector<uint32_t> step_offsets;           ///< Where each step begins within an occurrence.
+	uint32_t per_occurrence = 0;                  ///< Tasks of an occurrence.
+	Millis taken_at;                              ///< When this owner learned of it.
+	JobRoute route;                               ///< Its route, as last configured.
 
 	/** @return Whether nothing more is to be started. */
 	[[nodiscard]] bool Over() const { return this->phase > JobPhase::JP_RUNNING; }
@@ -79,25 +80,26 @@
 
 /** A box of the service. */
 struct ShardBox {
-	BoxReport report;                   ///< What its agent says of itself.
-	bool listed = true;                 ///< Whether its report stands.
-	bool adopted = false;               ///< It has answered this owner: orders of earlier owners can't come any more.
-	bool asking = false;                ///< A lease order is under way.
-	bool over = false;                  ///< This life has ended for certain.
-	std::optional<Millis> clock;        ///< Its clock at `clock_at`.
-	Millis clock_at;                    ///< When `clock` was heard.
-	Millis lapse_at;                    ///< From then on no lease can hold there any more, by our clock.
-	Millis asked_at;                    ///< When the last lease order was sent.
-	Millis answered_at;                 ///< When the last answer came.
-	Millis avoid_until;                 ///< Nothing is placed there before.
-	uint64_t ends_seen = 0;             ///< Ends up to this number are taken in.
-	uint64_t ends_durable = 0;          ///< Ends up to this number are recorded.
-	Millis drain_until;                 ///< Until then it is being emptied for planned work.
-	bool due = false;                   ///< It will be emptied before long.
-	bool strangers = false;             ///< It runs something that this shard has not placed.
-	Resources used;                     ///< Taken by the tasks placed there.
-	std::set<TaskId> placed;            ///< Tasks placed there.
-	TimerId timer;                      ///< Next lease order.
+	BoxReport report;            ///< What its agent says of itself.
+	bool listed = true;          ///< Whether its report stands.
+	bool adopted = false;        ///< It has answered this owner: orders of earlier owners can't come any more.
+	bool asking = false;         ///< A lease order is under way.
+	bool silent = false;         ///< The last lease order got no answer.
+	bool over = false;           ///< This life has ended for certain.
+	std::optional<Millis> clock; ///< Its clock at `clock_at`.
+	Millis clock_at;             ///< When `clock` was heard.
+	Millis lapse_at;             ///< From then on no lease can hold there any more, by our clock.
+	Millis asked_at;             ///< When the last lease order was sent.
+	Millis answered_at;          ///< When the last answer came.
+	Millis avoid_until;          ///< Nothing is placed there before.
+	uint64_t ends_seen = 0;      ///< Ends up to this number are taken in.
+	uint64_t ends_durable = 0;   ///< Ends up to this number are recorded.
+	Millis drain_until;          ///< Until then it is being emptied for planned work.
+	bool due = false;            ///< It will be emptied before long.
+	bool strangers = false;      ///< It runs something that this shard has not placed.
+	Resources used;              ///< Taken by the tasks placed there.
+	std::set<TaskId> placed;     ///< Tasks placed there.
+	TimerId timer;               ///< Next lease order.
 };
 
 /** What a job can still be, in the order in which jobs are served. */
@@ -110,9 +112,9 @@
 
 /** Place of a job in the order: smaller ones first among equals, since they earn more for the room they take. */
 struct JobRank {
-	int64_t priority = 0;                  ///< Of its route.
-	JobHope hope = JobHope::JH_ON_TIME;    ///< What it can still be.
-	double waiting_work = 0;               ///< Thousandths of a core times ms of its waiting tasks.
+	int64_t priority = 0;               ///< Of its route.
+	JobHope hope = JobHope::JH_ON_TIME; ///< What it can still be.
+	double waiting_work = 0;            ///< Thousandths of a core times ms of its waiting tasks.
 
 	auto operator<=>(const JobRank &) const = default;
 };
@@ -210,30 +212,30 @@
 		RunNumber run; ///< Which start.
 	};
 
-	Scheduler &scheduler;                           ///< Clock and timers.
-	ShardJournal &journal;                          ///< Records.
-	BoxOrders &orders;                              ///< Boxes.
-	EventLog &log;                                  ///< Lines.
-	ServiceName service;                            ///< The service.
-	FenceToken fence;                               ///< Token of this ownership.
-	ShardLimits limits;                             ///< Figures.
-	Millis owned_since;                             ///< When this ownership began.
-	Millis confirmed_at;                            ///< When the log last confirmed it.
-	Millis other_owner_until;                       ///< Until then an earlier owner may prolong leases.
-	bool begun = false;                             ///< Whether Begin().
-	bool woken = false;                             ///< Whether a turn is due.
-	bool deposed = false;                           ///< Whether a box has seen a higher token.
-	JobConfig config;                               ///< The configuration in force.
-	std::map<JobId, ShardJob> jobs;                 ///< Jobs, also those that are over.
-	std::set<JobId> live;                           ///< Jobs that are not over.
-	std::map<JobId, StoredProgress> restored;       ///< Recorded progress whose submission is not there yet.
-	std::set<JobId> cancelled;                      ///< Cancellations, also of jobs that are not there.
-	std::map<BoxLife, ShardBox> boxes;              ///< Boxes of the service.
-	std::map<RouteName, double> run_times;          ///< ms that tasks of a route took, on a scale of ratios, smoothed.
-	std::set<JobId> dirty;                          ///< Jobs to be recorded.
-	std::vector<PendingStart> starts;               ///< Orders to send once recorded.
-	ShardCounters counters;                         ///< Counters.
-	TimerId timer;                                  ///< Next turn without an event.
+	Scheduler &scheduler;                     ///< Clock and timers.
+	ShardJournal &journal;                    ///< Records.
+	BoxOrders &orders;                        ///< Boxes.
+	EventLog &log;                            ///< Lines.
+	ServiceName service;                      ///< The service.
+	FenceToken fence;                         ///< Token of this ownership.
+	ShardLimits limits;                       ///< Figures.
+	Millis owned_since;                       ///< When this ownership began.
+	Millis confirmed_at;                      ///< When the log last confirmed it.
+	Millis other_owner_until;                 ///< Until then an earlier owner may prolong leases.
+	bool begun = false;                       ///< Whether Begin().
+	bool woken = false;                       ///< Whether a turn is due.
+	bool deposed = false;                     ///< Whether a box has seen a higher token.
+	JobConfig config;                         ///< The configuration in force.
+	std::map<JobId, ShardJob> jobs;           ///< Jobs, also those that are over.
+	std::set<JobId> live;                     ///< Jobs that are not over.
+	std::map<JobId, StoredProgress> restored; ///< Recorded progress whose submission is not there yet.
+	std::set<JobId> cancelled;                ///< Cancellations, also of jobs that are not there.
+	std::map<BoxLife, ShardBox> boxes;        ///< Boxes of the service.
+	std::map<RouteName, double> run_times;    ///< ms that tasks of a route took, on a scale of ratios, smoothed.
+	std::set<JobId> dirty;                    ///< Jobs to be recorded.
+	std::vector<PendingStart> starts;         ///< Orders to send once recorded.
+	ShardCounters counters;                   ///< Counters.
+	TimerId timer;                            ///< Next turn without an event.
 	std::shared_ptr<bool> alive = std::make_shared<bool>(true); ///< Expires with this.
 
 	/* shard_jobs.cpp */
--- a/src/jobs/shard_boxes.cpp
+++ b/src/jobs/shard_boxes.cpp
@@ -6,17 +6,17 @@
 
 namespace {
 
-constexpr double CLOCK_RATE_MIN = 0.98;  ///< A box's clock may run 2% slow (the platform's page on running tasks).
-constexpr Millis LAPSE_SLACK(150);       ///< On top of a lapsed lease: the box needs a moment to end what runs.
-constexpr Millis OVERDUE(400);            ///< Beyond the wait: a box whose answer is overdue by so much gets nothing new.
-constexpr Millis RETRY_AFTER(300);       ///< Next lease order to a box that didn't answer.
-constexpr Millis LOOK_GAP(25);           ///< Least time between two lease orders to a box: ends are taken in together.
-constexpr Millis UNRECORDED_GAP(700);    ///< The same while ends can't be recorded: the box answers at once each time.
-constexpr Millis SILENT_AFTER(1500);     ///< Beyond the wait: a box that is silent for so long gets no longer lease.
-constexpr Millis FORGET_AFTER(10000);    ///< A box without report, tasks and answers is forgotten after this.
-constexpr int64_t FULL_SHARE = 100;       ///< Percent of a task that is at work.
-constexpr Millis DRAIN_FOR(2000);         ///< A box is kept empty for so long after it was last asked for.
-constexpr size_t ENDS_AT_ONCE = 500;     ///< Ends that a box lists at once; a list of this size may not be whole.
+constexpr double CLOCK_RATE_MIN = 0.98; ///< A box's clock may run 2% slow (the platform's page on running tasks).
+constexpr Millis LAPSE_SLACK(150);      ///< On top of a lapsed lease: the box needs a moment to end what runs.
+constexpr Millis OVERDUE(400);          ///< Beyond the wait: a box whose answer is overdue by so much gets nothing new.
+constexpr Millis RETRY_AFTER(300);      ///< Next lease order to a box that didn't answer.
+constexpr Millis LOOK_GAP(25);          ///< Least time between two lease orders to a box: ends are taken in together.
+constexpr Millis UNRECORDED_GAP(700);   ///< The same while ends can't be recorded: the box answers at once each time.
+constexpr Millis SILENT_AFTER(1500);    ///< Beyond the wait: a box that is silent for so long gets no longer lease.
+constexpr Millis FORGET_AFTER(10000);   ///< A box without report, tasks and answers is forgotten after this.
+constexpr int64_t FULL_SHARE = 100;     ///< Percent of a task that is at work.
+constexpr Millis DRAIN_FOR(2000);       ///< A box is kept empty for so long after it was last asked for.
+constexpr size_t ENDS_AT_ONCE = 500;    ///< Ends that a box lists at once; a list of this size may not be whole.
 
 } // namespace
 
@@ -28,7 +28,8 @@
 	auto [it, added] = this->boxes.try_emplace(report.life);
 	ShardBox &box = it->second;
 	const bool was_leaving = box.report.leaving;
-	const bool changed = added || was_leaving != report.leaving || box.report.capacity != report.capacity || !box.listed;
+	const bool changed =
+			added || was_leaving != report.leaving || box.report.capacity != report.capacity || !box.listed;
 	box.report = report;
 	box.listed = true;
 	if (added) {
@@ -54,7 +55,8 @@
 	const auto it = this->boxes.find(life);
 	if (it != this->boxes.end() && it->second.listed) {
 		it->second.listed = false;
-		this->log.Write("box_report_gone", {{"life", life.Value()}, {"placed", std::to_string(it->second.placed.size())}});
+		this->log.Write("box_report_gone",
+						{{"life", life.Value()}, {"placed", std::to_string(it->second.placed.size())}});
 		this->Wake();
 	}
 }
@@ -120,13 +122,13 @@
 	box.asking = true;
 	box.asked_at = now;
 	this->counters.looks++;
-	this->orders.Lease(box.report, order,
-					   [this, life = box.report.life, now,
-						still = std::weak_ptr<bool>(this->alive)](const LeaseAnswer &answer) {
-						   if (!still.expired()) {
-							   this->OnLease(life, now, answer);
-						   }
-					   });
+	this->orders.Lease(
+			box.report, order,
+			[this, life = box.report.life, now, still = std::weak_ptr<bool>(this->alive)](const LeaseAnswer &answer) {
+				if (!still.expired()) {
+					this->OnLease(life, now, answer);
+				}
+			});
 }
 
 void Shard::OnLease(const BoxLife &life, Millis sent, const LeaseAnswer &answer)
@@ -143,6 +145,7 @@
 	}
 	const Millis now = this->scheduler.Now();
 	box.answered_at = now;
+	box.silent = false;
 	if (answer.order.box_clock) {
 		box.clock = answer.order.box_clock;
 		box.clock_at = now;
@@ -186,6 +189,7 @@
 		this->EndLife(box, "other_life");
 		return;
 	}
+	box.silent = true;
 	this->log.Write("box_silent", {{"life", box.report.life.Value()},
 								   {"outcome", std::to_string(static_cast<int>(outcome))},
 								   {"placed", std::to_string(box.placed.size())},
@@ -375,8 +379,8 @@
 {
 	const Millis now = this->scheduler.Now();
 	const bool overdue = box.asking && now - box.asked_at > this->limits.lease_wait + OVERDUE;
-	return box.listed && box.adopted && !box.over && !box.report.leaving && !box.strangers && !overdue && box.clock &&
-		   now >= box.avoid_until && now >= box.drain_until;
+	return box.listed && box.adopted && !box.silent && !box.over && !box.report.leaving && !box.strangers && !overdue &&
+		   box.clock && now >= box.avoid_until && now >= box.drain_until;
 }
 
 PoolStatus Shard::Status() const
--- a/src/jobs/shard_jobs.cpp
+++ b/src/jobs/shard_jobs.cpp
@@ -259,13 +259,12 @@
 		this->OnCommitted(due, ends, phases);
 		return;
 	}
-	this->journal.Append(std::move(records),
-						 [this, due, ends, phases, still = std::weak_ptr<bool>(this->alive)] {
-							 /* The journal may outlive the shard, to say in the log that its owner has let go. */
-							 if (!still.expired()) {
-								 this->OnCommitted(due, ends, phases);
-							 }
-						 });
+	this->journal.Append(std::move(records), [this, due, ends, phases, still = std::weak_ptr<bool>(this->alive)] {
+		/* The journal may outlive the shard, to say in the log that its owner has let go. */
+		if (!still.expired()) {
+			this->OnCommitted(due, ends, phases);
+		}
+	});
 }
 
 void Shard::OnCommitted(const std::vector<PendingStart> &due, const std::map<BoxLife, uint64_t> &ends,
@@ -311,7 +310,8 @@
 
 void Shard::CheckCompleted(ShardJob &job)
 {
-	if (!job.Over() && std::ranges::all_of(job.tasks, [](const ShardTask &it) { return it.phase == TaskPhase::TP_DONE; })) {
+	if (!job.Over() &&
+		std::ranges::all_of(job.tasks, [](const ShardTask &it) { return it.phase == TaskPhase::TP_DONE; })) {
 		this->EndJob(job, JobPhase::JP_COMPLETED, "all_done");
 	}
 }
--- a/src/jobs/shard_owner.cpp
+++ b/src/jobs/shard_owner.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr Millis FRESH_FOR(2500);      ///< A view of the inbox older than this can't tell that a job doesn't exist.
+constexpr Millis FRESH_FOR(2500); ///< A view of the inbox older than this can't tell that a job doesn't exist.
 constexpr FollowPace INBOX_PACE{Millis(1000), Millis(0), Millis(100)}; ///< Long polls: a submission is read at once.
 
 } // namespace
@@ -64,7 +64,8 @@
 		}
 	}
 	this->shard->Configure(this->config);
-	std::ranges::for_each(this->reports | std::views::values, [this](const BoxReport &it) { this->shard->OnReport(it); });
+	std::ranges::for_each(this->reports | std::views::values,
+						  [this](const BoxReport &it) { this->shard->OnReport(it); });
 	this->inbox = std::make_unique<KeyedFollower>(this->parts.scheduler, this->parts.log,
 												  PartitionId{this->progress.topic, INBOX_PART}, INBOX_PACE);
 	this->inbox->on_record = [this](const KeyedRecord &it) { this->OnInbox(it); };
--- a/src/jobs/shard_place.cpp
+++ b/src/jobs/shard_place.cpp
@@ -38,8 +38,8 @@
 
 double Shard::RunTimeOf(const ShardJob &job, const StepSpec &step) const
 {
-	/* Callers' guesses are far off; what the route's tasks took so far is not known for this job. The middle of both, on
-	 * a scale of ratios, is better than either. */
+	/* Callers' guesses are far off; what the route's tasks took so far is not known for this job. The middle of both,
+	 * on a scale of ratios, is better than either. */
 	const auto guess = std::max(static_cast<double>(step.estimate.Value()), 1.0);
 	const auto learned = this->run_times.find(job.spec.route);
 	return learned == this->run_times.end() ? guess : std::sqrt(guess * learned->second);
@@ -59,7 +59,8 @@
 		const double takes = this->RunTimeOf(job, step);
 		const size_t first = job.IndexOf(TaskId{job.spec.id, 0, n, 0});
 		const auto tasks = job.tasks | std::views::drop(first) | std::views::take(step.count);
-		const auto open = std::ranges::count_if(tasks, [](const ShardTask &it) { return it.phase != TaskPhase::TP_DONE; });
+		const auto open =
+				std::ranges::count_if(tasks, [](const ShardTask &it) { return it.phase != TaskPhase::TP_DONE; });
 		const auto waiting = std::ranges::count(tasks, TaskPhase::TP_WAITING, &ShardTask::phase);
 		lasting = lasting || step.lasting;
 		for (const uint32_t before : step.after) {
@@ -70,7 +71,8 @@
 		chain_left[n] += open > 0 ? takes : 0;
 		longest_all = std::max(longest_all, chain_all[n]);
 		longest_left = std::max(longest_left, chain_left[n]);
-		rank.waiting_work += static_cast<double>(waiting) * takes * static_cast<double>(std::max<int64_t>(step.demand.cpu, 1));
+		rank.waiting_work +=
+				static_cast<double>(waiting) * takes * static_cast<double>(std::max<int64_t>(step.demand.cpu, 1));
 	}
 	if (job.spec.repeats > 0) {
 		/* Only the waiting work of the first occurrence was counted: enough to know that there may be some. */
@@ -160,10 +162,10 @@
 		if (!room) {
 			continue;
 		}
-		/* Near its data first; what lasts, rather where it can stay; then where least is left: boxes that stay empty can
-		 * be lent to another pool. */
-		const std::tuple rank(!step.data_rack.empty() && box->report.HasLabel(step.data_rack), !(step.lasting && box->due),
-							  -free.cpu);
+		/* Near its data first; what lasts, rather where it can stay; then where least is left: boxes that stay empty
+		 * can be lent to another pool. */
+		const std::tuple rank(!step.data_rack.empty() && box->report.HasLabel(step.data_rack),
+							  !(step.lasting && box->due), -free.cpu);
 		if (best == nullptr || rank > best_rank) {
 			best = box;
 			best_rank = rank;
@@ -196,11 +198,13 @@
 void Shard::PlaceGang(ShardJob &job, uint32_t occurrence, uint32_t step)
 {
 	const TaskId first{job.spec.id, occurrence, step, 0};
-	const auto members = job.tasks | std::views::drop(job.IndexOf(first)) | std::views::take(job.spec.steps[step].count);
+	const auto members =
+			job.tasks | std::views::drop(job.IndexOf(first)) | std::views::take(job.spec.steps[step].count);
 	if (!std::ranges::all_of(members, [](const ShardTask &it) { return it.phase == TaskPhase::TP_WAITING; })) {
 		return;
 	}
-	const uint32_t last_run = std::ranges::max(members | std::views::transform([](const ShardTask &it) { return it.run.Value(); }));
+	const uint32_t last_run =
+			std::ranges::max(members | std::views::transform([](const ShardTask &it) { return it.run.Value(); }));
 	/* Rack by rack first, when the step is slow over several; then over all boxes. All or none. */
 	const std::vector<ShardBox *> open = this->Candidates(job.spec.steps[step]);
 	std::vector<std::vector<ShardBox *>> choices;
@@ -280,13 +284,13 @@
 									{"run", std::to_string(start.run.Value())},
 									{"box", task->box.Value()},
 									{"waited_ms", std::to_string((this->scheduler.Now() - job.taken_at).Value())}});
-	this->orders.Start(it->second.report, order,
-					   [this, start, life = task->box,
-						still = std::weak_ptr<bool>(this->alive)](const OrderAnswer &answer) {
-						   if (!still.expired()) {
-							   this->OnStarted(start.task, start.run, life, answer);
-						   }
-					   });
+	this->orders.Start(
+			it->second.report, order,
+			[this, start, life = task->box, still = std::weak_ptr<bool>(this->alive)](const OrderAnswer &answer) {
+				if (!still.expired()) {
+					this->OnStarted(start.task, start.run, life, answer);
+				}
+			});
 }
 
 void Shard::OnStarted(const TaskId &id, RunNumber run, const BoxLife &life, OrderAnswer answer)
@@ -301,7 +305,8 @@
 		return;
 	}
 	ShardTask *task = this->FindTask(id);
-	const bool current = task != nullptr && task->phase == TaskPhase::TP_PLACED && task->run == run && task->box == life;
+	const bool current =
+			task != nullptr && task->phase == TaskPhase::TP_PLACED && task->run == run && task->box == life;
 	if (!current) {
 		return;
 	}
@@ -321,7 +326,8 @@
 		return;
 	}
 	this->counters.refused++;
-	const bool short_of_room = answer.outcome == OrderOutcome::OO_NO_ROOM || answer.outcome == OrderOutcome::OO_RUN_TOO_OLD ||
+	const bool short_of_room = answer.outcome == OrderOutcome::OO_NO_ROOM ||
+							   answer.outcome == OrderOutcome::OO_RUN_TOO_OLD ||
 							   answer.outcome == OrderOutcome::OO_LEASE_PAST;
 	if (box != this->boxes.end()) {
 		box->second.avoid_until = this->scheduler.Now() + (short_of_room ? AVOID_REFUSED : AVOID_BUSY);
--- a/src/jobs/shard_runs.cpp
+++ b/src/jobs/shard_runs.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr double LEARN_WEIGHT = 0.05; ///< Of the newest run in what is learned of run times: about 20 runs count.
-constexpr Millis STOP_AGAIN(400); ///< A stop without an answer is repeated after this: as long as a stop may take.
+constexpr Millis STOP_AGAIN(400);     ///< A stop without an answer is repeated after this: as long as a stop may take.
 
 } // namespace
 
@@ -135,7 +135,8 @@
 void Shard::SendStop(const TaskId &id)
 {
 	ShardTask *task = this->FindTask(id);
-	if (task == nullptr || task->phase != TaskPhase::TP_PLACED || !task->stop_wanted || task->stop_sent || this->deposed) {
+	if (task == nullptr || task->phase != TaskPhase::TP_PLACED || !task->stop_wanted || task->stop_sent ||
+		this->deposed) {
 		return;
 	}
 	const auto it = this->boxes.find(task->box);
--- a/src/jobs/site_feed.h
+++ b/src/jobs/site_feed.h
@@ -6,20 +6,20 @@
 
 /** Maintenance that operators ask for. */
 struct WaveOrder {
-	uint64_t number = 0;           ///< Its number.
-	std::vector<BoxName> boxes;    ///< Boxes due.
-	Millis within;                 ///< Time for the whole of it.
-	uint32_t down_max = 1;         ///< Boxes of the wave that may be down at once.
+	uint64_t number = 0;        ///< Its number.
+	std::vector<BoxName> boxes; ///< Boxes due.
+	Millis within;              ///< Time for the whole of it.
+	uint32_t down_max = 1;      ///< Boxes of the wave that may be down at once.
 };
 
 /** Gets what is published. */
 class SiteFeedEvents {
 public:
 	virtual ~SiteFeedEvents() = default;
-	virtual void OnConfig(const JobConfig &config) = 0;       ///< A configuration, newer than the last one told.
-	virtual void OnWave(const WaveOrder &wave) = 0;           ///< A maintenance wave.
-	virtual void OnReport(const BoxReport &report) = 0;       ///< A box's report.
-	virtual void OnReportGone(const BoxLife &life) = 0;       ///< A box's report was removed.
+	virtual void OnConfig(const JobConfig &config) = 0; ///< A configuration, newer than the last one told.
+	virtual void OnWave(const WaveOrder &wave) = 0;     ///< A maintenance wave.
+	virtual void OnReport(const BoxReport &report) = 0; ///< A box's report.
+	virtual void OnReportGone(const BoxLife &life) = 0; ///< A box's report was removed.
 };
 
 /** Follows what is published. */
--- a/src/node/job_desk.cpp
+++ b/src/node/job_desk.cpp
@@ -5,11 +5,12 @@
 
 namespace {
 
-constexpr Millis APPEND_PATIENCE(700); ///< A try without an answer is repeated after this; a slow log takes a few 100 ms.
-constexpr Millis REFUSED_AGAIN(40);    ///< Pause before another try after the log refused.
-constexpr Millis REFUSE_WITHIN(120);   ///< What the log refuses for so long is refused to the caller: another node, or a
-									   ///< later try, serves it sooner (a quarter of the shortest objective is 150 ms).
-constexpr Millis ANSWER_MARGIN(60);    ///< Time that an answer takes to the caller.
+constexpr Millis
+		APPEND_PATIENCE(700);        ///< A try without an answer is repeated after this; a slow log takes a few 100 ms.
+constexpr Millis REFUSED_AGAIN(40);  ///< Pause before another try after the log refused.
+constexpr Millis REFUSE_WITHIN(120); ///< What the log refuses for so long is refused to the caller: another node, or a
+									 ///< later try, serves it sooner (a quarter of the shortest objective is 150 ms).
+constexpr Millis ANSWER_MARGIN(60);  ///< Time that an answer takes to the caller.
 
 } // namespace
 
@@ -98,13 +99,18 @@
 		return JobAnswer{};
 	}
 	if (question.job.Value().empty()) {
+		if (!owner->Fresh()) {
+			/* Jobs that other nodes have accepted meanwhile would be missing. */
+			return JobAnswer{};
+		}
 		return JobAnswer{ResultCode::RC_OK, JobPhase::JP_QUEUED, shard->Waiting(question.route)};
 	}
 	const JobView view = shard->View(question.job);
 	if (view.known) {
 		return JobAnswer{ResultCode::RC_OK, view.phase, 0};
 	}
-	return JobAnswer{owner->Fresh() ? ResultCode::RC_UNKNOWN_JOB : ResultCode::RC_PEER_UNAVAILABLE, JobPhase::JP_QUEUED, 0};
+	return JobAnswer{owner->Fresh() ? ResultCode::RC_UNKNOWN_JOB : ResultCode::RC_PEER_UNAVAILABLE, JobPhase::JP_QUEUED,
+					 0};
 }
 
 void JobDesk::Ask(const JobQuestion &question, Millis deadline, std::function<void(const JobAnswer &)> done)
@@ -128,10 +134,10 @@
 		return MakeMessage(std::move(out));
 	};
 	const std::string what = question.job.Value().empty() ? question.route.Value() : question.job.Value();
-	this->lookup.Ask(*part, what, deadline - ANSWER_MARGIN, make,
-					 [done = std::move(done)](ResultCode code, const MessageUnion *message) {
-						 const auto *in = message == nullptr ? nullptr : message->AsJobAnswer();
-						 done(in == nullptr ? JobAnswer{}
-											: JobAnswer{code, static_cast<JobPhase>(in->phase), in->waiting});
-					 });
+	this->lookup.Ask(
+			*part, what, deadline - ANSWER_MARGIN, make,
+			[done = std::move(done)](ResultCode code, const MessageUnion *message) {
+				const auto *in = message == nullptr ? nullptr : message->AsJobAnswer();
+				done(in == nullptr ? JobAnswer{} : JobAnswer{code, static_cast<JobPhase>(in->phase), in->waiting});
+			});
 }
--- a/src/node/job_desk.h
+++ b/src/node/job_desk.h
@@ -31,8 +31,8 @@
 	 * @param spec The job, checked.
 	 * @param service Service that runs it.
 	 * @param deadline When the caller stops waiting.
-	 * @param done Gets RC_OK once it is durable; RC_LOG_THROTTLED or RC_LOG_UNAVAILABLE when it certainly isn't and never
-	 * will be; RC_OUTCOME_UNKNOWN when it may be.
+	 * @param done Gets RC_OK once it is durable; RC_LOG_THROTTLED or RC_LOG_UNAVAILABLE when it certainly isn't and
+	 * never will be; RC_OUTCOME_UNKNOWN when it may be.
 	 */
 	void Submit(const JobSpec &spec, const ServiceName &service, Millis deadline, Done done);
 	/** Cancels a job, with the same results as Submit(). @param id The job. @param service Its service. @param deadline
--- a/src/node/metrics_page.cpp
+++ b/src/node/metrics_page.cpp
@@ -11,15 +11,19 @@
 
 /** A counter of shards, by name. */
 struct CounterRow {
-	const char *name;                   ///< Name on the page and in the dump.
-	uint64_t ShardCounters::*member;    ///< The counter.
+	const char *name;                ///< Name on the page and in the dump.
+	uint64_t ShardCounters::*member; ///< The counter.
 };
 
 constexpr std::array COUNTERS = {
-		CounterRow{"starts", &ShardCounters::starts},   CounterRow{"stops", &ShardCounters::stops},
-		CounterRow{"looks", &ShardCounters::looks},     CounterRow{"runs_done", &ShardCounters::done},
-		CounterRow{"runs_failed", &ShardCounters::failed}, CounterRow{"runs_lapsed", &ShardCounters::lapsed},
-		CounterRow{"starts_refused", &ShardCounters::refused}, CounterRow{"starts_unknown", &ShardCounters::unknown},
+		CounterRow{"starts", &ShardCounters::starts},
+		CounterRow{"stops", &ShardCounters::stops},
+		CounterRow{"looks", &ShardCounters::looks},
+		CounterRow{"runs_done", &ShardCounters::done},
+		CounterRow{"runs_failed", &ShardCounters::failed},
+		CounterRow{"runs_lapsed", &ShardCounters::lapsed},
+		CounterRow{"starts_refused", &ShardCounters::refused},
+		CounterRow{"starts_unknown", &ShardCounters::unknown},
 };
 
 int64_t LiveJobs(const Shard &shard)
@@ -64,7 +68,8 @@
 		}
 		text += "glade_jobs_live" + label + std::to_string(LiveJobs(*shard)) + "\n";
 		for (const CounterRow &counter : COUNTERS) {
-			text += std::string("glade_") + counter.name + label + std::to_string(shard->Counters().*counter.member) + "\n";
+			text += std::string("glade_") + counter.name + label + std::to_string(shard->Counters().*counter.member) +
+					"\n";
 		}
 	}
 	AnswerHead head;
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -6,9 +6,9 @@
 
 namespace {
 
-constexpr Millis STORE_SEEN_WITHIN(2600); ///< A node that has not reached the store for so long asks for no new callers:
-										  ///< two polls of a second each may fail.
-constexpr Millis POOL_WAIT(600);          ///< Time that the owner of a pool has to answer the fleet's owner.
+constexpr Millis STORE_SEEN_WITHIN(2600); ///< A node that has not reached the store for so long asks for no new
+										  ///< callers: two polls of a second each may fail.
+constexpr Millis POOL_WAIT(600); ///< Time that the owner of a pool has to answer the fleet's owner.
 
 std::set<BoxName> BoxesOf(const std::vector<std::string> &names)
 {
@@ -91,8 +91,8 @@
 void NodeCore::BeginFleet()
 {
 	this->fleet = std::make_unique<FleetOwner>(FleetParts{this->scheduler, this->links.log, this->links.machines,
-														  this->links.reports, *this, this->links.events, this->self.name,
-														  this->self.frames, this->self.turn_gap});
+														  this->links.reports, *this, this->links.events,
+														  this->self.name, this->self.frames, this->self.turn_gap});
 	this->fleet->on_lost = [this] {
 		/* Not from inside its own call; the group's next word decides whether this node tries again. */
 		this->scheduler.After(Millis(0), [this] { this->fleet.reset(); });
--- a/src/node/node_core.h
+++ b/src/node/node_core.h
@@ -50,20 +50,20 @@
 	void Ask(const ServiceName &service, const std::set<BoxName> &drain, const std::set<BoxName> &due,
 			 std::function<void(std::optional<PoolStatus>)> done) override;
 
-	JobDesk &Desk() { return this->desk; }                           ///< Answers to callers.
+	JobDesk &Desk() { return this->desk; }                             ///< Answers to callers.
 	[[nodiscard]] const ShardHost &Host() const { return this->host; } ///< Shards owned.
-	[[nodiscard]] const JobDesk &Desk() const { return this->desk; } ///< Answers to callers.
+	[[nodiscard]] const JobDesk &Desk() const { return this->desk; }   ///< Answers to callers.
 
 private:
-	Scheduler &scheduler;  ///< Clock and timers.
-	NodeLinks links;       ///< What it speaks to.
-	NodeIdentity self;     ///< Who this node is.
-	GroupMember member;    ///< Its part in the group.
-	ShardHost host;        ///< Shards owned.
-	OwnerLookup lookup;    ///< Owners elsewhere.
-	JobDesk desk;          ///< Answers.
-	FrameServer frames;    ///< Other nodes ask here.
-	bool leaving = false;  ///< Whether Leave() was called.
+	Scheduler &scheduler;                ///< Clock and timers.
+	NodeLinks links;                     ///< What it speaks to.
+	NodeIdentity self;                   ///< Who this node is.
+	GroupMember member;                  ///< Its part in the group.
+	ShardHost host;                      ///< Shards owned.
+	OwnerLookup lookup;                  ///< Owners elsewhere.
+	JobDesk desk;                        ///< Answers.
+	FrameServer frames;                  ///< Other nodes ask here.
+	bool leaving = false;                ///< Whether Leave() was called.
 	std::map<uint64_t, WaveOrder> waves; ///< Waves heard of.
 	std::unique_ptr<FleetOwner> fleet;   ///< While this node gives orders to machines.
 
--- a/src/node/owner_lookup.cpp
+++ b/src/node/owner_lookup.cpp
@@ -7,10 +7,10 @@
 
 namespace {
 
-constexpr Millis ANSWER_WAIT(250);      ///< A node that has not answered by then is asked again; two hops take a few ms.
-constexpr Millis ASK_AGAIN(60);         ///< Pause before another try after "not here".
-constexpr Millis HOLDERS_VALID(1500);   ///< Holders older than this are asked for again beside a question.
-constexpr Millis REFRESH_GAP(100);      ///< Least time between two questions for the holders.
+constexpr Millis ANSWER_WAIT(250);    ///< A node that has not answered by then is asked again; two hops take a few ms.
+constexpr Millis ASK_AGAIN(60);       ///< Pause before another try after "not here".
+constexpr Millis HOLDERS_VALID(1500); ///< Holders older than this are asked for again beside a question.
+constexpr Millis REFRESH_GAP(100);    ///< Least time between two questions for the holders.
 
 } // namespace
 
@@ -77,7 +77,7 @@
 	this->refreshing = true;
 	this->refreshed_at = now;
 	this->log.Holders(NODE_GROUP, [this, still = std::weak_ptr<bool>(this->alive)](
-									   ResultCode code, const std::vector<PartitionHolder> &rows) {
+										  ResultCode code, const std::vector<PartitionHolder> &rows) {
 		if (still.expired()) {
 			return;
 		}
--- a/src/node/owner_lookup.h
+++ b/src/node/owner_lookup.h
@@ -49,13 +49,13 @@
 private:
 	/** A question under way. */
 	struct Open {
-		uint32_t part = 0;    ///< Partition that stands for the shard.
-		std::string what;     ///< What is asked, for the log.
-		Millis deadline;      ///< Until when.
-		Make make;            ///< Makes the question.
-		Done done;            ///< Gets the answer.
-		std::string asked;    ///< Node that was asked last.
-		TimerId timer;        ///< Next try.
+		uint32_t part = 0; ///< Partition that stands for the shard.
+		std::string what;  ///< What is asked, for the log.
+		Millis deadline;   ///< Until when.
+		Make make;         ///< Makes the question.
+		Done done;         ///< Gets the answer.
+		std::string asked; ///< Node that was asked last.
+		TimerId timer;     ///< Next try.
 	};
 
 	Scheduler &scheduler;                                        ///< Clock and timers.
--- a/src/program/bounded_log.h
+++ b/src/program/bounded_log.h
@@ -30,10 +30,10 @@
 		uint32_t omitted = 0; ///< Lines left out.
 	};
 
-	Scheduler &scheduler;                                 ///< Clock.
-	uint32_t per_second;                                  ///< Lines of one kind within a second.
-	uint64_t left_out = 0;                                ///< For LeftOut().
-	std::map<std::string, Window, std::less<>> windows;   ///< By kind.
+	Scheduler &scheduler;                               ///< Clock.
+	uint32_t per_second;                                ///< Lines of one kind within a second.
+	uint64_t left_out = 0;                              ///< For LeftOut().
+	std::map<std::string, Window, std::less<>> windows; ///< By kind.
 };
 
 #endif /* BOUNDED_LOG_H */
--- a/src/program/program.cpp
+++ b/src/program/program.cpp
@@ -71,8 +71,8 @@
 	}
 
 private:
-	QCoreApplication &app; ///< The application.
-	Server &server;        ///< The server.
+	QCoreApplication &app;   ///< The application.
+	Server &server;          ///< The server.
 	const ProgramSpec &spec; ///< The program.
 	std::string file;        ///< Its settings.
 	bool stopping = false;   ///< Whether a stop is under way.
--- a/src/program/settings_tables.cpp
+++ b/src/program/settings_tables.cpp
@@ -110,7 +110,8 @@
 		SettingSpec{"zone", SK_NAME, nullptr, 0, 0, "", "Availability zone of this process."},
 		SettingSpec{"callers", SK_ADDRESS, nullptr, 0, 0, "", "Where callers connect, behind the balancer."},
 		SettingSpec{"ready", SK_ADDRESS, nullptr, 0, 0, "", "Where the balancer asks whether callers may come."},
-		SettingSpec{"frames", SK_ADDRESS, nullptr, 0, 0, "", "Where other nodes ask about jobs; only they may reach it."},
+		SettingSpec{"frames", SK_ADDRESS, nullptr, 0, 0, "",
+					"Where other nodes ask about jobs; only they may reach it."},
 		SettingSpec{"metrics", SK_ADDRESS, nullptr, 0, 0, "", "Where counters and histograms are read as text."},
 		SettingSpec{"store", SK_ADDRESS, nullptr, 0, 0, "", "The platform's keyed log."},
 		SettingSpec{"machines", SK_ADDRESS, nullptr, 0, 0, "", "Control of boxes as machines."},
@@ -161,6 +162,6 @@
 	return "# Settings\n\nMade from the settings tables in `src/program/settings_tables.cpp`; a test compares them.\n"
 		   "`PROGRAM --settings FILE --check` validates a file without starting.\n\n" +
 		   SettingsPage("glade_entry", _entry) + SettingsPage("glade_keeper", _keeper) +
-		   SettingsPage("glade_node", _node) +
-		   SettingsPage("standin_platform", _platform) + SettingsPage("standin_endpoint", _endpoint);
+		   SettingsPage("glade_node", _node) + SettingsPage("standin_platform", _platform) +
+		   SettingsPage("standin_endpoint", _endpoint);
 }
--- /dev/null
+++ b/src/standin/memory/box_site.cpp
@@ -0,0 +1,302 @@
+/** @file box_site.cpp Boxes that run tasks, in memory. */
+#include "box_site.h"
+
+#include <algorithm>
+#include <ranges>
+
+namespace {
+
+constexpr Millis ONE_WAY(1);          ///< From a node to a box.
+constexpr Millis LATE_BY(3000);       ///< An order that is carried out late comes after this.
+constexpr Millis PATIENCE(1000);      ///< An order without an answer has failed after this.
+constexpr Millis POLL_EVERY(5);       ///< A waiting answer looks for an end so often.
+constexpr Millis CANCEL_WITHIN(3000); ///< Nothing of a cancelled job starts later than this.
+
+} // namespace
+
+void BoxSite::Add(const BoxReport &report)
+{
+	this->boxes[report.box].report = report;
+}
+
+BoxReport BoxSite::Restart(const BoxName &name)
+{
+	Box &box = this->boxes.at(name);
+	std::ranges::for_each(box.running | std::views::values, [this](const Run &it) { this->clock.Cancel(it.timer); });
+	this->clock.Cancel(box.lease_timer);
+	BoxReport report = box.report;
+	report.life = BoxLife(name.Value() + "-life" + std::to_string(++this->lives));
+	box = Box{};
+	box.report = report;
+	return report;
+}
+
+std::vector<BoxReport> BoxSite::Reports() const
+{
+	std::vector<BoxReport> out;
+	std::ranges::transform(this->boxes | std::views::values, std::back_inserter(out), &Box::report);
+	return out;
+}
+
+size_t BoxSite::Running(const JobId &id) const
+{
+	size_t n = 0;
+	for (const Box &box : this->boxes | std::views::values) {
+		n += static_cast<size_t>(std::ranges::count(box.running | std::views::keys, id, &TaskId::job));
+	}
+	return n;
+}
+
+BoxSite::Box *BoxSite::Find(const BoxReport &report)
+{
+	const auto it = this->boxes.find(report.box);
+	return it == this->boxes.end() || it->second.report.life != report.life ? nullptr : &it->second;
+}
+
+OrderAnswer BoxSite::Plain(OrderOutcome outcome) const
+{
+	return OrderAnswer{outcome, this->clock.Now()};
+}
+
+void BoxSite::Violation(const std::string &rule, const TaskId &task)
+{
+	this->violations.push_back(rule + ": " + task.job.Value() + "." + std::to_string(task.step) + "." +
+							   std::to_string(task.index) + " at " + std::to_string(this->clock.Now().Value()));
+}
+
+void BoxSite::Judge(const Box &box, const StartOrder &order)
+{
+	const auto known = this->jobs.find(order.task.job);
+	if (known == this->jobs.end()) {
+		this->Violation("a job that nobody handed in was started", order.task);
+		return;
+	}
+	const SiteJob &job = known->second;
+	const StepSpec &step = job.spec.steps.at(order.task.step);
+	if (order.payload != job.spec.payload) {
+		this->Violation("started with another payload", order.task);
+	}
+	if (job.service != box.report.service) {
+		this->Violation("started on a box of another service", order.task);
+	}
+	if (job.cancelled_at && this->clock.Now() > *job.cancelled_at + CANCEL_WITHIN) {
+		this->Violation("started after its cancellation", order.task);
+	}
+	if (this->done_noted.contains(order.task) && !step.lasting) {
+		this->Violation("started after an end that was noted as good", order.task);
+	}
+	if (!step.lasting && this->failures_noted[order.task] >= job.failures_max) {
+		this->Violation("started after too many failures", order.task);
+	}
+	for (const Box &other : this->boxes | std::views::values) {
+		if (other.running.contains(order.task)) {
+			this->Violation("two runs at once", order.task);
+		}
+	}
+	for (const uint32_t before : step.after) {
+		for (TaskId it = order.task; const uint32_t index : std::views::iota(0U, job.spec.steps.at(before).count)) {
+			it.step = before;
+			it.index = index;
+			if (!this->done.contains(it)) {
+				this->Violation("started before an earlier step had ended", order.task);
+			}
+		}
+	}
+}
+
+void BoxSite::ProlongLease(Box &box, Millis until)
+{
+	const Millis end = std::min(until, this->clock.Now() + this->lease_max);
+	if (end <= box.lease_until) {
+		return;
+	}
+	box.lease_until = end;
+	this->clock.Cancel(box.lease_timer);
+	box.lease_timer = this->clock.After(end - this->clock.Now(), [this, name = box.report.box] { this->Lapse(name); });
+}
+
+void BoxSite::Lapse(const BoxName &name)
+{
+	std::vector<TaskId> lost;
+	std::ranges::copy(this->boxes.at(name).running | std::views::keys, std::back_inserter(lost));
+	std::ranges::for_each(lost, [&](const TaskId &it) { this->End(name, it, RunEnding::RE_LAPSED); });
+}
+
+void BoxSite::End(const BoxName &name, const TaskId &task, RunEnding ending)
+{
+	Box &box = this->boxes.at(name);
+	const auto it = box.running.find(task);
+	if (it == box.running.end()) {
+		return;
+	}
+	this->clock.Cancel(it->second.timer);
+	box.stopped[task] = std::max(box.stopped[task], it->second.run);
+	box.ended.push_back(EndedRow{++box.last_end, task, it->second.run, ending, {}});
+	box.running.erase(it);
+	if (ending == RunEnding::RE_DONE) {
+		this->done.insert(task);
+	} else if (ending == RunEnding::RE_FAILED) {
+		this->failed[task]++;
+	}
+}
+
+OrderAnswer BoxSite::Start(const BoxReport &report, const StartOrder &order)
+{
+	Box *box = this->Find(report);
+	if (box == nullptr) {
+		return this->Plain(OrderOutcome::OO_OTHER_LIFE);
+	}
+	if (order.fence < box->fence) {
+		return this->Plain(OrderOutcome::OO_FENCED);
+	}
+	box->fence = order.fence;
+	const auto there = box->running.find(order.task);
+	if (there != box->running.end() && there->second.run == order.run) {
+		return this->Plain(OrderOutcome::OO_DONE);
+	}
+	if (box->stopped.contains(order.task) && order.run <= box->stopped[order.task]) {
+		this->ProlongLease(*box, order.lease_until);
+		return this->Plain(OrderOutcome::OO_RUN_TOO_OLD);
+	}
+	if (order.lease_until <= this->clock.Now()) {
+		return this->Plain(OrderOutcome::OO_LEASE_PAST);
+	}
+	this->ProlongLease(*box, order.lease_until);
+	const auto job = this->jobs.find(order.task.job);
+	const Resources demand = job == this->jobs.end() ? Resources{} : job->second.spec.steps.at(order.task.step).demand;
+	Resources free = box->report.capacity;
+	std::ranges::for_each(box->running | std::views::values, [&free](const Run &it) { free -= it.room; });
+	if (!free.Holds(demand)) {
+		return this->Plain(OrderOutcome::OO_NO_ROOM);
+	}
+	this->Judge(*box, order);
+	this->starts++;
+	Run run{order.run, demand, TimerId()};
+	if (job != this->jobs.end() && !job->second.spec.steps.at(order.task.step).lasting) {
+		const bool fails = this->failed[order.task] < job->second.fail_first;
+		run.timer = this->clock.After(job->second.run_time, [this, name = report.box, task = order.task, fails] {
+			this->End(name, task, fails ? RunEnding::RE_FAILED : RunEnding::RE_DONE);
+		});
+	}
+	box->running[order.task] = run;
+	return this->Plain(OrderOutcome::OO_DONE);
+}
+
+OrderAnswer BoxSite::Stop(const BoxReport &report, const TaskId &task, RunNumber run, FenceToken fence)
+{
+	Box *box = this->Find(report);
+	if (box == nullptr) {
+		return this->Plain(OrderOutcome::OO_OTHER_LIFE);
+	}
+	if (fence < box->fence) {
+		return this->Plain(OrderOutcome::OO_FENCED);
+	}
+	box->fence = fence;
+	box->stopped[task] = std::max(box->stopped[task], run);
+	if (const auto it = box->running.find(task); it != box->running.end() && it->second.run <= run) {
+		this->End(report.box, task, RunEnding::RE_STOPPED);
+	}
+	return this->Plain(OrderOutcome::OO_DONE);
+}
+
+LeaseAnswer BoxSite::Lease(const BoxReport &report, const LeaseOrder &order)
+{
+	LeaseAnswer answer;
+	Box *box = this->Find(report);
+	if (box == nullptr) {
+		answer.order = this->Plain(OrderOutcome::OO_OTHER_LIFE);
+		return answer;
+	}
+	if (order.fence < box->fence) {
+		answer.order = this->Plain(OrderOutcome::OO_FENCED);
+		return answer;
+	}
+	box->fence = order.fence;
+	std::erase_if(box->ended, [&](const EndedRow &it) {
+		if (it.number > order.ends_noted) {
+			return false;
+		}
+		if (it.ending == RunEnding::RE_DONE) {
+			this->done_noted.insert(it.task);
+		} else if (it.ending == RunEnding::RE_FAILED) {
+			this->failures_noted[it.task]++;
+		}
+		return true;
+	});
+	if (order.lease_until) {
+		this->ProlongLease(*box, *order.lease_until);
+	}
+	answer.order = this->Plain(OrderOutcome::OO_DONE);
+	for (const auto &[task, run] : box->running) {
+		answer.running.push_back(RunningRow{task, run.run, {}, 100, 0});
+	}
+	answer.ended = box->ended;
+	return answer;
+}
+
+void SiteOrders::Send(const BoxReport &box, std::function<OrderAnswer()> work, Done done)
+{
+	const BoxFaults faults = this->site.faults[box.box];
+	const auto unknown = [done] { done(OrderAnswer{OrderOutcome::OO_UNKNOWN, std::nullopt}); };
+	this->orders++;
+	if (faults.dark) {
+		this->scheduler.After(PATIENCE, [done] { done(OrderAnswer{OrderOutcome::OO_UNKNOWN, std::nullopt}); });
+		return;
+	}
+	if (faults.lose_every > 0 && this->orders % faults.lose_every == 0) {
+		this->clock.After(faults.late ? LATE_BY : ONE_WAY, [work = std::move(work)] { work(); });
+		this->scheduler.After(PATIENCE, unknown);
+		return;
+	}
+	this->clock.After(ONE_WAY, [this, work = std::move(work), done = std::move(done)] {
+		const OrderAnswer answer = work();
+		this->scheduler.After(ONE_WAY, [done, answer] { done(answer); });
+	});
+}
+
+void SiteOrders::Start(const BoxReport &box, const StartOrder &order, Done done)
+{
+	this->Send(
+			box, [&site = this->site, box, order] { return site.Start(box, order); }, std::move(done));
+}
+
+void SiteOrders::Stop(const BoxReport &box, const TaskId &task, RunNumber run, FenceToken fence, Done done)
+{
+	this->Send(
+			box, [&site = this->site, box, task, run, fence] { return site.Stop(box, task, run, fence); },
+			std::move(done));
+}
+
+void SiteOrders::Pace(const BoxReport &, const TaskId &, RunNumber, int64_t, FenceToken, Done done)
+{
+	this->scheduler.After(ONE_WAY, [done] { done(OrderAnswer{OrderOutcome::OO_DONE, std::nullopt}); });
+}
+
+void SiteOrders::Poll(const BoxReport &box, const LeaseOrder &order, Millis until,
+					  std::function<void(LeaseAnswer)> done)
+{
+	const LeaseAnswer answer = this->site.Lease(box, order);
+	const bool dark = this->site.faults[box.box].dark;
+	const bool nothing =
+			answer.order.outcome == OrderOutcome::OO_DONE && answer.ended.empty() && this->clock.Now() < until;
+	if (dark) {
+		this->scheduler.After(PATIENCE, [done] { done(LeaseAnswer{}); });
+	} else if (nothing) {
+		LeaseOrder later = order;
+		later.lease_until.reset();
+		this->clock.After(POLL_EVERY, [this, box, later, until, done] { this->Poll(box, later, until, done); });
+	} else {
+		this->scheduler.After(ONE_WAY, [done, answer] { done(answer); });
+	}
+}
+
+void SiteOrders::Lease(const BoxReport &box, const LeaseOrder &order, std::function<void(LeaseAnswer)> done)
+{
+	if (this->site.faults[box.box].dark) {
+		this->scheduler.After(order.wait + PATIENCE, [done] { done(LeaseAnswer{}); });
+		return;
+	}
+	this->clock.After(ONE_WAY, [this, box, order, done = std::move(done)] {
+		this->Poll(box, order, this->clock.Now() + order.wait, done);
+	});
+}
--- /dev/null
+++ b/src/standin/memory/box_site.h
@@ -0,0 +1,121 @@
+/** @file box_site.h Boxes that run tasks, in memory: their state machine, orders by one node, and what must never
+ * happen. */
+#ifndef BOX_SITE_H
+#define BOX_SITE_H
+
+#include "../../jobs/job_type.h"
+#include "../../scheduler_type.h"
+
+#include <map>
+#include <set>
+
+/** What the site knows of a job that callers handed in, to judge starts. */
+struct SiteJob {
+	JobSpec spec;                       ///< As handed in.
+	ServiceName service;                ///< Service that runs it.
+	Millis run_time = Millis(500);      ///< Time that each of its tasks takes.
+	uint32_t fail_first = 0;            ///< Runs of each task that fail before one ends well.
+	uint32_t failures_max = 3;          ///< Runs of a task that may fail.
+	std::optional<Millis> cancelled_at; ///< When its cancellation was confirmed.
+};
+
+/** Faults of the way from the nodes to one box. */
+struct BoxFaults {
+	bool dark = false;       ///< Nothing gets through; what runs goes on.
+	uint32_t lose_every = 0; ///< Every n-th order is done without an answer; 0 for none.
+	bool late = false;       ///< Those are done seconds later.
+};
+
+/** All boxes. Violations of the rules are collected as they happen. */
+class BoxSite {
+public:
+	/** @param clock The world's clock. */
+	explicit BoxSite(VirtualScheduler &clock) : clock(clock) {}
+
+	/** Adds a box. @param report What it will say of itself. */
+	void Add(const BoxReport &report);
+	/** A box loses all that runs and comes back under another life. @param box Which. @return Its new report. */
+	BoxReport Restart(const BoxName &box);
+	/** Tells of a job. @param job It. */
+	void Know(const SiteJob &job) { this->jobs[job.spec.id] = job; }
+	/** @return A job. @param id Which. */
+	SiteJob &JobOf(const JobId &id) { return this->jobs.at(id); }
+	/** @return Reports of all boxes. */
+	[[nodiscard]] std::vector<BoxReport> Reports() const;
+	/** @return Tasks of a job that run now. @param id The job. */
+	[[nodiscard]] size_t Running(const JobId &id) const;
+
+	/* Orders, as they arrive. */
+	OrderAnswer Start(const BoxReport &box, const StartOrder &order);
+	OrderAnswer Stop(const BoxReport &box, const TaskId &task, RunNumber run, FenceToken fence);
+	LeaseAnswer Lease(const BoxReport &box, const LeaseOrder &order);
+
+	std::map<BoxName, BoxFaults> faults; ///< Faults by box.
+	std::vector<std::string> violations; ///< Rules broken, in words.
+	Millis lease_max = Millis(10000);    ///< Longest lease granted.
+	uint64_t starts = 0;                 ///< Runs begun.
+
+private:
+	/** A run. */
+	struct Run {
+		RunNumber run;  ///< Which start.
+		Resources room; ///< What it takes.
+		TimerId timer;  ///< Its end.
+	};
+
+	/** A box. */
+	struct Box {
+		BoxReport report;                    ///< What it says of itself.
+		FenceToken fence;                    ///< Highest token seen.
+		Millis lease_until;                  ///< By the box's clock, which is the world's.
+		TimerId lease_timer;                 ///< End of the lease.
+		std::map<TaskId, Run> running;       ///< What runs.
+		std::map<TaskId, RunNumber> stopped; ///< Runs up to this one can't start any more.
+		std::vector<EndedRow> ended;         ///< Ends not noted.
+		uint64_t last_end = 0;               ///< Number of the last end.
+	};
+
+	VirtualScheduler &clock;                   ///< The world's clock.
+	std::map<BoxName, Box> boxes;              ///< Boxes.
+	std::map<JobId, SiteJob> jobs;             ///< Jobs handed in.
+	std::map<TaskId, uint32_t> failures_noted; ///< Failed runs noted.
+	std::set<TaskId> done;                     ///< Tasks of which a run has ended well.
+	std::set<TaskId> done_noted;               ///< The same, noted.
+	std::map<TaskId, uint32_t> failed;         ///< Failed runs.
+	uint64_t lives = 0;                        ///< Lives given out by Restart().
+
+	Box *Find(const BoxReport &report);
+	[[nodiscard]] OrderAnswer Plain(OrderOutcome outcome) const;
+	void Judge(const Box &box, const StartOrder &order);
+	void End(const BoxName &name, const TaskId &task, RunEnding ending);
+	void Lapse(const BoxName &name);
+	void ProlongLease(Box &box, Millis until);
+	void Violation(const std::string &rule, const TaskId &task);
+};
+
+/** Orders of one node to the boxes. */
+class SiteOrders : public BoxOrders {
+public:
+	/** @param scheduler The node's clock. @param clock The world's clock. @param site The boxes; outlives this. */
+	SiteOrders(Scheduler &scheduler, VirtualScheduler &clock, BoxSite &site)
+			: scheduler(scheduler), clock(clock), site(site)
+	{
+	}
+
+	void Start(const BoxReport &box, const StartOrder &order, Done done) override;
+	void Stop(const BoxReport &box, const TaskId &task, RunNumber run, FenceToken fence, Done done) override;
+	void Lease(const BoxReport &box, const LeaseOrder &order, std::function<void(LeaseAnswer)> done) override;
+	void Pace(const BoxReport &box, const TaskId &task, RunNumber run, int64_t percent, FenceToken fence,
+			  Done done) override;
+
+private:
+	Scheduler &scheduler;    ///< The node's clock.
+	VirtualScheduler &clock; ///< The world's clock.
+	BoxSite &site;           ///< The boxes.
+	uint32_t orders = 0;     ///< Orders sent.
+
+	void Send(const BoxReport &box, std::function<OrderAnswer()> work, Done done);
+	void Poll(const BoxReport &box, const LeaseOrder &order, Millis until, std::function<void(LeaseAnswer)> done);
+};
+
+#endif /* BOX_SITE_H */
--- /dev/null
+++ b/src/standin/memory/keyed_store.cpp
@@ -0,0 +1,284 @@
+/** @file keyed_store.cpp The platform's keyed log in memory. */
+#include "keyed_store.h"
+
+#include <algorithm>
+#include <ranges>
+
+namespace {
+
+constexpr size_t ANSWERS_KEPT = 5;  ///< Appends of a producer whose answer is given again.
+constexpr Millis LATE_BY(2500);     ///< A call that is carried out late comes after this.
+constexpr Millis NO_PATIENCE(1000); ///< A call on a silent way fails after this.
+constexpr Millis POLL_EVERY(5);     ///< A long poll looks so often.
+constexpr size_t PAGE = 50;         ///< Records of a page; the platform's are larger.
+
+} // namespace
+
+KeyedAppendAnswer KeyedStore::Append(const PartitionId &partition, const std::vector<KeyedRecord> &records,
+									 const AppendCondition &condition)
+{
+	Partition &part = this->partitions[partition];
+	if (!condition.producer.empty()) {
+		Producer &producer = part.producers[condition.producer];
+		if (condition.epoch < producer.epoch) {
+			return {ResultCode::RC_FENCED, 0};
+		}
+		if (condition.epoch == producer.epoch && producer.any) {
+			if (const auto again = producer.answers.find(condition.sequence); again != producer.answers.end()) {
+				return again->second;
+			}
+			if (condition.sequence != producer.next) {
+				return {ResultCode::RC_STALE_TERM, 0};
+			}
+		}
+	}
+	if (condition.at && *condition.at != part.records.size()) {
+		return {ResultCode::RC_STALE_TERM, 0};
+	}
+	for (const KeyedRecord &record : records) {
+		part.records.push_back(record);
+		if (record.value) {
+			part.newest[record.key] = *record.value;
+		} else {
+			part.newest.erase(record.key);
+		}
+	}
+	const KeyedAppendAnswer answer{ResultCode::RC_OK, part.records.size()};
+	if (!condition.producer.empty()) {
+		Producer &producer = part.producers[condition.producer];
+		if (condition.epoch > producer.epoch) {
+			producer = Producer{condition.epoch, {}, 0, false};
+		}
+		producer.any = true;
+		producer.next = condition.sequence + 1;
+		producer.answers[condition.sequence] = answer;
+		if (producer.answers.size() > ANSWERS_KEPT) {
+			producer.answers.erase(producer.answers.begin());
+		}
+	}
+	if (this->on_append) {
+		this->on_append();
+	}
+	return answer;
+}
+
+KeyedReadAnswer KeyedStore::Read(const PartitionId &partition, uint64_t from) const
+{
+	KeyedReadAnswer answer{ResultCode::RC_OK, {}, from};
+	const auto it = this->partitions.find(partition);
+	if (it == this->partitions.end()) {
+		return answer;
+	}
+	if (from < it->second.first) {
+		answer.code = ResultCode::RC_LOG_FORGOTTEN;
+		return answer;
+	}
+	std::ranges::copy(it->second.records | std::views::drop(from), std::back_inserter(answer.records));
+	answer.next = from + answer.records.size();
+	return answer;
+}
+
+NewestPage KeyedStore::Newest(const PartitionId &partition, const std::string &after) const
+{
+	NewestPage page;
+	page.code = ResultCode::RC_OK;
+	const auto it = this->partitions.find(partition);
+	if (it == this->partitions.end()) {
+		return page;
+	}
+	page.end = it->second.records.size();
+	for (auto row = it->second.newest.upper_bound(after); row != it->second.newest.end(); ++row) {
+		if (page.records.size() == PAGE) {
+			page.more = true;
+			break;
+		}
+		page.records.push_back(KeyedRecord{row->first, row->second});
+	}
+	return page;
+}
+
+void KeyedStore::Compact()
+{
+	for (Partition &it : this->partitions | std::views::values) {
+		it.first = it.records.size();
+	}
+}
+
+void KeyedStore::Deal(Group &group) const
+{
+	group.generation++;
+	group.promised.clear();
+	if (group.members.empty()) {
+		return;
+	}
+	for (uint32_t part = 0; part < this->parts; part++) {
+		const size_t turn = (size_t{part} * group.members.size() / this->parts + group.shift) % group.members.size();
+		group.promised[part] = std::next(group.members.begin(), static_cast<ptrdiff_t>(turn))->first;
+	}
+}
+
+void KeyedStore::Settle(Group &group) const
+{
+	/* A partition goes over once its holder has named the generation in which it lost it, or is gone. */
+	for (const auto &[part, member] : group.promised) {
+		const auto holder = group.holders.find(part);
+		const auto old = holder == group.holders.end() ? group.members.end() : group.members.find(holder->second);
+		if (old == group.members.end() || holder->second == member || old->second.generation >= group.generation) {
+			group.holders[part] = member;
+		}
+	}
+}
+
+GroupMembership KeyedStore::Join(const std::string &group, const std::string &member, const std::string &topic,
+								 Millis silence, uint64_t generation, Millis now)
+{
+	Group &it = this->groups[group];
+	it.topic = topic;
+	const size_t gone =
+			std::erase_if(it.members, [&](const auto &row) { return now - row.second.heard > row.second.silence; });
+	const bool added = !it.members.contains(member);
+	it.members[member] = Member{now, silence, generation};
+	if (added || gone > 0) {
+		this->Deal(it);
+	}
+	this->Settle(it);
+	GroupMembership answer;
+	answer.code = ResultCode::RC_OK;
+	answer.generation = it.generation;
+	for (const auto &[part, holder] : it.holders) {
+		if (holder == member && it.promised[part] == member) {
+			answer.partitions.push_back(PartitionId{topic, part});
+		}
+	}
+	return answer;
+}
+
+void KeyedStore::Leave(const std::string &group, const std::string &member)
+{
+	Group &it = this->groups[group];
+	if (it.members.erase(member) > 0) {
+		this->Deal(it);
+		this->Settle(it);
+	}
+}
+
+void KeyedStore::Redeal()
+{
+	for (Group &it : this->groups | std::views::values) {
+		it.shift++;
+		this->Deal(it);
+	}
+}
+
+std::vector<PartitionHolder> KeyedStore::Holders(const std::string &group) const
+{
+	std::vector<PartitionHolder> out;
+	if (const auto it = this->groups.find(group); it != this->groups.end()) {
+		std::ranges::transform(it->second.holders, std::back_inserter(out), [&it](const auto &row) {
+			return PartitionHolder{PartitionId{it->second.topic, row.first}, row.second};
+		});
+	}
+	return out;
+}
+
+template <class Answer>
+void KeyedStoreClient::Call(std::function<Answer()> work, Answer failed, Millis patience,
+							std::function<void(Answer)> done)
+{
+	if (this->faults.silent) {
+		this->scheduler.After(std::min(patience, NO_PATIENCE), [done, failed] { done(failed); });
+		return;
+	}
+	if (this->faults.refusing) {
+		this->scheduler.After(this->faults.latency, [done, failed] { done(failed); });
+		return;
+	}
+	this->clock.After(this->faults.latency, [this, work, done] {
+		const Answer answer = work();
+		this->scheduler.After(this->faults.latency, [done, answer] { done(answer); });
+	});
+}
+
+void KeyedStoreClient::Append(const PartitionId &partition, const std::vector<KeyedRecord> &records,
+							  const AppendCondition &condition, Millis patience,
+							  std::function<void(KeyedAppendAnswer)> done)
+{
+	const KeyedAppendAnswer unknown{ResultCode::RC_LOG_ANSWER_LOST, 0};
+	const auto work = [&store = this->store, partition, records, condition] {
+		return store.Append(partition, records, condition);
+	};
+	this->appends++;
+	if (!this->faults.silent && this->faults.lose_every > 0 && this->appends % this->faults.lose_every == 0) {
+		this->clock.After(this->faults.late ? LATE_BY : this->faults.latency, [work] { work(); });
+		this->scheduler.After(patience, [done, unknown] { done(unknown); });
+		return;
+	}
+	const KeyedAppendAnswer failed =
+			this->faults.refusing ? KeyedAppendAnswer{ResultCode::RC_LOG_THROTTLED, 0} : unknown;
+	this->Call<KeyedAppendAnswer>(work, failed, patience, std::move(done));
+}
+
+void KeyedStoreClient::Poll(const PartitionId &partition, uint64_t from, Millis until,
+							std::function<void(KeyedReadAnswer)> done)
+{
+	KeyedReadAnswer answer = this->store.Read(partition, from);
+	const bool nothing = answer.code == ResultCode::RC_OK && answer.records.empty();
+	if (nothing && this->clock.Now() < until && !this->faults.silent && !this->faults.refusing) {
+		this->scheduler.After(POLL_EVERY,
+							  [this, partition, from, until, done] { this->Poll(partition, from, until, done); });
+		return;
+	}
+	if (this->faults.silent || this->faults.refusing) {
+		answer = KeyedReadAnswer{};
+	}
+	this->scheduler.After(this->faults.latency, [done, answer] { done(answer); });
+}
+
+void KeyedStoreClient::Read(const PartitionId &partition, uint64_t from, Millis wait,
+							std::function<void(KeyedReadAnswer)> done)
+{
+	if (this->faults.silent || this->faults.refusing) {
+		this->Call<KeyedReadAnswer>([] { return KeyedReadAnswer{}; }, KeyedReadAnswer{}, NO_PATIENCE, std::move(done));
+		return;
+	}
+	this->scheduler.After(this->faults.latency, [this, partition, from, wait, done = std::move(done)] {
+		this->Poll(partition, from, this->clock.Now() + wait, done);
+	});
+}
+
+void KeyedStoreClient::Newest(const PartitionId &partition, const std::string &after,
+							  std::function<void(NewestPage)> done)
+{
+	this->Call<NewestPage>([&store = this->store, partition, after] { return store.Newest(partition, after); },
+						   NewestPage{}, NO_PATIENCE, std::move(done));
+}
+
+void KeyedStoreClient::Join(const std::string &group, const std::string &member, const std::string &topic,
+							Millis silence, uint64_t generation, std::function<void(GroupMembership)> done)
+{
+	this->Call<GroupMembership>(
+			[this, group, member, topic, silence, generation] {
+				return this->store.Join(group, member, topic, silence, generation, this->clock.Now());
+			},
+			GroupMembership{}, NO_PATIENCE, std::move(done));
+}
+
+void KeyedStoreClient::Leave(const std::string &group, const std::string &member, std::function<void()> done)
+{
+	this->Call<int>(
+			[&store = this->store, group, member] {
+				store.Leave(group, member);
+				return 0;
+			},
+			0, NO_PATIENCE, [done = std::move(done)](int) { done(); });
+}
+
+void KeyedStoreClient::Holders(const std::string &group,
+							   std::function<void(ResultCode, std::vector<PartitionHolder>)> done)
+{
+	using Rows = std::vector<PartitionHolder>;
+	this->Call<Rows>([&store = this->store, group] { return store.Holders(group); }, Rows{}, NO_PATIENCE,
+					 [done = std::move(done)](const Rows &rows) {
+						 done(rows.empty() ? ResultCode::RC_LOG_UNAVAILABLE : ResultCode::RC_OK, rows);
+					 });
+}
--- a/src/store/group_member.cpp
+++ b/src/store/group_member.cpp
@@ -62,8 +62,8 @@
 		for (const uint32_t part : this->parts) {
 			list += (list.empty() ? "" : ",") + std::to_string(part);
 		}
-		this->events.Write("group_dealt",
-						   {{"generation", std::to_string(this->generation)}, {"partitions", list.empty() ? "-" : list}});
+		this->events.Write("group_dealt", {{"generation", std::to_string(this->generation)},
+										   {"partitions", list.empty() ? "-" : list}});
 	}
 	if (this->on_answer) {
 		this->on_answer();
--- a/src/store/partition_claim.cpp
+++ b/src/store/partition_claim.cpp
@@ -82,7 +82,8 @@
 	const uint64_t epoch = std::max(this->epoch_found, this->epoch_tried) + 1;
 	this->epoch_tried = epoch;
 	const AppendCondition condition{this->first_end, OWNER_PRODUCER, epoch, 0};
-	this->log.Append(this->partition, {KeyedRecord{OWNER_KEY, EncodeOwner(StoredOwner{epoch, this->address, false})}}, condition, CLAIM_PATIENCE,
+	this->log.Append(this->partition, {KeyedRecord{OWNER_KEY, EncodeOwner(StoredOwner{epoch, this->address, false})}},
+					 condition, CLAIM_PATIENCE,
 					 [this, epoch, still = std::weak_ptr<bool>(this->alive)](const KeyedAppendAnswer &answer) {
 						 if (!still.expired()) {
 							 this->OnClaimed(epoch, answer);
@@ -93,9 +94,9 @@
 void PartitionClaim::OnClaimed(uint64_t epoch, const KeyedAppendAnswer &answer)
 {
 	if (answer.code != ResultCode::RC_OK) {
-		this->events.Write("claim_failed", {{"topic", this->partition.topic},
-											{"epoch", std::to_string(epoch)},
-											{"code", SymbolOf(answer.code)}});
+		this->events.Write(
+				"claim_failed",
+				{{"topic", this->partition.topic}, {"epoch", std::to_string(epoch)}, {"code", SymbolOf(answer.code)}});
 		/* What was read is old when the log has moved on: read again at once. */
 		this->TryAgain(answer.code == ResultCode::RC_STALE_TERM ? Millis(0) : CLAIM_AGAIN);
 		return;
--- a/src/upkeep/fleet_owner.cpp
+++ b/src/upkeep/fleet_owner.cpp
@@ -9,7 +9,7 @@
 constexpr Millis TICK(200);          ///< Between two looks at the fleet; a box is away for 1.5 s and more.
 constexpr Millis CONFIRM_FOR(900);   ///< A word of the group older than this allows no order: less than the silence
 									 ///< after which the group chooses another node.
-constexpr Millis TURN_SLACK(400);     ///< On top of the gap between two holders: calls under way.
+constexpr Millis TURN_SLACK(400);    ///< On top of the gap between two holders: calls under way.
 constexpr Millis PUBLISH_AGAIN(500); ///< Before a report that didn't get through is tried again.
 
 const PartitionId FLEET{"keyed.fleet", 0};
@@ -22,8 +22,10 @@
 
 } // namespace
 
-FleetOwner::FleetOwner(const FleetParts &parts) : parts(parts), desk(WaveLimits{}), movers(PoolLimits{}),
-		  confirmed_at(parts.scheduler.Now()) {}
+FleetOwner::FleetOwner(const FleetParts &parts)
+		: parts(parts), desk(WaveLimits{}), movers(PoolLimits{}), confirmed_at(parts.scheduler.Now())
+{
+}
 
 FleetOwner::~FleetOwner()
 {
@@ -105,8 +107,8 @@
 		}
 		this->pending++;
 		this->parts.pools.Ask(service.name, of(last.drain, service.name), of(last.due, service.name),
-							  [this, name = service.name, still = std::weak_ptr<bool>(this->alive)](
-									  const std::optional<PoolStatus> &status) {
+							  [this, name = service.name,
+							   still = std::weak_ptr<bool>(this->alive)](const std::optional<PoolStatus> &status) {
 								  if (still.expired()) {
 									  return;
 								  }
@@ -116,19 +118,20 @@
 								  this->Answered();
 							  });
 	}
-	this->parts.machines.List([this, still = std::weak_ptr<bool>(this->alive)](ResultCode code,
-																			   const std::vector<MachineRow> &rows) {
-		if (still.expired()) {
-			return;
-		}
-		if (code == ResultCode::RC_OK) {
-			this->view.machines = rows;
-		} else {
-			/* Decisions on an old list would miss boxes that have come back or gone: none are made this time. */
-			this->view.machines.clear();
-		}
-		this->Answered();
-	});
+	this->parts.machines.List(
+			[this, still = std::weak_ptr<bool>(this->alive)](ResultCode code, const std::vector<MachineRow> &rows) {
+				if (still.expired()) {
+					return;
+				}
+				if (code == ResultCode::RC_OK) {
+					this->view.machines = rows;
+				} else {
+					/* Decisions on an old list would miss boxes that have come back or gone: none are made this time.
+					 */
+					this->view.machines.clear();
+				}
+				this->Answered();
+			});
 }
 
 void FleetOwner::Answered()
@@ -182,22 +185,21 @@
 											  {"from", row->pool.Value()},
 											  {"to", move.to.Value()},
 											  {"fence", std::to_string(this->fence.Value())}});
-	this->parts.machines.Move(move.box, move.to, ControlLease{this->parts.name, this->fence},
-							  [this, move, from = row->pool,
-							   still = std::weak_ptr<bool>(this->alive)](ControlOutcome outcome) {
-								  if (still.expired()) {
-									  return;
-								  }
-								  this->movers.Answered(move, from, outcome);
-								  if (outcome != ControlOutcome::CO_DONE) {
-									  this->parts.events.Write("not_moved",
-															   {{"box", move.box.Value()},
-																{"outcome", std::to_string(static_cast<int>(outcome))}});
-								  }
-								  if (outcome == ControlOutcome::CO_FENCED) {
-									  this->Lose();
-								  }
-							  });
+	this->parts.machines.Move(
+			move.box, move.to, ControlLease{this->parts.name, this->fence},
+			[this, move, from = row->pool, still = std::weak_ptr<bool>(this->alive)](ControlOutcome outcome) {
+				if (still.expired()) {
+					return;
+				}
+				this->movers.Answered(move, from, outcome);
+				if (outcome != ControlOutcome::CO_DONE) {
+					this->parts.events.Write("not_moved", {{"box", move.box.Value()},
+														   {"outcome", std::to_string(static_cast<int>(outcome))}});
+				}
+				if (outcome == ControlOutcome::CO_FENCED) {
+					this->Lose();
+				}
+			});
 }
 
 void FleetOwner::Maintain(const BoxName &box, uint64_t wave)
@@ -208,13 +210,12 @@
 													 {"wave", std::to_string(wave)},
 													 {"pool", row->pool.Value()},
 													 {"fence", std::to_string(this->fence.Value())}});
-	this->parts.machines.Maintain(
-			box, wave, ControlLease{this->parts.name, this->fence},
-			[this, box, wave, still = std::weak_ptr<bool>(this->alive)](ControlOutcome outcome) {
-				if (!still.expired()) {
-					this->OnMaintained(box, wave, outcome);
-				}
-			});
+	this->parts.machines.Maintain(box, wave, ControlLease{this->parts.name, this->fence},
+								  [this, box, wave, still = std::weak_ptr<bool>(this->alive)](ControlOutcome outcome) {
+									  if (!still.expired()) {
+										  this->OnMaintained(box, wave, outcome);
+									  }
+								  });
 }
 
 void FleetOwner::OnMaintained(const BoxName &box, uint64_t wave, ControlOutcome outcome)
--- a/src/upkeep/fleet_owner.h
+++ b/src/upkeep/fleet_owner.h
@@ -1,4 +1,5 @@
-/** @file fleet_owner.h The one node that gives orders to machines: claims that right in the log, and carries out waves. */
+/** @file fleet_owner.h The one node that gives orders to machines: claims that right in the log, and carries out waves.
+ */
 #ifndef FLEET_OWNER_H
 #define FLEET_OWNER_H
 
@@ -11,23 +12,23 @@
 public:
 	virtual ~PoolOwners() = default;
 
-	/** Asks how a pool stands and has boxes emptied. @param service The pool. @param drain Boxes to be emptied. @param due
-	 * Boxes that will be emptied later. @param done Gets the status, or nothing when the owner didn't answer. */
+	/** Asks how a pool stands and has boxes emptied. @param service The pool. @param drain Boxes to be emptied. @param
+	 * due Boxes that will be emptied later. @param done Gets the status, or nothing when the owner didn't answer. */
 	virtual void Ask(const ServiceName &service, const std::set<BoxName> &drain, const std::set<BoxName> &due,
 					 std::function<void(std::optional<PoolStatus>)> done) = 0;
 };
 
 /** What the fleet's owner needs of its node. */
 struct FleetParts {
-	Scheduler &scheduler;      ///< Clock and timers.
-	KeyedLog &log;             ///< The log.
-	MachineControl &machines;  ///< Machines.
-	WaveReports &reports;      ///< For operators.
-	PoolOwners &pools;         ///< Owners of pools.
-	EventLog &events;          ///< Lines.
-	std::string name;          ///< This node, as holder of orders.
-	std::string address;       ///< Where it answers others.
-	Millis turn_gap;           ///< Time between the last order of one holder and the first of the next.
+	Scheduler &scheduler;     ///< Clock and timers.
+	KeyedLog &log;            ///< The log.
+	MachineControl &machines; ///< Machines.
+	WaveReports &reports;     ///< For operators.
+	PoolOwners &pools;        ///< Owners of pools.
+	EventLog &events;         ///< Lines.
+	std::string name;         ///< This node, as holder of orders.
+	std::string address;      ///< Where it answers others.
+	Millis turn_gap;          ///< Time between the last order of one holder and the first of the next.
 };
 
 /** Owns the fleet's orders, from the wish on. Destroying it lets go. */
@@ -51,21 +52,21 @@
 	std::function<void()> on_lost; ///< Another node has taken over: this object may be destroyed from a later turn.
 
 private:
-	FleetParts parts;                       ///< What it needs.
-	JobConfig config;                       ///< The configuration in force.
-	WaveDesk desk;                          ///< Decides on waves.
-	PoolDesk movers;                        ///< Decides on moves.
-	FleetView view;                         ///< What is known.
-	std::unique_ptr<PartitionClaim> claim;  ///< The claim.
-	std::unique_ptr<ShardJournal> journal;  ///< Records, once claimed.
-	FenceToken fence;                       ///< Token of this ownership.
-	Millis orders_from;                     ///< No order before: the holder before may still have given some.
-	Millis confirmed_at;                    ///< When the group last confirmed the ownership.
-	bool lost = false;                      ///< Whether another holder has come.
-	size_t pending = 0;                     ///< Questions of this tick that are not answered.
-	std::set<uint64_t> publishing;          ///< Waves being reported.
-	WaveActions actions;                    ///< Decided last.
-	TimerId timer;                          ///< Next tick.
+	FleetParts parts;                      ///< What it needs.
+	JobConfig config;                      ///< The configuration in force.
+	WaveDesk desk;                         ///< Decides on waves.
+	PoolDesk movers;                       ///< Decides on moves.
+	FleetView view;                        ///< What is known.
+	std::unique_ptr<PartitionClaim> claim; ///< The claim.
+	std::unique_ptr<ShardJournal> journal; ///< Records, once claimed.
+	FenceToken fence;                      ///< Token of this ownership.
+	Millis orders_from;                    ///< No order before: the holder before may still have given some.
+	Millis confirmed_at;                   ///< When the group last confirmed the ownership.
+	bool lost = false;                     ///< Whether another holder has come.
+	size_t pending = 0;                    ///< Questions of this tick that are not answered.
+	std::set<uint64_t> publishing;         ///< Waves being reported.
+	WaveActions actions;                   ///< Decided last.
+	TimerId timer;                         ///< Next tick.
 	std::shared_ptr<bool> alive = std::make_shared<bool>(true); ///< Expires with this.
 
 	void Run(const ClaimedPartition &claimed);
--- a/src/upkeep/pool_desk.cpp
+++ b/src/upkeep/pool_desk.cpp
@@ -79,7 +79,8 @@
 		Balance balance = this->BalanceOf(service, status, view, taken);
 		int64_t used = 0;
 		std::ranges::for_each(status.boxes, [&used](const PoolBox &it) { used += it.used_cpu; });
-		const double asks = static_cast<double>(used) + static_cast<double>(status.waiting_cpu) * this->limits.waiting_weight;
+		const double asks =
+				static_cast<double>(used) + static_cast<double>(status.waiting_cpu) * this->limits.waiting_weight;
 		const double ahead = this->GrowthOf(service, asks, now) * static_cast<double>(this->limits.ahead.Value());
 		const double room = static_cast<double>(used) * (this->limits.used_headroom - 1.0);
 		balance.want = std::max(static_cast<int64_t>(asks + ahead + room), this->FloorOf(view));
@@ -98,8 +99,9 @@
 {
 	/* From the reserve first: nobody misses those. */
 	for (const MachineRow &row : view.machines) {
-		const bool free = view.reserves.contains(row.pool) && row.state == MachineState::MS_UP && !taken.contains(row.box) &&
-						  !this->leaving.contains(row.box) && !this->refused.contains({row.pool, needy.pool});
+		const bool free = view.reserves.contains(row.pool) && row.state == MachineState::MS_UP &&
+						  !taken.contains(row.box) && !this->leaving.contains(row.box) &&
+						  !this->refused.contains({row.pool, needy.pool});
 		if (free && needy.have < needy.want) {
 			this->Choose(row.box, needy.pool, now);
 			needy.have += row.capacity.cpu;
--- a/src/upkeep/pool_desk.h
+++ b/src/upkeep/pool_desk.h
@@ -1,4 +1,5 @@
-/** @file pool_desk.h Moves of boxes between pools and the reserve, by what their jobs ask for. Pure: it only decides. */
+/** @file pool_desk.h Moves of boxes between pools and the reserve, by what their jobs ask for. Pure: it only decides.
+ */
 #ifndef POOL_DESK_H
 #define POOL_DESK_H
 
@@ -17,8 +18,8 @@
 
 /** A move to order now. */
 struct PoolMove {
-	BoxName box;     ///< Which box.
-	ServiceName to;  ///< Where to.
+	BoxName box;    ///< Which box.
+	ServiceName to; ///< Where to.
 };
 
 /** What the desk wants done now. */
@@ -33,7 +34,8 @@
 	/** @param limits Figures. */
 	explicit PoolDesk(PoolLimits limits) : limits(limits) {}
 
-	/** @return What to do now. @param view The fleet. @param taken Boxes that are not to be touched. @param now The time. */
+	/** @return What to do now. @param view The fleet. @param taken Boxes that are not to be touched. @param now The
+	 * time. */
 	PoolActions Decide(const FleetView &view, const std::set<BoxName> &taken, Millis now);
 	/** An order is about to leave. @param move It. @param now The time. */
 	void Ordered(const PoolMove &move, Millis now);
@@ -74,10 +76,12 @@
 
 	void NoteArrivals(const FleetView &view, Millis now);
 	[[nodiscard]] std::vector<Balance> Balances(const FleetView &view, const std::set<BoxName> &taken, Millis now);
-	Balance BalanceOf(const ServiceName &pool, const PoolStatus &status, const FleetView &view, const std::set<BoxName> &taken);
+	Balance BalanceOf(const ServiceName &pool, const PoolStatus &status, const FleetView &view,
+					  const std::set<BoxName> &taken);
 	[[nodiscard]] int64_t FloorOf(const FleetView &view) const;
 	double GrowthOf(const ServiceName &pool, double cpu, Millis now);
-	void Supply(Balance &needy, std::vector<Balance> &all, const FleetView &view, const std::set<BoxName> &taken, Millis now);
+	void Supply(Balance &needy, std::vector<Balance> &all, const FleetView &view, const std::set<BoxName> &taken,
+				Millis now);
 	void SendAway(Balance &rich, const FleetView &view, Millis now);
 	void Choose(const BoxName &box, const ServiceName &to, Millis now);
 };
--- a/src/upkeep/wave_desk.cpp
+++ b/src/upkeep/wave_desk.cpp
@@ -34,7 +34,8 @@
 
 bool WaveDesk::Active() const
 {
-	return std::ranges::any_of(this->waves | std::views::keys, [this](uint64_t it) { return !this->completed.contains(it); });
+	return std::ranges::any_of(this->waves | std::views::keys,
+							   [this](uint64_t it) { return !this->completed.contains(it); });
 }
 
 bool WaveDesk::IsDue(const BoxName &box) const
@@ -42,7 +43,8 @@
 	return std::ranges::any_of(this->waves, [&](const auto &it) {
 		const auto done = this->begun.find(it.first);
 		const bool begun_there = done != this->begun.end() && done->second.contains(box);
-		return !this->completed.contains(it.first) && !begun_there && std::ranges::count(it.second.order.boxes, box) > 0;
+		return !this->completed.contains(it.first) && !begun_there &&
+			   std::ranges::count(it.second.order.boxes, box) > 0;
 	});
 }
 
@@ -137,7 +139,8 @@
 		return view.reserves.contains(it->pool) ? -1 : status == nullptr ? INT64_MAX : int64_t{status->tasks};
 	};
 	std::ranges::stable_sort(open, {}, weight);
-	const bool late = now - wave.since > Millis(static_cast<int64_t>(static_cast<double>(wave.order.within.Value()) * LATE_AFTER));
+	const bool late = now - wave.since >
+					  Millis(static_cast<int64_t>(static_cast<double>(wave.order.within.Value()) * LATE_AFTER));
 	for (const MachineRow *row : open) {
 		const auto in_pool = std::ranges::count(view.machines, row->pool, &MachineRow::pool);
 		const double share = late ? this->limits.late_share : this->limits.pool_share;
--- a/src/upkeep/wave_desk.h
+++ b/src/upkeep/wave_desk.h
@@ -8,24 +8,24 @@
 
 /** Figures of waves. */
 struct WaveLimits {
-	double pool_share = 0.25;         ///< Boxes of a pool that are emptied or down for waves at once, at least one.
-	double late_share = 0.5;          ///< The same once two thirds of a wave's time have passed.
+	double pool_share = 0.25;          ///< Boxes of a pool that are emptied or down for waves at once, at least one.
+	double late_share = 0.5;           ///< The same once two thirds of a wave's time have passed.
 	Millis forget_down = Millis(8000); ///< A box that was ordered down and is not seen down or back is counted so long.
 };
 
 /** What the desk wants done now. */
 struct WaveActions {
-	std::map<ServiceName, std::set<BoxName>> drain;        ///< Boxes to be emptied, by pool.
-	std::map<ServiceName, std::set<BoxName>> due;          ///< Boxes that will be emptied later, by pool.
-	std::vector<std::pair<BoxName, uint64_t>> maintain;    ///< Empty boxes to take down, with their waves.
-	std::vector<uint64_t> completed;                       ///< Waves of which every box has begun.
+	std::map<ServiceName, std::set<BoxName>> drain;     ///< Boxes to be emptied, by pool.
+	std::map<ServiceName, std::set<BoxName>> due;       ///< Boxes that will be emptied later, by pool.
+	std::vector<std::pair<BoxName, uint64_t>> maintain; ///< Empty boxes to take down, with their waves.
+	std::vector<uint64_t> completed;                    ///< Waves of which every box has begun.
 };
 
 /** What the desk knows of the fleet. */
 struct FleetView {
-	std::vector<MachineRow> machines;            ///< All machines, newly listed.
-	std::map<ServiceName, PoolStatus> pools;     ///< Pools, as their owners see them; absent when unknown.
-	std::set<ServiceName> reserves;              ///< Pools whose boxes are off.
+	std::vector<MachineRow> machines;        ///< All machines, newly listed.
+	std::map<ServiceName, PoolStatus> pools; ///< Pools, as their owners see them; absent when unknown.
+	std::set<ServiceName> reserves;          ///< Pools whose boxes are off.
 };
 
 /** Decides on waves. At most so many boxes of a wave are down at once as its order says. */
@@ -43,7 +43,8 @@
 
 	/** @return What to do now. @param view The fleet. @param now The time. */
 	WaveActions Decide(const FleetView &view, Millis now);
-	/** An order is about to leave. @param box The box. @param wave Its wave. @param life Its life. @param now The time. */
+	/** An order is about to leave. @param box The box. @param wave Its wave. @param life Its life. @param now The time.
+	 */
 	void Ordered(const BoxName &box, uint64_t wave, const BoxLife &life, Millis now);
 	/** An order has ended. @param box The box. @param wave Its wave. @param outcome How. */
 	void Answered(const BoxName &box, uint64_t wave, ControlOutcome outcome);
@@ -74,13 +75,13 @@
 		bool seen = false; ///< Whether it was seen down.
 	};
 
-	WaveLimits limits;                               ///< Figures.
-	std::map<uint64_t, Wave> waves;                  ///< Waves.
-	std::map<uint64_t, std::set<BoxName>> begun;     ///< Boxes whose maintenance has begun, by wave.
-	std::set<uint64_t> completed;                    ///< Waves reported as completed.
-	std::map<BoxName, Down> down;                    ///< Boxes that are down, or may be.
-	std::map<BoxName, uint64_t> draining;            ///< Boxes being emptied.
-	std::set<BoxName> others;                        ///< Boxes that move meanwhile.
+	WaveLimits limits;                           ///< Figures.
+	std::map<uint64_t, Wave> waves;              ///< Waves.
+	std::map<uint64_t, std::set<BoxName>> begun; ///< Boxes whose maintenance has begun, by wave.
+	std::set<uint64_t> completed;                ///< Waves reported as completed.
+	std::map<BoxName, Down> down;                ///< Boxes that are down, or may be.
+	std::map<BoxName, uint64_t> draining;        ///< Boxes being emptied.
+	std::set<BoxName> others;                    ///< Boxes that move meanwhile.
 
 	void NoteReturns(const FleetView &view, Millis now);
 	void DecideWave(const Wave &wave, const FleetView &view, Millis now, WaveActions &actions);
--- /dev/null
+++ b/tests/job_world.h
@@ -0,0 +1,261 @@
+/** @file job_world.h Nodes, the keyed log and boxes in memory under one virtual clock, with callers that hand in jobs.
+ */
+#ifndef JOB_WORLD_H
+#define JOB_WORLD_H
+
+#include "node/job_desk.h"
+#include "standin/memory/box_site.h"
+#include "standin/memory/keyed_store.h"
+#include "standin/memory/node_scheduler.h"
+
+#include <memory>
+
+/** A feed that the world drives. */
+class WorldFeed : public SiteFeed {
+public:
+	void Start(SiteFeedEvents &) override {}
+	void WatchBoxes(bool) override {}
+	[[nodiscard]] Millis FreshAt() const override { return Millis(0); }
+};
+
+/** A node process. */
+class WorldNode {
+public:
+	WorldNode(VirtualScheduler &clock, KeyedStore &store, BoxSite &site, const std::string &name)
+			: scheduler(clock), log(this->scheduler, clock, store), orders(this->scheduler, clock, site),
+			  member(this->scheduler, this->log, this->events, GroupSpec{NODE_GROUP, name, NODE_TOPIC, Millis(1500)}),
+			  host(OwnerParts{this->scheduler, this->log, this->orders, this->events, name, ShardLimits{}},
+				   this->member, this->feed, PARTS),
+			  lookup(this->scheduler, this->log, this->events),
+			  desk(this->scheduler, this->log, this->host, this->lookup, this->events, PARTS), name(name)
+	{
+		this->member.on_answer = [this] { this->host.OnMembership(); };
+		this->member.Start();
+	}
+
+	static constexpr uint32_t PARTS = 12; ///< Partitions of a topic.
+
+	NodeScheduler scheduler; ///< Its clock.
+	KeyedStoreClient log;    ///< Its way to the log.
+	SiteOrders orders;       ///< Its way to the boxes.
+	NoEventLog events;       ///< Its lines.
+	WorldFeed feed;          ///< Its feed.
+	GroupMember member;      ///< Its part in the group.
+	ShardHost host;          ///< Its shards.
+	OwnerLookup lookup;      ///< Owners elsewhere.
+	JobDesk desk;            ///< Its answers.
+	std::string name;        ///< Its name.
+	bool up = true;          ///< Whether it was not killed.
+};
+
+/** A job as a caller sees it. */
+struct WorldJob {
+	JobSpec spec;           ///< As handed in.
+	ServiceName service;    ///< Its service.
+	size_t tries = 0;       ///< Times it was handed in.
+	size_t refused = 0;     ///< Times it was certainly refused.
+	bool accepted = false;  ///< Whether it was confirmed.
+	bool cancelled = false; ///< Whether its cancellation was confirmed.
+};
+
+/** The whole. */
+class JobWorld {
+public:
+	explicit JobWorld(size_t count = 3)
+	{
+		this->config.version = 1;
+		this->config.routes = {MakeRoute("r-calc", "calc", 0), MakeRoute("r-grid", "grid", 1)};
+		this->config.services = {JobService{ServiceName("calc"), true, false},
+								 JobService{ServiceName("grid"), true, false}};
+		for (const char *service : {"calc", "grid"}) {
+			for (int n = 0; n < 4; n++) {
+				this->site.Add(MakeBox(service, n));
+			}
+		}
+		for (size_t n = 0; n < count; n++) {
+			this->Boot("node-" + std::to_string(n));
+		}
+		this->TellReports();
+	}
+
+	/** Starts a node. @param name Its name. */
+	WorldNode &Boot(const std::string &name)
+	{
+		this->nodes.push_back(std::make_unique<WorldNode>(this->clock, this->store, this->site, name));
+		this->nodes.back()->desk.Configure(this->config);
+		return *this->nodes.back();
+	}
+
+	/** Kills a node; its object stays, so that what it sent may still arrive. @param node It. */
+	static void Kill(WorldNode &node)
+	{
+		*node.scheduler.alive = false;
+		node.up = false;
+	}
+
+	/** @return The node that owns a service's shard, or null. @param service The service. */
+	WorldNode *OwnerOf(const ServiceName &service)
+	{
+		for (const auto &node : this->nodes) {
+			const ShardOwner *owner = node->up ? std::as_const(node->host).Find(service) : nullptr;
+			if (owner != nullptr && owner->Running() != nullptr) {
+				return node.get();
+			}
+		}
+		return nullptr;
+	}
+
+	/** Hands a job in, again and again at other nodes until it is confirmed. @param job It. */
+	void HandIn(WorldJob &job)
+	{
+		WorldNode &node = *this->nodes[job.tries % this->nodes.size()];
+		job.tries++;
+		const auto again = [this, &job] {
+			if (!job.accepted && job.tries < TRIES) {
+				this->clock.After(RETRY, [this, &job] { this->HandIn(job); });
+			}
+		};
+		if (!node.up) {
+			job.refused++;
+			again();
+			return;
+		}
+		auto answered = std::make_shared<bool>(false);
+		node.desk.Submit(
+				job.spec, job.service, node.scheduler.Now() + Millis(3000), [&job, again, answered](ResultCode rc) {
+					*answered = true;
+					job.accepted = job.accepted || rc == ResultCode::RC_OK;
+					job.refused += rc == ResultCode::RC_LOG_THROTTLED || rc == ResultCode::RC_LOG_UNAVAILABLE ? 1 : 0;
+					again();
+				});
+		this->clock.After(Millis(3500), [again, answered] {
+			if (!std::exchange(*answered, true)) {
+				again();
+			}
+		});
+	}
+
+	/** Makes a job and hands it in at a moment. @param at When. @param service Its service. @param steps Its steps.
+	 * @return It. */
+	WorldJob &Plan(Millis at, const std::string &service, std::vector<StepSpec> steps, Millis run_time = Millis(500),
+				   uint32_t fail_first = 0)
+	{
+		auto &job = *this->jobs.emplace_back(std::make_unique<WorldJob>());
+		const std::string digits = std::to_string(this->jobs.size());
+		job.spec.id = JobId(std::string(16 - digits.size(), 'a') + digits);
+		job.spec.route = RouteName("r-" + service);
+		job.spec.payload = "payload of " + digits;
+		job.spec.steps = std::move(steps);
+		job.service = ServiceName(service);
+		SiteJob known;
+		known.spec = job.spec;
+		known.service = job.service;
+		known.run_time = run_time;
+		known.fail_first = fail_first;
+		this->site.Know(known);
+		this->clock.After(at, [this, &job] { this->HandIn(job); });
+		return job;
+	}
+
+	/** Cancels a job at a moment, again until confirmed. @param at When. @param job It. */
+	void PlanCancel(Millis at, WorldJob &job)
+	{
+		this->clock.After(at, [this, &job] {
+			const auto node = std::ranges::find_if(this->nodes, [](const auto &it) { return it->up; });
+			if (node == this->nodes.end()) {
+				this->PlanCancel(RETRY, job);
+				return;
+			}
+			(*node)->desk.Cancel(job.spec.id, job.service, (*node)->scheduler.Now() + Millis(3000),
+								 [this, &job](ResultCode rc) {
+									 if (rc == ResultCode::RC_OK && !job.cancelled) {
+										 job.cancelled = true;
+										 this->site.JobOf(job.spec.id).cancelled_at = this->clock.Now();
+									 }
+								 });
+			this->clock.After(Millis(3500), [this, &job] {
+				if (!job.cancelled) {
+					this->PlanCancel(Millis(0), job);
+				}
+			});
+		});
+	}
+
+	/** @return The steps of a small chain: so many tasks, then one. */
+	static std::vector<StepSpec> Chain(uint32_t width)
+	{
+		StepSpec wide;
+		wide.count = width;
+		wide.demand = Resources{1000, 100, 0};
+		wide.estimate = Millis(500);
+		StepSpec last = wide;
+		last.count = 1;
+		last.after = {0};
+		return {wide, last};
+	}
+
+	/** @return A step of tasks that last, at most one a box. */
+	static std::vector<StepSpec> Lasting(uint32_t width)
+	{
+		StepSpec step;
+		step.count = width;
+		step.demand = Resources{1000, 100, 0};
+		step.lasting = true;
+		step.per_box = 1;
+		step.absent_max = 1;
+		return {step};
+	}
+
+	/** @return What is known of a job at its owner. */
+	JobView ViewOf(const WorldJob &job)
+	{
+		WorldNode *node = this->OwnerOf(job.service);
+		return node == nullptr ? JobView{} : std::as_const(node->host).Find(job.service)->Running()->View(job.spec.id);
+	}
+
+	VirtualScheduler clock{Millis(1700000000000)}; ///< The world's clock.
+	KeyedStore store{WorldNode::PARTS};            ///< The log.
+	BoxSite site{clock};                           ///< The boxes.
+	std::vector<std::unique_ptr<WorldNode>> nodes; ///< All nodes ever started.
+	std::vector<std::unique_ptr<WorldJob>> jobs;   ///< All jobs.
+	JobConfig config;                              ///< The configuration.
+	std::set<BoxName> unlisted;                    ///< Boxes whose reports are missing.
+
+private:
+	static constexpr size_t TRIES = 12;            ///< Times that a caller hands a job in.
+	static constexpr Millis RETRY = Millis(400);   ///< Before a caller tries again.
+	static constexpr Millis REPORTS = Millis(500); ///< Boxes' reports are told so often.
+
+	static JobRoute MakeRoute(const std::string &name, const std::string &service, int64_t priority)
+	{
+		return JobRoute{RouteName(name), "h", "/" + name + "/", ServiceName(service), priority, 3, 1.6, Millis(600)};
+	}
+
+	static BoxReport MakeBox(const std::string &service, int n)
+	{
+		BoxReport report;
+		report.box = BoxName(service + "-box" + std::to_string(n));
+		report.life = BoxLife(report.box.Value() + "-life0");
+		report.service = ServiceName(service);
+		report.address = report.box.Value();
+		report.capacity = Resources{8000, 8000, 0};
+		report.labels = {"a", "rack" + std::to_string(n / 2)};
+		report.rack = RackName(report.labels.back());
+		return report;
+	}
+
+	void TellReports()
+	{
+		for (const auto &node : this->nodes) {
+			for (const BoxReport &report : this->site.Reports()) {
+				if (!node->up || this->unlisted.contains(report.box)) {
+					continue;
+				}
+				node->scheduler.After(Millis(0), [it = node.get(), report] { it->host.OnReport(report); });
+			}
+		}
+		this->clock.After(REPORTS, [this] { this->TellReports(); });
+	}
+};
+
+#endif /* JOB_WORLD_H */
--- /dev/null
+++ b/tests/test_job_matrix.cpp
@@ -0,0 +1,160 @@
+/** @file test_job_matrix.cpp Jobs under every fault of the store, the nodes and the boxes, at several moments. */
+#include "job_world.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <array>
+
+namespace {
+
+constexpr Millis WHOLE(70000);    ///< Length of a cell: every fault is long over, and every lease too.
+constexpr Millis FAULT_FOR(5000); ///< Length of a fault.
+
+/** A fault: how it begins and, for those that pass, how it ends. */
+struct Fault {
+	const char *name;                      ///< For messages.
+	std::function<void(JobWorld &)> begin; ///< Begins it.
+	std::function<void(JobWorld &)> end;   ///< Ends it.
+};
+
+void EachNode(JobWorld &world, const std::function<void(WorldNode &)> &change)
+{
+	std::ranges::for_each(world.nodes, [&change](const auto &it) { change(*it); });
+}
+
+WorldNode &OwnerOrFirst(JobWorld &world)
+{
+	WorldNode *owner = world.OwnerOf(ServiceName("calc"));
+	return owner == nullptr ? *world.nodes.front() : *owner;
+}
+
+BoxFaults &FirstBox(JobWorld &world)
+{
+	return world.site.faults[BoxName("calc-box0")];
+}
+
+const std::array FAULTS = {
+		Fault{"none", [](JobWorld &) {}, [](JobWorld &) {}},
+		Fault{"store silent", [](JobWorld &w) { EachNode(w, [](WorldNode &n) { n.log.faults.silent = true; }); },
+			  [](JobWorld &w) { EachNode(w, [](WorldNode &n) { n.log.faults.silent = false; }); }},
+		Fault{"store refuses", [](JobWorld &w) { EachNode(w, [](WorldNode &n) { n.log.faults.refusing = true; }); },
+			  [](JobWorld &w) { EachNode(w, [](WorldNode &n) { n.log.faults.refusing = false; }); }},
+		Fault{"store slow", [](JobWorld &w) { EachNode(w, [](WorldNode &n) { n.log.faults.latency = Millis(200); }); },
+			  [](JobWorld &w) { EachNode(w, [](WorldNode &n) { n.log.faults.latency = Millis(4); }); }},
+		Fault{"answers lost", [](JobWorld &w) { EachNode(w, [](WorldNode &n) { n.log.faults.lose_every = 3; }); },
+			  [](JobWorld &w) { EachNode(w, [](WorldNode &n) { n.log.faults.lose_every = 0; }); }},
+		Fault{"appends done late",
+			  [](JobWorld &w) {
+				  EachNode(w, [](WorldNode &n) {
+					  n.log.faults.lose_every = 3;
+					  n.log.faults.late = true;
+				  });
+			  },
+			  [](JobWorld &w) { EachNode(w, [](WorldNode &n) { n.log.faults.lose_every = 0; }); }},
+		Fault{"owner cut from store", [](JobWorld &w) { OwnerOrFirst(w).log.faults.silent = true; },
+			  [](JobWorld &w) { EachNode(w, [](WorldNode &n) { n.log.faults.silent = false; }); }},
+		Fault{"owner paused", [](JobWorld &w) { OwnerOrFirst(w).scheduler.paused_until = w.clock.Now() + FAULT_FOR; },
+			  [](JobWorld &) {}},
+		Fault{"owner killed", [](JobWorld &w) { JobWorld::Kill(OwnerOrFirst(w)); }, [](JobWorld &) {}},
+		Fault{"owner killed, back at once",
+			  [](JobWorld &w) {
+				  WorldNode &owner = OwnerOrFirst(w);
+				  JobWorld::Kill(owner);
+				  w.Boot(std::string(owner.name));
+			  },
+			  [](JobWorld &) {}},
+		Fault{"all nodes killed, back later", [](JobWorld &w) { EachNode(w, JobWorld::Kill); },
+			  [](JobWorld &w) {
+				  for (const char *name : {"node-0", "node-1", "node-2"}) {
+					  w.Boot(name);
+				  }
+			  }},
+		Fault{"owner leaves",
+			  [](JobWorld &w) {
+				  WorldNode &owner = OwnerOrFirst(w);
+				  owner.host.Clear();
+				  owner.member.Leave([] {});
+			  },
+			  [](JobWorld &) {}},
+		Fault{"partitions dealt anew", [](JobWorld &w) { w.store.Redeal(); }, [](JobWorld &w) { w.store.Redeal(); }},
+		Fault{"history forgotten", [](JobWorld &w) { w.store.Compact(); }, [](JobWorld &w) { w.store.Compact(); }},
+		Fault{"box dark", [](JobWorld &w) { FirstBox(w).dark = true; }, [](JobWorld &w) { FirstBox(w).dark = false; }},
+		Fault{"box dark, owner killed",
+			  [](JobWorld &w) {
+				  FirstBox(w).dark = true;
+				  w.unlisted.insert(BoxName("calc-box0"));
+				  JobWorld::Kill(OwnerOrFirst(w));
+			  },
+			  [](JobWorld &w) {
+				  FirstBox(w).dark = false;
+				  w.unlisted.clear();
+			  }},
+		Fault{"box restarts", [](JobWorld &w) { w.site.Restart(BoxName("calc-box0")); }, [](JobWorld &) {}},
+		Fault{"orders without answer", [](JobWorld &w) { FirstBox(w).lose_every = 2; },
+			  [](JobWorld &w) { FirstBox(w).lose_every = 0; }},
+		Fault{"orders done late",
+			  [](JobWorld &w) {
+				  FirstBox(w).lose_every = 2;
+				  FirstBox(w).late = true;
+			  },
+			  [](JobWorld &w) { FirstBox(w).lose_every = 0; }},
+};
+
+/** Callers' day: chains, tasks that last, jobs that fail now and then or always, a cancellation. */
+void PlanDay(JobWorld &world)
+{
+	for (int n = 0; n < 12; n++) {
+		world.Plan(Millis(1000 + n * 350), n % 2 == 0 ? "calc" : "grid", JobWorld::Chain(1 + n % 4),
+				   Millis(300 + 150 * (n % 4)));
+	}
+	world.Plan(Millis(1200), "calc", JobWorld::Lasting(3));
+	world.Plan(Millis(1300), "calc", JobWorld::Chain(2), Millis(200), 1);
+	world.Plan(Millis(1400), "calc", JobWorld::Chain(2), Millis(200), 100);
+	world.PlanCancel(Millis(2600), world.Plan(Millis(1500), "calc", JobWorld::Chain(4), Millis(4000)));
+	world.PlanCancel(Millis(9000), world.Plan(Millis(1600), "calc", JobWorld::Lasting(2)));
+}
+
+/** What a job has to be in the end. */
+JobPhase Expected(JobWorld &world, const WorldJob &job)
+{
+	if (job.cancelled) {
+		return JobPhase::JP_CANCELLED;
+	}
+	const SiteJob &known = world.site.JobOf(job.spec.id);
+	if (job.spec.steps.front().lasting) {
+		return JobPhase::JP_RUNNING;
+	}
+	return known.fail_first >= known.failures_max ? JobPhase::JP_FAILED : JobPhase::JP_COMPLETED;
+}
+
+} // namespace
+
+TEST_CASE("jobs under every fault at several moments")
+{
+	for (const Fault &fault : FAULTS) {
+		for (const int64_t at : {900, 1450, 2500, 4200}) {
+			CAPTURE(fault.name);
+			CAPTURE(at);
+			JobWorld world;
+			PlanDay(world);
+			world.clock.After(Millis(at), [&] { fault.begin(world); });
+			world.clock.After(Millis(at) + FAULT_FOR, [&] { fault.end(world); });
+			world.clock.RunUntil(WHOLE);
+			CHECK(world.site.violations == std::vector<std::string>{});
+			for (const auto &job : world.jobs) {
+				CAPTURE(job->spec.id.Value());
+				const JobView view = world.ViewOf(*job);
+				if (!job->accepted) {
+					/* Refused at every try for certain, or its caller gave up without knowing. */
+					CHECK((job->refused < job->tries || !view.known));
+					continue;
+				}
+				CHECK(view.known);
+				CHECK(static_cast<int>(view.phase) == static_cast<int>(Expected(world, *job)));
+				const bool lasts = job->spec.steps.front().lasting && !job->cancelled;
+				CHECK(world.site.Running(job->spec.id) == (lasts ? job->spec.steps.front().count : 0));
+			}
+		}
+	}
+}
