--- a/src/jobs/shard_boxes.cpp
+++ b/src/jobs/shard_boxes.cpp
@@ -82,6 +82,9 @@
 
 void Shard::NoteLeaseAsked(ShardBox &box, Millis until)
 {
+	if (!box.clock) {
+		return; /* No lease is asked for before the box has told its clock: see LeaseEnd(). */
+	}
 	const auto span = static_cast<double>((until - *box.clock).Value()) / CLOCK_RATE_MIN;
 	box.lapse_at = std::max(box.lapse_at, box.clock_at + Millis(static_cast<int64_t>(span)) + LAPSE_SLACK);
 }
--- a/src/jobs/shard_owner.cpp
+++ b/src/jobs/shard_owner.cpp
@@ -105,7 +105,7 @@
 	}
 }
 
-void ShardOwner::Release(std::function<void()> done)
+void ShardOwner::Release(const std::function<void()> &done)
 {
 	this->running = false;
 	this->claim.reset();
--- a/src/jobs/shard_owner.h
+++ b/src/jobs/shard_owner.h
@@ -42,7 +42,7 @@
 	void Start();
 	/** Lets go because another node is to own the shard: no lease is prolonged from now on, and the log tells so. The
 	 * object may be destroyed once `done` was called. @param done Called when the log has it, or another owner came. */
-	void Release(std::function<void()> done);
+	void Release(const std::function<void()> &done);
 	/** Takes a configuration. @param config It. */
 	void Configure(const JobConfig &config);
 	/** Takes a box's report. @param report It. */
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -8,7 +8,7 @@
 
 constexpr Millis STORE_SEEN_WITHIN(2600); ///< A node that has not reached the store for so long asks for no new
 										  ///< callers: two polls of a second each may fail.
-constexpr Millis POOL_WAIT(600); ///< Time that the owner of a pool has to answer the fleet's owner.
+constexpr Millis POOL_WAIT(600);          ///< Time that the owner of a pool has to answer the fleet's owner.
 
 std::set<BoxName> BoxesOf(const std::vector<std::string> &names)
 {
@@ -195,7 +195,7 @@
 	out.code = static_cast<uint32_t>(answer.code);
 	out.phase = static_cast<uint8_t>(answer.phase);
 	out.waiting = answer.waiting;
-	link.Send(MakeMessage(std::move(out)));
+	link.Send(MakeMessage(out));
 }
 
 void NodeCore::OnPoolQuestion(FrameLink &link, const glade::wire::PoolQuestionT &in)
--- a/src/standin/memory/keyed_store.cpp
+++ b/src/standin/memory/keyed_store.cpp
@@ -183,7 +183,7 @@
 
 template <class Answer>
 void KeyedStoreClient::Call(std::function<Answer()> work, Answer failed, Millis patience,
-							std::function<void(Answer)> done)
+							const std::function<void(Answer)> &done)
 {
 	if (this->faults.silent) {
 		this->scheduler.After(std::min(patience, NO_PATIENCE), [done, failed] { done(failed); });
@@ -215,7 +215,7 @@
 	}
 	const KeyedAppendAnswer failed =
 			this->faults.refusing ? KeyedAppendAnswer{ResultCode::RC_LOG_THROTTLED, 0} : unknown;
-	this->Call<KeyedAppendAnswer>(work, failed, patience, std::move(done));
+	this->Call<KeyedAppendAnswer>(work, failed, patience, done);
 }
 
 void KeyedStoreClient::Poll(const PartitionId &partition, uint64_t from, Millis until,
@@ -238,7 +238,7 @@
 							std::function<void(KeyedReadAnswer)> done)
 {
 	if (this->faults.silent || this->faults.refusing) {
-		this->Call<KeyedReadAnswer>([] { return KeyedReadAnswer{}; }, KeyedReadAnswer{}, NO_PATIENCE, std::move(done));
+		this->Call<KeyedReadAnswer>([] { return KeyedReadAnswer{}; }, KeyedReadAnswer{}, NO_PATIENCE, done);
 		return;
 	}
 	this->scheduler.After(this->faults.latency, [this, partition, from, wait, done = std::move(done)] {
@@ -250,7 +250,7 @@
 							  std::function<void(NewestPage)> done)
 {
 	this->Call<NewestPage>([&store = this->store, partition, after] { return store.Newest(partition, after); },
-						   NewestPage{}, NO_PATIENCE, std::move(done));
+						   NewestPage{}, NO_PATIENCE, done);
 }
 
 void KeyedStoreClient::Join(const std::string &group, const std::string &member, const std::string &topic,
@@ -260,7 +260,7 @@
 			[this, group, member, topic, silence, generation] {
 				return this->store.Join(group, member, topic, silence, generation, this->clock.Now());
 			},
-			GroupMembership{}, NO_PATIENCE, std::move(done));
+			GroupMembership{}, NO_PATIENCE, done);
 }
 
 void KeyedStoreClient::Leave(const std::string &group, const std::string &member, std::function<void()> done)
--- /dev/null
+++ b/tests/test_platform.cpp
@@ -0,0 +1,136 @@
+/** @file test_platform.cpp The adapter: the platform's messages decoded into the project's types, and records kept. */
+#include "../platform/job_front.h"
+#include "../platform/platform_feed.h"
+#include "jobs/job_codec.h"
+#include "net/http_caller.h"
+#include "store/owner_record.h"
+
+#include <doctest/doctest.h>
+
+#include <QEventLoop>
+#include <QTcpServer>
+#include <QThread>
+#include <QTimer>
+
+TEST_CASE("a configuration is decoded, and what is none is refused")
+{
+	const std::optional<JobConfig> config = DecodeConfig(
+			R"({"version":7,"routes":[{"name":"r","host":"h.example","path-prefix":"/a/","priority":1,"service":"s",)"
+			R"("target-latency-ms":600,"max-attempts":3,"stretch":1.6},{"name":"q","host":"h.example","path-prefix":"/a/b/",)"
+			R"("service":"s"}],"services":[{"name":"s","admission-check":true,"spare":false},{"name":"o","spare":true}]})");
+	REQUIRE(config);
+	CHECK(config->version == 7);
+	const JobRoute *route = config->FindRoute(RouteName("r"));
+	REQUIRE(route != nullptr);
+	CHECK(route->headroom == Millis(600));
+	CHECK(route->failures_max == 3);
+	CHECK(route->stretch == doctest::Approx(1.6));
+	CHECK(config->Match("h.example", "/a/b/0011223344556677")->name == RouteName("q"));
+	CHECK(config->Match("h.example", "/a/0011223344556677")->name == RouteName("r"));
+	CHECK(config->Match("other.example", "/a/x") == nullptr);
+	CHECK(config->FindService(ServiceName("o"))->reserve);
+	CHECK(!DecodeConfig("{}"));
+	CHECK(!DecodeConfig("not json"));
+}
+
+TEST_CASE("a box's report is decoded")
+{
+	const std::optional<BoxReport> report =
+			DecodeReport(BoxLife("i-1"),
+						 R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"draining","remaining-ms":900,)"
+						 R"("capacity":{"cpu":16000,"mem-mb":32768,"gpu":1},"labels":["a","r1-3"],"machine":"m-1"})");
+	REQUIRE(report);
+	CHECK(report->box == BoxName("m-1"));
+	CHECK(report->capacity == Resources{16000, 32768, 1});
+	CHECK(report->leaving);
+	CHECK(report->time_left == Millis(900));
+	CHECK(report->rack == RackName("r1-3"));
+	CHECK(!DecodeReport(BoxLife("i-1"), "{}"));
+}
+
+TEST_CASE("a wave is decoded")
+{
+	const std::optional<WaveOrder> wave =
+			DecodeWave(R"({"wave":2,"machines":["m-1","m-2"],"duration-s":20,"maximum":3})");
+	REQUIRE(wave);
+	CHECK(wave->number == 2);
+	CHECK(wave->boxes.size() == 2);
+	CHECK(wave->within == Millis(20000));
+	CHECK(wave->down_max == 3);
+	CHECK(!DecodeWave("{}"));
+}
+
+TEST_CASE("a job is decoded, with an error that names what was expected")
+{
+	const JobId id("0011223344556677");
+	const ParsedJob job = ParseJob(
+			id,
+			R"({"spec":"text","steps":[{"count":4,"cpu":500,"mem-mb":256,"est-runtime-ms":900,"colocate":"r1"},)"
+			R"({"count":2,"cpu":700,"after":[0],"gang":true,"fills":true,"anti-affinity":1,"may_miss":0,"target_ms":50}]})");
+	REQUIRE(job.result.Ok());
+	CHECK(job.spec.payload == "text");
+	REQUIRE(job.spec.steps.size() == 2);
+	CHECK(job.spec.steps[0].demand == Resources{500, 256, 0});
+	CHECK(job.spec.steps[0].data_rack == "r1");
+	CHECK(!job.spec.steps[0].absent_max);
+	CHECK(job.spec.steps[1].demand.cpu == 0); /* a filler reserves nothing */
+	CHECK(job.spec.steps[1].absent_max == 0U);
+	CHECK(job.spec.steps[1].per_box == 1);
+	CHECK(ParseJob(id, "{").result.code == ResultCode::RC_BAD_REQUEST);
+	CHECK(ParseJob(id, "{}").result.detail == "steps: expected at least one");
+	CHECK(ParseJob(id, R"({"steps":[{"count":0}]})").result.detail == "steps[0].count: expected 1 or more");
+	CHECK(ParseJob(id, R"({"steps":[{"count":1,"after":[0]}]})").result.detail ==
+		  "steps[0].after: expected numbers of earlier steps");
+	CHECK(!ParseJob(id, R"({"steps":[{"count":30000}]})").result.Ok());
+	CHECK(!ParseJob(id, R"({"spec":")" + std::string(4001, 'x') + R"(","steps":[{"count":1}]})").result.Ok());
+}
+
+TEST_CASE("records are read back as written, and others are refused")
+{
+	JobSpec spec =
+			ParseJob(JobId("0011223344556677"), R"({"spec":"t","steps":[{"count":2,"cpu":5,"may_miss":0}]})").spec;
+	spec.route = RouteName("r");
+	spec.accepted = Millis(17);
+	CHECK(DecodeSubmission(spec.id, EncodeSubmission(spec)) == spec);
+	StoredProgress progress;
+	progress.phase = JobPhase::JP_RUNNING;
+	progress.route = RouteName("r");
+	progress.changed = Millis(5);
+	progress.tasks = {StoredTask{TaskPhase::TP_PLACED, RunNumber(2), 1, BoxLife("i-1"), "saved"}, StoredTask{}};
+	CHECK(DecodeProgress(EncodeProgress(progress)) == progress);
+	const StoredOwner owner{9, "10.0.0.1:7060", true};
+	CHECK(DecodeOwner(EncodeOwner(owner)) == owner);
+	CHECK(!DecodeProgress("short"));
+	CHECK(!DecodeOwner(std::string(64, '\xff')));
+	CHECK(!DecodeSubmission(spec.id, ""));
+}
+
+TEST_CASE("a call whose answer and time limit fall due together is told once")
+{
+	QTcpServer server;
+	REQUIRE(server.listen(QHostAddress(QHostAddress::LocalHost)));
+	QObject::connect(&server, &QTcpServer::newConnection, [&server] {
+		QTcpSocket *socket = server.nextPendingConnection();
+		QObject::connect(socket, &QTcpSocket::readyRead, socket, [socket] {
+			socket->readAll();
+			socket->write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+			socket->flush();
+			/* The loop stands still until the limit has passed: answer and limit are due in its next turn. */
+			QThread::msleep(400);
+		});
+	});
+	QtScheduler scheduler;
+	HttpCaller caller(scheduler, DialLimits{});
+	HttpCallSpec spec{"127.0.0.1:" + std::to_string(server.serverPort()), {}, Millis(300)};
+	spec.request.method = "GET";
+	spec.request.target = "/";
+	int told = 0;
+	QEventLoop loop;
+	caller.Call(spec, [&](const HttpReply &) {
+		told++;
+		QTimer::singleShot(50, &loop, &QEventLoop::quit);
+	});
+	loop.exec();
+	CHECK(told == 1);
+	CHECK(caller.Open() == 0);
+}
