--- a/src/bench/proxy_bench.cpp
+++ b/src/bench/proxy_bench.cpp
@@ -21,7 +21,6 @@
 constexpr uint32_t ENDPOINTS = 8;      ///< Endpoints of the view; all are one listener.
 constexpr uint32_t SLOTS = 128;        ///< Slots of each: this bench is about the path, not about limits.
 constexpr int STATUS_OK = 200;         ///< HTTP status.
-constexpr double US_PER_SECOND = 1e6;  ///< Microseconds in a second.
 constexpr double NS_PER_SECOND = 1e9;  ///< Nanoseconds in a second.
 constexpr int IDLE_CONNECTIONS = 1000; ///< Connections whose memory is measured.
 constexpr int PACED_CONNECTIONS = 64;  ///< Connections of the measurement at half load.
--- a/src/jobs/site_feed.h
+++ b/src/jobs/site_feed.h
@@ -33,6 +33,8 @@
 	virtual void WatchBoxes(bool wanted) = 0;
 	/** @return When the last answered question for the configuration was sent. */
 	[[nodiscard]] virtual Millis FreshAt() const = 0;
+	/** @return When the last answer to such a question came. */
+	[[nodiscard]] virtual Millis HeardAt() const = 0;
 };
 
 #endif /* SITE_FEED_H */
--- a/src/net/qt_scheduler.cpp
+++ b/src/net/qt_scheduler.cpp
@@ -7,6 +7,12 @@
 #include <algorithm>
 #include <chrono>
 
+namespace {
+
+constexpr Millis PAUSE(200); ///< A timer that is so late tells of a pause; on a slow machine they are some 10 ms late.
+
+} // namespace
+
 QtScheduler::QtScheduler()
 {
 	this->timer.setSingleShot(true);
@@ -63,8 +69,24 @@
 	this->timer.start(static_cast<int>(std::max<int64_t>((first - this->Now()).Value(), 0)));
 }
 
+void QtScheduler::NotePause()
+{
+	const Millis now = this->Now();
+	if (!this->timers.empty() && now - this->timers.begin()->first.at > PAUSE) {
+		this->paused_at = now;
+	}
+}
+
+Millis QtScheduler::PausedAt()
+{
+	/* A socket may be served before the timers that are overdue. */
+	this->NotePause();
+	return this->paused_at;
+}
+
 void QtScheduler::RunDue()
 {
+	this->NotePause();
 	while (!this->timers.empty() && this->timers.begin()->first.at <= this->Now()) {
 		auto node = this->timers.extract(this->timers.begin());
 		this->due.erase(node.key().id);
--- a/src/store/keyed_follower.cpp
+++ b/src/store/keyed_follower.cpp
@@ -105,6 +105,7 @@
 		return;
 	}
 	this->fresh_at = asked;
+	this->heard_at = this->scheduler.Now();
 	this->next = answer.next;
 	std::ranges::for_each(answer.records, [this](const KeyedRecord &it) { this->Tell(it); });
 	if (!answer.records.empty() && this->on_batch) {
--- a/src/store/keyed_follower.h
+++ b/src/store/keyed_follower.h
@@ -43,6 +43,9 @@
 	/** @return When the last answered question was sent: everything appended before is known. */
 	[[nodiscard]] Millis FreshAt() const { return this->fresh_at; }
 
+	/** @return When the last answer came. */
+	[[nodiscard]] Millis HeardAt() const { return this->heard_at; }
+
 	OnRecord on_record;              ///< Gets each record.
 	std::function<void()> on_batch;  ///< Told after the records of an answer.
 	std::function<void()> on_loaded; ///< Told once, after the newest records.
@@ -58,6 +61,7 @@
 	std::set<std::string> keys;                                 ///< Keys that have a value.
 	std::set<std::string> loading;                              ///< Keys seen by the load under way.
 	Millis fresh_at;                                            ///< For FreshAt().
+	Millis heard_at;                                            ///< For HeardAt().
 	TimerId timer;                                              ///< Next question.
 	std::shared_ptr<bool> alive = std::make_shared<bool>(true); ///< Expires with this.
 
--- a/tests/job_world.h
+++ b/tests/job_world.h
@@ -16,6 +16,7 @@
 	void Start(SiteFeedEvents &) override {}
 	void WatchBoxes(bool) override {}
 	[[nodiscard]] Millis FreshAt() const override { return Millis(0); }
+	[[nodiscard]] Millis HeardAt() const override { return Millis(0); }
 };
 
 /** A node process. */
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -1,6 +1,7 @@
 /** @file test_platform.cpp The adapter: the platform's messages decoded into the project's types, and records kept. */
 #include "../platform/job_front.h"
 #include "../platform/platform_feed.h"
+#include "job_world.h"
 #include "jobs/job_codec.h"
 #include "net/http_caller.h"
 #include "store/owner_record.h"
@@ -134,3 +135,46 @@
 	CHECK(told == 1);
 	CHECK(caller.Open() == 0);
 }
+
+namespace {
+
+/** A caller's end that keeps the status. */
+class StatusSink : public CallerSink {
+public:
+	void Begin(const AnswerHead &head) override { this->status = head.status; }
+	void Body(std::string_view) override {}
+	void End() override {}
+	void Break() override {}
+	[[nodiscard]] bool Congested() const override { return false; }
+	int status = 0; ///< Status of the answer; 0 before.
+};
+
+} // namespace
+
+TEST_CASE("a request that came during a pause is answered by the configuration of after it")
+{
+	JobWorld world(1);
+	WorldNode &node = *world.nodes.front();
+	world.clock.RunUntil(Millis(3000));
+	Millis paused(-1000000);
+	JobFront front(node.scheduler, node.desk, node.feed, [&paused] { return paused; });
+	CallerRequest request;
+	request.method = "POST";
+	request.target = "/r-new/0011223344556677";
+	request.headers.Add("Host", "h");
+	request.body = R"({"spec":"t","steps":[{"count":1,"cpu":5}]})";
+	StatusSink before;
+	front.Serve(before, request);
+	CHECK(before.status == 404);
+	paused = world.clock.Now();
+	StatusSink after;
+	const auto served = front.Serve(after, request);
+	JobConfig newer = world.config;
+	newer.version = 2;
+	newer.routes.push_back(newer.routes.front());
+	newer.routes.back().name = RouteName("r-new");
+	newer.routes.back().path_prefix = "/r-new/";
+	node.desk.Configure(newer);
+	world.clock.RunUntil(Millis(3500));
+	CHECK(after.status == 200);
+}
