--- a/src/jobs/job_config.cpp
+++ b/src/jobs/job_config.cpp
@@ -1,7 +1,8 @@
-/** @file job_config.cpp Look-ups in the configuration and in boxes' reports. */
+/** @file job_config.cpp Look-ups in the configuration and in boxes' reports, and the words of logs. */
 #include "job_type.h"
 
 #include <algorithm>
+#include <array>
 
 const JobRoute *JobConfig::FindRoute(const RouteName &name) const
 {
@@ -31,3 +32,22 @@
 {
 	return std::ranges::find(this->labels, label) != this->labels.end();
 }
+
+const char *NameOf(JobPhase phase)
+{
+	constexpr std::array NAMES = {"queued", "running", "completed", "failed", "cancelled"};
+	return NAMES.at(static_cast<size_t>(phase));
+}
+
+const char *NameOf(OrderOutcome outcome)
+{
+	constexpr std::array NAMES = {"done",       "fenced", "run_too_old", "lease_past", "no_room", "no_ticket",
+								  "other_life", "busy",   "rejected",    "not_sent",   "unknown"};
+	return NAMES.at(static_cast<size_t>(outcome));
+}
+
+const char *NameOf(RunEnding ending)
+{
+	constexpr std::array NAMES = {"done", "failed", "stopped", "lapsed", "broken", "alone"};
+	return NAMES.at(static_cast<size_t>(ending));
+}
--- a/src/jobs/job_type.h
+++ b/src/jobs/job_type.h
@@ -241,6 +241,13 @@
 	std::vector<EndedRow> ended;     ///< What has ended and isn't noted yet.
 };
 
+/** @return Word for a phase, as logs show it. @param phase The phase. */
+const char *NameOf(JobPhase phase);
+/** @return Word for an outcome, as logs show it. @param outcome The outcome. */
+const char *NameOf(OrderOutcome outcome);
+/** @return Word for an ending, as logs show it. @param ending The ending. */
+const char *NameOf(RunEnding ending);
+
 /** Orders to boxes. Answers come later, never from inside the call. */
 class BoxOrders {
 public:
--- a/src/jobs/shard_boxes.cpp
+++ b/src/jobs/shard_boxes.cpp
@@ -194,7 +194,7 @@
 	}
 	box.silent = true;
 	this->log.Write("box_silent", {{"life", box.report.life.Value()},
-								   {"outcome", std::to_string(static_cast<int>(outcome))},
+								   {"outcome", NameOf(outcome)},
 								   {"placed", std::to_string(box.placed.size())},
 								   {"silent_ms", std::to_string((this->scheduler.Now() - box.answered_at).Value())}});
 	this->PumpAfter(box.report.life, RETRY_AFTER);
--- a/src/jobs/shard_jobs.cpp
+++ b/src/jobs/shard_jobs.cpp
@@ -114,7 +114,7 @@
 								  {"age_ms", std::to_string((this->scheduler.WallNow() - spec.accepted).Value())},
 								  {"image", kept.spec.steps.empty() ? "" : kept.spec.steps.front().image},
 								  {"estimate_ms", std::to_string(kept.spec.steps.front().estimate.Value())},
-								  {"phase", std::to_string(static_cast<int>(kept.phase))}});
+								  {"phase", NameOf(kept.phase)}});
 	if (!kept.Over()) {
 		this->live.insert(spec.id);
 	}
@@ -274,7 +274,7 @@
 		ShardJob &job = this->jobs.at(id);
 		if (job.durable_phase != phase) {
 			this->log.Write("job_phase", {{"job", id.Value()},
-										  {"phase", std::to_string(static_cast<int>(phase))},
+										  {"phase", NameOf(phase)},
 										  {"age_ms", std::to_string((this->scheduler.Now() - job.taken_at).Value())}});
 		}
 		job.durable_phase = phase;
@@ -297,7 +297,7 @@
 	job.phase = phase;
 	this->live.erase(job.spec.id);
 	this->log.Write("job_over", {{"job", job.spec.id.Value()},
-								 {"phase", std::to_string(static_cast<int>(phase))},
+								 {"phase", NameOf(phase)},
 								 {"why", why},
 								 {"age_ms", std::to_string((this->scheduler.Now() - job.taken_at).Value())}});
 	for (size_t place = 0; place < job.tasks.size(); place++) {
--- a/src/jobs/shard_place.cpp
+++ b/src/jobs/shard_place.cpp
@@ -318,7 +318,7 @@
 	this->log.Write("start_failed", {{"job", id.job.Value()},
 									 {"run", std::to_string(run.Value())},
 									 {"box", life.Value()},
-									 {"outcome", std::to_string(static_cast<int>(answer.outcome))}});
+									 {"outcome", NameOf(answer.outcome)}});
 	if (answer.outcome == OrderOutcome::OO_UNKNOWN) {
 		/* The next list shows it, or a stop makes sure that it never starts. */
 		this->counters.unknown++;
--- a/src/jobs/shard_runs.cpp
+++ b/src/jobs/shard_runs.cpp
@@ -36,7 +36,7 @@
 								  {"task", std::to_string(job.IndexOf(id))},
 								  {"run", std::to_string(task.run.Value())},
 								  {"box", task.box.Value()},
-								  {"ending", std::to_string(static_cast<int>(ending))},
+								  {"ending", NameOf(ending)},
 								  {"why", why},
 								  {"ran_ms", std::to_string(ran.Value())}});
 	if (!saved.empty()) {
--- a/tests/test_job_matrix.cpp
+++ b/tests/test_job_matrix.cpp
@@ -158,3 +158,17 @@
 		}
 	}
 }
+
+TEST_CASE("a count of waiting jobs is only told by an owner that knows what others have accepted")
+{
+	JobWorld world;
+	world.clock.RunUntil(Millis(3000));
+	WorldNode *owner = world.OwnerOf(ServiceName("calc"));
+	REQUIRE(owner != nullptr);
+	const JobQuestion count{ServiceName("calc"), RouteName("r-calc"), JobId()};
+	CHECK(owner->desk.AnswerHere(count).code == ResultCode::RC_OK);
+	owner->log.faults.silent = true;
+	world.clock.RunUntil(Millis(7000));
+	/* It still believes that it owns the shard, as the log can't tell it otherwise. */
+	CHECK(owner->desk.AnswerHere(count).code == ResultCode::RC_PEER_UNAVAILABLE);
+}
