--- a/src/jobs/shard_base.h
+++ b/src/jobs/shard_base.h
@@ -278,6 +278,7 @@
 	void FinishGang(ShardJob &job, const TaskId &id);
 	void WantStop(const TaskId &id, ShardTask &task, const char *why);
 	void SendStop(const TaskId &id);
+	bool LifeStands(const BoxLife &life, OrderOutcome outcome);
 	void OnStopped(const TaskId &id, RunNumber run, const BoxLife &life, OrderAnswer answer);
 
 	/* shard_boxes.cpp */
@@ -298,6 +299,7 @@
 	void LapseBoxes();
 	void Evacuate(ShardBox &box);
 	void EvacuateDrained();
+	[[nodiscard]] bool Heard(const BoxLife &life) const;
 	[[nodiscard]] bool MayStop(const ShardJob &job, const TaskId &id) const;
 	[[nodiscard]] bool Placing(const ShardBox &box) const;
 	void Depose();
--- a/src/jobs/shard_boxes.cpp
+++ b/src/jobs/shard_boxes.cpp
@@ -184,12 +184,7 @@
 
 void Shard::OnNoLease(ShardBox &box, OrderOutcome outcome)
 {
-	if (outcome == OrderOutcome::OO_FENCED) {
-		this->Depose();
-		return;
-	}
-	if (outcome == OrderOutcome::OO_OTHER_LIFE) {
-		this->EndLife(box, "other_life");
+	if (!this->LifeStands(box.report.life, outcome)) {
 		return;
 	}
 	box.silent = true;
@@ -343,6 +338,13 @@
 	this->Wake();
 }
 
+bool Shard::Heard(const BoxLife &life) const
+{
+	const auto it = this->boxes.find(life);
+	const Millis within = this->limits.lease_wait + OVERDUE;
+	return it != this->boxes.end() && !it->second.silent && this->scheduler.Now() - it->second.answered_at <= within;
+}
+
 bool Shard::MayStop(const ShardJob &job, const TaskId &id) const
 {
 	const StepSpec &step = job.spec.steps[id.step];
@@ -353,7 +355,8 @@
 	for (TaskId other = id; const uint32_t index : std::views::iota(0U, step.count)) {
 		other.index = index;
 		const ShardTask &task = job.tasks[job.IndexOf(other)];
-		const bool works = task.phase == TaskPhase::TP_PLACED && task.at_work && !task.stop_wanted;
+		const bool works =
+				task.phase == TaskPhase::TP_PLACED && task.at_work && !task.stop_wanted && this->Heard(task.box);
 		absent += index != id.index && !works ? 1 : 0;
 	}
 	return absent < *step.absent_max;
--- a/src/jobs/shard_place.cpp
+++ b/src/jobs/shard_place.cpp
@@ -295,15 +295,10 @@
 
 void Shard::OnStarted(const TaskId &id, RunNumber run, const BoxLife &life, OrderAnswer answer)
 {
-	if (answer.outcome == OrderOutcome::OO_FENCED) {
-		this->Depose();
+	if (!this->LifeStands(life, answer.outcome)) {
 		return;
 	}
 	const auto box = this->boxes.find(life);
-	if (box != this->boxes.end() && answer.outcome == OrderOutcome::OO_OTHER_LIFE) {
-		this->EndLife(box->second, "other_life");
-		return;
-	}
 	ShardTask *task = this->FindTask(id);
 	const bool current =
 			task != nullptr && task->phase == TaskPhase::TP_PLACED && task->run == run && task->box == life;
--- a/src/jobs/shard_runs.cpp
+++ b/src/jobs/shard_runs.cpp
@@ -154,17 +154,26 @@
 					  });
 }
 
-void Shard::OnStopped(const TaskId &id, RunNumber run, const BoxLife &life, OrderAnswer answer)
+bool Shard::LifeStands(const BoxLife &life, OrderOutcome outcome)
 {
-	if (answer.outcome == OrderOutcome::OO_FENCED) {
+	if (outcome == OrderOutcome::OO_FENCED) {
 		this->Depose();
-		return;
+		return false;
 	}
 	const auto box = this->boxes.find(life);
-	if (box != this->boxes.end() && answer.outcome == OrderOutcome::OO_OTHER_LIFE) {
+	if (box != this->boxes.end() && outcome == OrderOutcome::OO_OTHER_LIFE) {
 		this->EndLife(box->second, "other_life");
+		return false;
+	}
+	return true;
+}
+
+void Shard::OnStopped(const TaskId &id, RunNumber run, const BoxLife &life, OrderAnswer answer)
+{
+	if (!this->LifeStands(life, answer.outcome)) {
 		return;
 	}
+	const auto box = this->boxes.find(life);
 	ShardTask *task = this->FindTask(id);
 	if (task == nullptr || task->phase != TaskPhase::TP_PLACED || task->run != run || task->box != life) {
 		return;
--- a/tests/test_job_matrix.cpp
+++ b/tests/test_job_matrix.cpp
@@ -172,3 +172,33 @@
 	/* It still believes that it owns the shard, as the log can't tell it otherwise. */
 	CHECK(owner->desk.AnswerHere(count).code == ResultCode::RC_PEER_UNAVAILABLE);
 }
+
+TEST_CASE("planned work doesn't stop a lasting task while another of its step is on a box that doesn't answer")
+{
+	JobWorld world;
+	const WorldJob &job = world.Plan(Millis(1000), "calc", JobWorld::Lasting(3));
+	world.clock.RunUntil(Millis(4000));
+	REQUIRE(world.site.Running(job.spec.id) == 3);
+	WorldNode *owner = world.OwnerOf(ServiceName("calc"));
+	REQUIRE(owner != nullptr);
+	Shard *shard = owner->host.Find(ServiceName("calc"))->Running();
+	std::vector<BoxName> holding;
+	for (const auto &[life, box] : shard->Boxes()) {
+		if (!box.placed.empty()) {
+			holding.push_back(box.report.box);
+		}
+	}
+	REQUIRE(holding.size() == 3);
+	world.site.faults[holding[0]].dark = true;
+	/* Longer than an answer may take, shorter than the lease: its task may run on or not. */
+	world.clock.RunUntil(Millis(6500));
+	const uint64_t stops = shard->Counters().stops;
+	shard->Drain({holding[1]}, {});
+	world.clock.RunUntil(Millis(7000));
+	CHECK(shard->Counters().stops == stops);
+	world.site.faults[holding[0]].dark = false;
+	world.clock.RunUntil(Millis(9000));
+	shard->Drain({holding[1]}, {});
+	world.clock.RunUntil(Millis(9500));
+	CHECK(shard->Counters().stops == stops + 1);
+}
