--- a/src/standin/memory/keyed_store.cpp
+++ b/src/standin/memory/keyed_store.cpp
@@ -219,7 +219,7 @@
 }
 
 void KeyedStoreClient::Poll(const PartitionId &partition, uint64_t from, Millis until,
-							std::function<void(KeyedReadAnswer)> done)
+							const std::function<void(KeyedReadAnswer)> &done)
 {
 	KeyedReadAnswer answer = this->store.Read(partition, from);
 	const bool nothing = answer.code == ResultCode::RC_OK && answer.records.empty();
--- a/src/standin/memory/keyed_store.h
+++ b/src/standin/memory/keyed_store.h
@@ -118,7 +118,8 @@
 	/** Makes a call: `work` runs at the log, its answer comes back; `failed` is told when the way is broken. */
 	template <class Answer>
 	void Call(std::function<Answer()> work, Answer failed, Millis patience, const std::function<void(Answer)> &done);
-	void Poll(const PartitionId &partition, uint64_t from, Millis until, std::function<void(KeyedReadAnswer)> done);
+	void Poll(const PartitionId &partition, uint64_t from, Millis until,
+			  const std::function<void(KeyedReadAnswer)> &done);
 };
 
 #endif /* KEYED_STORE_H */
