--- a/src/request/pool_gate.cpp
+++ b/src/request/pool_gate.cpp
@@ -487,6 +487,7 @@
 {
 	const std::scoped_lock guard(this->lock);
 	std::vector<EndpointView> views;
+	views.reserve(this->endpoints.size());
 	for (const auto &[box, it] : this->endpoints) {
 		views.push_back(EndpointView{it.view, it.in_flight, it.lent, it.borrowed, Millis(it.typical_us / US_PER_MS),
 									 it.ejected_until > now});
--- a/src/request/route_table.cpp
+++ b/src/request/route_table.cpp
@@ -336,6 +336,7 @@
 {
 	const std::shared_lock guard(this->lock);
 	std::vector<ServiceRow> list;
+	list.reserve(this->rows.size());
 	for (const auto &[name, row] : this->rows) {
 		list.push_back(row);
 	}
--- a/src/standin/memory/box_site.cpp
+++ b/src/standin/memory/box_site.cpp
@@ -273,7 +273,7 @@
 }
 
 void SiteOrders::Poll(const BoxReport &box, const LeaseOrder &order, Millis until,
-					  std::function<void(LeaseAnswer)> done)
+					  const std::function<void(LeaseAnswer)> &done)
 {
 	const LeaseAnswer answer = this->site.Lease(box, order);
 	const bool dark = this->site.faults[box.box].dark;
--- a/src/standin/memory/box_site.h
+++ b/src/standin/memory/box_site.h
@@ -115,7 +115,8 @@
 	uint32_t orders = 0;     ///< Orders sent.
 
 	void Send(const BoxReport &box, std::function<OrderAnswer()> work, Done done);
-	void Poll(const BoxReport &box, const LeaseOrder &order, Millis until, std::function<void(LeaseAnswer)> done);
+	void Poll(const BoxReport &box, const LeaseOrder &order, Millis until,
+			  const std::function<void(LeaseAnswer)> &done);
 };
 
 #endif /* BOX_SITE_H */
--- a/tests/test_random_history.cpp
+++ b/tests/test_random_history.cpp
@@ -144,7 +144,6 @@
 		quota.units = 12;
 		world.Do(std::move(quota));
 		std::optional<FleetState> joined;
-		LogOffset joined_at;
 		for (const Move &move : moves) {
 			const FleetState before = world.fleet;
 			Say(world, move);
