Nodes with much more processor time own the shards; the others stand by

Change: a member's name in the group tells its processor time; a node stands by while three or more members with twice its time hold partitions, looks around every second, and takes part again when they are fewer. At a cold start stronger nodes join first.

--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -38,7 +38,8 @@
 
 NodeCore::NodeCore(Scheduler &scheduler, const NodeLinks &links, const NodeIdentity &self)
 		: scheduler(scheduler), links(links), self(self),
-		  member(scheduler, links.log, links.events, GroupSpec{NODE_GROUP, self.frames, NODE_TOPIC, self.silence}),
+		  member(scheduler, links.log, links.events,
+				 GroupSpec{NODE_GROUP, GroupPeer{self.frames, self.cpu}, NODE_TOPIC, self.silence}),
 		  host(OwnerParts{scheduler, links.log, links.orders, links.events, self.frames, self.limits}, this->member,
 			   links.feed, self.partitions),
 		  lookup(scheduler, links.log, links.events),
--- a/src/node/node_core.h
+++ b/src/node/node_core.h
@@ -8,7 +8,8 @@
 /** Who this node is. */
 struct NodeIdentity {
 	std::string name;        ///< Name of this process.
-	std::string frames;      ///< IP:port where other nodes ask; also its name in the group.
+	std::string frames;      ///< IP:port where other nodes ask; also in its name in the group.
+	int64_t cpu = 0;         ///< Thousandths of a core that it may use.
 	uint32_t partitions = 1; ///< Partitions of a topic.
 	Millis silence;          ///< A node not heard of for so long loses its shards.
 	ShardLimits limits;      ///< Figures of shards.
--- a/src/node/owner_lookup.cpp
+++ b/src/node/owner_lookup.cpp
@@ -89,7 +89,7 @@
 		}
 		this->holders.clear();
 		for (const PartitionHolder &row : rows) {
-			this->holders[row.partition.part] = row.member;
+			this->holders[row.partition.part] = PeerOf(row.member).address;
 		}
 	});
 }
--- a/src/node/owner_lookup.h
+++ b/src/node/owner_lookup.h
@@ -5,7 +5,7 @@
 #include "../event_log.h"
 #include "../jobs/job_type.h"
 #include "../net/frame_link.h"
-#include "../store/keyed_log.h"
+#include "../store/group_member.h"
 
 /** A question about a job, or about a route's waiting jobs. Its answer comes from the owner of the service's shard. */
 struct JobQuestion {
--- a/src/program/settings.cpp
+++ b/src/program/settings.cpp
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
+#include <optional>
 #include <sstream>
 
 namespace {
@@ -20,6 +22,9 @@
 							   DurationUnit{"s", MS_PER_SECOND}, DurationUnit{"h", MS_PER_HOUR},
 							   DurationUnit{"d", MS_PER_DAY}};
 
+constexpr double THOUSANDTHS = 1000; ///< In one.
+constexpr double DECIMAL_MAX = 1e12; ///< Larger decimals are refused: their thousandths must fit.
+
 bool ParseNumber(const std::string &text, int64_t &n)
 {
 	const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), n);
@@ -57,6 +62,24 @@
 	return std::to_string(ms / best->ms) + best->suffix;
 }
 
+std::string DecimalText(int64_t thousandths)
+{
+	std::ostringstream out;
+	out << static_cast<double>(thousandths) / THOUSANDTHS;
+	return out.str();
+}
+
+/** Reads a decimal as thousandths; what is finer is cut off. */
+std::optional<int64_t> ParseDecimal(const std::string &text)
+{
+	double value = 0;
+	const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value);
+	if (ec != std::errc() || end != text.data() + text.size() || !(std::abs(value) <= DECIMAL_MAX)) {
+		return std::nullopt;
+	}
+	return static_cast<int64_t>(value * THOUSANDTHS);
+}
+
 /** What a valid value looks like. */
 std::string ExpectedOf(const SettingSpec &spec)
 {
@@ -67,6 +90,8 @@
 		return "name of letters, digits, '-', '_' and '.'";
 	case SettingKind::SK_NUMBER:
 		return "whole number from " + std::to_string(spec.low) + " to " + std::to_string(spec.high);
+	case SettingKind::SK_DECIMAL:
+		return "number from " + DecimalText(spec.low) + " to " + DecimalText(spec.high) + ", with decimals";
 	case SettingKind::SK_DURATION:
 		return "duration from " + DurationText(spec.low) + " to " + DurationText(spec.high) + " (ms, s, min, h, d)";
 	case SettingKind::SK_ADDRESS:
@@ -93,6 +118,10 @@
 		return IsName(text);
 	case SettingKind::SK_NUMBER:
 		return ParseNumber(text, n) && n >= spec.low && n <= spec.high;
+	case SettingKind::SK_DECIMAL: {
+		const std::optional<int64_t> thousandths = ParseDecimal(text);
+		return thousandths && *thousandths >= spec.low && *thousandths <= spec.high;
+	}
 	case SettingKind::SK_DURATION:
 		return ParseDuration(text, duration) && duration.Value() >= spec.low && duration.Value() <= spec.high;
 	case SettingKind::SK_ADDRESS:
@@ -282,6 +311,11 @@
 	return this->values.at(name);
 }
 
+int64_t Settings::Thousandths(const std::string &name) const
+{
+	return ParseDecimal(this->values.at(name)).value_or(0);
+}
+
 int64_t Settings::Number(const std::string &name) const
 {
 	int64_t n = 0;
--- a/src/program/settings.h
+++ b/src/program/settings.h
@@ -21,6 +21,7 @@
 	SK_ADDRESSES = 5, ///< A list of IP:port.
 	SK_CHOICE = 6,    ///< One of several words.
 	SK_RECORDS = 7,   ///< A list of maps with known fields.
+	SK_DECIMAL = 8,   ///< A decimal number, in a range of thousandths.
 };
 
 /** One row of the settings table. */
@@ -28,8 +29,8 @@
 	const char *name;     ///< Key.
 	SettingKind kind;     ///< What it holds.
 	const char *fallback; ///< Value when the file has none; null when the file must have one.
-	int64_t low;          ///< Smallest number or duration (ms).
-	int64_t high;         ///< Largest number or duration (ms).
+	int64_t low;          ///< Smallest number, duration (ms) or decimal (thousandths).
+	int64_t high;         ///< Largest number, duration (ms) or decimal (thousandths).
 	const char *choices;  ///< Words of a choice, or fields of records, separated by '|'. A field with '?' may lack.
 	const char *help;     ///< What it is for, in a line.
 };
@@ -46,6 +47,9 @@
 	/** @return Value of a whole number. */
 	[[nodiscard]] int64_t Number(const std::string &name) const;
 
+	/** @return Value of a decimal, in thousandths. */
+	[[nodiscard]] int64_t Thousandths(const std::string &name) const;
+
 	/** @return Value of a duration. */
 	[[nodiscard]] Millis Duration(const std::string &name) const;
 
--- a/src/program/settings_tables.cpp
+++ b/src/program/settings_tables.cpp
@@ -117,6 +117,8 @@
 		SettingSpec{"machines", SK_ADDRESS, nullptr, 0, 0, "", "Control of boxes as machines."},
 		SettingSpec{"turn_gap", SK_DURATION, "3300ms", 0, ONE_DAY, "",
 					"Time between the last order to machines of one node and the first of the next."},
+		SettingSpec{"cpu", SK_DECIMAL, "1", 1, 1024000, "",
+					"Cores that this process may use: nodes with twice as many take the shards first."},
 		SettingSpec{"partitions", SK_NUMBER, "12", 1, 10000, "", "Partitions of a topic of the store."},
 		SettingSpec{"group_silence", SK_DURATION, "1500ms", 1000, ONE_DAY, "",
 					"A node that the store has not heard of for so long loses its shards."},
--- a/src/standin/memory/keyed_store.h
+++ b/src/standin/memory/keyed_store.h
@@ -28,8 +28,8 @@
 						 uint64_t generation, Millis now);
 	/** Leaves a group. */
 	void Leave(const std::string &group, const std::string &member);
-	/** @return Holders of a group's partitions. */
-	std::vector<PartitionHolder> Holders(const std::string &group) const;
+	/** @return Holders of a group's partitions; a member that is silent for too long holds nothing. */
+	std::vector<PartitionHolder> Holders(const std::string &group, Millis now) const;
 	/** Forgets the history of all partitions: only newest records stay. */
 	void Compact();
 	/** Deals all partitions of all groups anew, unasked. */
--- a/src/store/group_member.cpp
+++ b/src/store/group_member.cpp
@@ -1,31 +1,128 @@
 /** @file group_member.cpp This node's part in a group. */
 #include "group_member.h"
 
+#include <algorithm>
+#include <charconv>
+
 namespace {
 
 constexpr int64_t JOINS_PER_SILENCE = 3; ///< Joins within the time after which a silent member is out: two may be lost.
+constexpr int64_t MUCH_STRONGER = 2;     ///< A node stands by for one with so many times its processor time.
+/** A node stands by for so many stronger ones at least: measured with one, which then has all shards and falls behind.
+ */
+constexpr size_t STRONG_ENOUGH = 3;
+/** A node that stands by looks so often whether it is wanted; a look costs a reading call of the store. */
+constexpr Millis LOOK_AGAIN(1000);
+/** While nobody holds anything, a node waits for this divided by its cores before it joins: stronger ones come first.
+ */
+constexpr int64_t FIRST_JOIN_CORE_MS = 100;
+constexpr int64_t THOUSANDTHS = 1000; ///< In a core.
+constexpr char CPU_MARK = '/';        ///< Between address and processor time in a member's name.
 
 } // namespace
 
+std::string MemberNameOf(const GroupPeer &peer)
+{
+	return peer.address + CPU_MARK + std::to_string(peer.cpu);
+}
+
+GroupPeer PeerOf(const std::string &name)
+{
+	GroupPeer peer;
+	const size_t mark = name.find(CPU_MARK);
+	peer.address = name.substr(0, mark);
+	if (mark != std::string::npos) {
+		std::from_chars(name.data() + mark + 1, name.data() + name.size(), peer.cpu);
+	}
+	return peer;
+}
+
 GroupMember::GroupMember(Scheduler &scheduler, KeyedLog &log, EventLog &events, GroupSpec spec)
-		: scheduler(scheduler), log(log), events(events), spec(std::move(spec))
+		: scheduler(scheduler), log(log), events(events), spec(std::move(spec)), name(MemberNameOf(this->spec.self))
 {
 }
 
 GroupMember::~GroupMember()
 {
 	this->scheduler.Cancel(this->timer);
+	this->scheduler.Cancel(this->look_timer);
 }
 
 void GroupMember::Start()
 {
+	this->started_at = this->scheduler.Now();
+	this->LookAround();
+}
+
+void GroupMember::LookAround()
+{
+	this->log.Holders(this->spec.group, [this, still = std::weak_ptr<bool>(this->alive)](
+												ResultCode code, const std::vector<PartitionHolder> &rows) {
+		if (!still.expired() && !this->leaving) {
+			this->OnHolders(code, rows);
+		}
+	});
+}
+
+void GroupMember::OnHolders(ResultCode code, const std::vector<PartitionHolder> &rows)
+{
+	const int64_t own = std::max<int64_t>(this->spec.self.cpu, 1);
+	std::set<std::string> stronger;
+	for (const PartitionHolder &it : rows) {
+		if (PeerOf(it.member).cpu >= MUCH_STRONGER * own) {
+			stronger.insert(it.member);
+		}
+	}
+	if (stronger.size() >= STRONG_ENOUGH) {
+		this->StandBy(*stronger.begin());
+		return;
+	}
+	if (this->joined) {
+		return;
+	}
+	if (this->standing_by && code != ResultCode::RC_OK) {
+		/* Not known whether the stronger ones are still there; joining would not get through either. */
+		this->look_timer = this->scheduler.After(LOOK_AGAIN, [this] { this->LookAround(); });
+		return;
+	}
+	const Millis first(FIRST_JOIN_CORE_MS * THOUSANDTHS / own);
+	const Millis waited = this->scheduler.Now() - this->started_at;
+	if (rows.empty() && waited < first) {
+		this->look_timer = this->scheduler.After(first - waited, [this] { this->LookAround(); });
+		return;
+	}
+	if (std::exchange(this->standing_by, false)) {
+		this->events.Write("group_wanted", {{"group", this->spec.group}, {"holders", std::to_string(rows.size())}});
+	}
+	this->joined = true;
 	this->Join();
 }
 
+void GroupMember::StandBy(const std::string &holder)
+{
+	this->look_timer = this->scheduler.After(LOOK_AGAIN, [this] { this->LookAround(); });
+	if (std::exchange(this->standing_by, true)) {
+		return;
+	}
+	this->events.Write("group_stand_by",
+					   {{"group", this->spec.group}, {"holder", holder}, {"own", std::to_string(this->spec.self.cpu)}});
+	if (!std::exchange(this->joined, false)) {
+		return;
+	}
+	this->scheduler.Cancel(this->timer);
+	this->parts.clear();
+	this->log.Leave(this->spec.group, this->name, [] {
+		/* When the log wasn't told, it notices the silence. */
+	});
+	if (this->on_answer) {
+		this->on_answer();
+	}
+}
+
 void GroupMember::Join()
 {
 	const Millis sent = this->scheduler.Now();
-	this->log.Join(this->spec.group, this->spec.member, this->spec.topic, this->spec.silence, this->generation,
+	this->log.Join(this->spec.group, this->name, this->spec.topic, this->spec.silence, this->generation,
 				   [this, sent, still = std::weak_ptr<bool>(this->alive)](const GroupMembership &answer) {
 					   if (!still.expired()) {
 						   this->OnJoined(answer, sent);
@@ -35,7 +132,7 @@
 
 void GroupMember::OnJoined(const GroupMembership &answer, Millis sent)
 {
-	if (this->leaving) {
+	if (this->leaving || !this->joined) {
 		return;
 	}
 	const Millis pause(this->spec.silence.Value() / JOINS_PER_SILENCE);
@@ -64,6 +161,9 @@
 		}
 		this->events.Write("group_dealt", {{"generation", std::to_string(this->generation)},
 										   {"partitions", list.empty() ? "-" : list}});
+		/* Who came may be much stronger. */
+		this->scheduler.Cancel(this->look_timer);
+		this->look_timer = this->scheduler.After(LOOK_AGAIN, [this] { this->LookAround(); });
 	}
 	if (this->on_answer) {
 		this->on_answer();
@@ -77,5 +177,6 @@
 	this->leaving = true;
 	this->parts.clear();
 	this->scheduler.Cancel(this->timer);
-	this->log.Leave(this->spec.group, this->spec.member, std::move(done));
+	this->scheduler.Cancel(this->look_timer);
+	this->log.Leave(this->spec.group, this->name, std::move(done));
 }
--- a/src/store/group_member.h
+++ b/src/store/group_member.h
@@ -9,15 +9,29 @@
 #include <memory>
 #include <set>
 
+/** A member, as its name in the group tells. */
+struct GroupPeer {
+	std::string address; ///< IP:port where it answers other nodes.
+	int64_t cpu = 0;     ///< Thousandths of a core that it may use; 0 when its name doesn't tell.
+};
+
+/** @return Name of a member in the group. @param peer The member. */
+std::string MemberNameOf(const GroupPeer &peer);
+/** @return The member of a name. @param name Its name in the group. */
+GroupPeer PeerOf(const std::string &name);
+
 /** Which group, and as whom. */
 struct GroupSpec {
-	std::string group;  ///< The group.
-	std::string member; ///< This member.
-	std::string topic;  ///< Topic whose partitions stand for the shards.
-	Millis silence;     ///< A member not heard of for so long is out.
+	std::string group; ///< The group.
+	GroupPeer self;    ///< This member.
+	std::string topic; ///< Topic whose partitions stand for the shards.
+	Millis silence;    ///< A member not heard of for so long is out.
 };
 
-/** Stays in the group. The partitions told are only a hint who should own a shard: the shard's own log decides. */
+/**
+ * Stays in the group, or stands by while nodes with much more processor time hold its partitions. The partitions told
+ * are only a hint who should own a shard: the shard's own log decides.
+ */
 class GroupMember {
 public:
 	/**
@@ -31,7 +45,7 @@
 	GroupMember(const GroupMember &) = delete;
 	GroupMember &operator=(const GroupMember &) = delete;
 
-	/** Joins. */
+	/** Joins, or stands by. */
 	void Start();
 
 	/** Leaves. @param done Told when the log was told, or could not be. */
@@ -40,6 +54,9 @@
 	/** @return Whether this member holds a partition. @param part The partition. */
 	[[nodiscard]] bool Holds(uint32_t part) const { return this->parts.contains(part); }
 
+	/** @return Whether stronger nodes hold the partitions and this one only waits for their end. */
+	[[nodiscard]] bool StandsBy() const { return this->standing_by; }
+
 	/** @return When the last answered join was sent. */
 	[[nodiscard]] Millis ConfirmedAt() const { return this->confirmed_at; }
 
@@ -50,14 +67,22 @@
 	KeyedLog &log;                                              ///< The log.
 	EventLog &events;                                           ///< Lines.
 	GroupSpec spec;                                             ///< Which group, and as whom.
+	std::string name;                                           ///< This member's name in the group.
+	Millis started_at;                                          ///< When Start() was called.
+	bool joined = false;                                        ///< Whether a join was answered and this node stays in.
+	bool standing_by = false;                                   ///< For StandsBy().
 	uint64_t generation = 0;                                    ///< Last one heard.
 	std::set<uint32_t> parts;                                   ///< Partitions held.
 	Millis confirmed_at;                                        ///< For ConfirmedAt().
 	bool leaving = false;                                       ///< Whether Leave() was called.
 	bool lost = false;                                          ///< Whether the last join got no answer.
 	TimerId timer;                                              ///< Next join.
+	TimerId look_timer;                                         ///< Next look at the holders.
 	std::shared_ptr<bool> alive = std::make_shared<bool>(true); ///< Expires with this.
 
+	void LookAround();
+	void OnHolders(ResultCode code, const std::vector<PartitionHolder> &rows);
+	void StandBy(const std::string &holder);
 	void Join();
 	void OnJoined(const GroupMembership &answer, Millis sent);
 };
--- /dev/null
+++ b/tests/test_group.cpp
@@ -0,0 +1,101 @@
+/** @file test_group.cpp Which nodes take part in sharing out the shards. */
+#include "job_world.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+namespace {
+
+constexpr int64_t STRONG = 500; ///< Thousandths of a core.
+constexpr int64_t WEAK = 120;   ///< The same.
+
+/** A world of so many strong and weak nodes, all started. */
+void BootAll(JobWorld &world, size_t strong, size_t weak)
+{
+	/* The weak ones first: names and order of start must not matter. */
+	for (size_t n = 0; n < weak; n++) {
+		world.Boot("a-weak-" + std::to_string(n), WEAK);
+	}
+	for (size_t n = 0; n < strong; n++) {
+		world.Boot("b-strong-" + std::to_string(n), STRONG);
+	}
+}
+
+bool IsStrong(const WorldNode &node)
+{
+	return node.name.starts_with("b-");
+}
+
+} // namespace
+
+TEST_CASE("a member's name tells its address and its processor time")
+{
+	const GroupPeer peer = PeerOf(MemberNameOf(GroupPeer{"10.1.0.9:7060", 250}));
+	CHECK(peer.address == "10.1.0.9:7060");
+	CHECK(peer.cpu == 250);
+	CHECK(PeerOf("10.1.0.9:7060").address == "10.1.0.9:7060");
+	CHECK(PeerOf("10.1.0.9:7060").cpu == 0);
+}
+
+TEST_CASE("shards are owned by nodes with much more processor time, as long as there are some")
+{
+	JobWorld world(0);
+	BootAll(world, 3, 6);
+	std::vector<WorldJob *> jobs;
+	for (int n = 0; n < 20; n++) {
+		jobs.push_back(&world.Plan(Millis(3000 + n * 500), n % 2 == 0 ? "calc" : "grid", JobWorld::Chain(3)));
+	}
+	world.clock.RunUntil(Millis(4000));
+	for (const char *service : {"calc", "grid"}) {
+		WorldNode *owner = world.OwnerOf(ServiceName(service));
+		REQUIRE(owner != nullptr);
+		CHECK(IsStrong(*owner));
+	}
+	std::ranges::for_each(world.nodes, [](const auto &it) { CHECK(it->member.StandsBy() == !IsStrong(*it)); });
+
+	/* With the strong ones gone, the weak ones take over. */
+	for (const auto &node : world.nodes) {
+		if (IsStrong(*node)) {
+			JobWorld::Kill(*node);
+		}
+	}
+	world.clock.RunUntil(Millis(9000));
+	for (const char *service : {"calc", "grid"}) {
+		WorldNode *owner = world.OwnerOf(ServiceName(service));
+		REQUIRE(owner != nullptr);
+		CHECK(!IsStrong(*owner));
+	}
+
+	/* And hand back. */
+	for (int n = 3; n < 6; n++) {
+		world.Boot("b-strong-" + std::to_string(n), STRONG);
+	}
+	world.clock.RunUntil(Millis(30000));
+	for (const char *service : {"calc", "grid"}) {
+		WorldNode *owner = world.OwnerOf(ServiceName(service));
+		REQUIRE(owner != nullptr);
+		CHECK(IsStrong(*owner));
+	}
+	CHECK(world.site.violations == std::vector<std::string>{});
+	for (const WorldJob *job : jobs) {
+		CHECK(job->accepted);
+		CHECK(static_cast<int>(world.ViewOf(*job).phase) == static_cast<int>(JobPhase::JP_COMPLETED));
+	}
+}
+
+TEST_CASE("where only one or two nodes are strong, all take part")
+{
+	JobWorld world(0);
+	BootAll(world, 2, 4);
+	world.clock.RunUntil(Millis(5000));
+	CHECK(std::ranges::none_of(world.nodes, [](const auto &it) { return it->member.StandsBy(); }));
+}
+
+TEST_CASE("nodes alike all take part, and don't wait long for the first join")
+{
+	JobWorld world(3);
+	world.clock.RunUntil(Millis(1000));
+	CHECK(std::ranges::none_of(world.nodes, [](const auto &it) { return it->member.StandsBy(); }));
+	CHECK(world.OwnerOf(ServiceName("calc")) != nullptr);
+}
