--- a/src/jobs/shard_base.h
+++ b/src/jobs/shard_base.h
@@ -54,12 +54,24 @@
 	int64_t pace = 100;                          ///< Percent of full pace last ordered.
 };
 
+/** What a job's waiting tasks ask for, worked out when its tasks change. */
+struct JobOutlook {
+	bool stale = true;       ///< Its tasks or its route have changed since.
+	Millis made_at;          ///< When it was worked out: due times and learned run times change by themselves.
+	double chain_all = 0;    ///< ms that its longest chain of steps takes.
+	double chain_left = 0;   ///< The same of the steps that have tasks left.
+	double waiting_work = 0; ///< Thousandths of a core times ms of its waiting tasks.
+	int64_t ready_cpu = 0;   ///< Thousandths of a core that its waiting tasks ask for whose turn has come.
+	bool lasting = false;    ///< Whether it has tasks that last.
+};
+
 /** A job with its tasks. */
 struct ShardJob {
 	JobSpec spec;                                 ///< As handed in.
 	JobPhase phase = JobPhase::JP_QUEUED;         ///< Where it stands.
 	JobPhase durable_phase = JobPhase::JP_QUEUED; ///< What is recorded: others are told only this.
 	std::vector<ShardTask> tasks;                 ///< By occurrence, step, index.
+	JobOutlook outlook;                           ///< What its waiting tasks ask for.
 	std::vector<uint32_t> step_offsets;           ///< Where each step begins within an occurrence.
 	uint32_t per_occurrence = 0;                  ///< Tasks of an occurrence.
 	Millis taken_at;                              ///< When this owner learned of it.
@@ -119,6 +131,22 @@
 	auto operator<=>(const JobRank &) const = default;
 };
 
+/** A box that takes tasks in this round of placing. */
+struct OpenBox {
+	ShardBox *box = nullptr; ///< The box.
+	Resources free;          ///< What is left there.
+	uint32_t picked = 0;     ///< Tasks of the gang at hand that were chosen for it but not assigned yet.
+};
+
+/** One round of placing: what has room, and what was found to fit nowhere. */
+struct PlaceRound {
+	std::vector<OpenBox> open;       ///< Boxes that take tasks.
+	std::vector<Resources> hopeless; ///< Demands that no box has room for. Room only shrinks within a round.
+
+	/** @return Whether a demand is known to fit nowhere. @param demand It. */
+	[[nodiscard]] bool Hopeless(const Resources &demand) const;
+};
+
 /** A box as its pool's owner sees it. */
 struct PoolBox {
 	BoxName box;          ///< The box.
@@ -176,7 +204,7 @@
 	 */
 	void Drain(const std::set<BoxName> &drain, const std::set<BoxName> &due);
 	/** @return How the pool stands. */
-	[[nodiscard]] PoolStatus Status() const;
+	[[nodiscard]] PoolStatus Status();
 	/** Takes a job; one that is known is ignored. @param spec The job. */
 	void Submit(const JobSpec &spec);
 	/** Cancels a job, also one that comes later. @param id The job. */
@@ -224,6 +252,7 @@
 	Millis other_owner_until;                 ///< Until then an earlier owner may prolong leases.
 	bool begun = false;                       ///< Whether Begin().
 	bool woken = false;                       ///< Whether a turn is due.
+	bool place_wanted = false;                ///< Whether a turn came while records were under way.
 	bool deposed = false;                     ///< Whether a box has seen a higher token.
 	JobConfig config;                         ///< The configuration in force.
 	std::map<JobId, ShardJob> jobs;           ///< Jobs, also those that are over.
@@ -252,18 +281,24 @@
 	void Touch(const JobId &id);
 	[[nodiscard]] StoredProgress Stored(const ShardJob &job) const;
 
-	/* shard_place.cpp */
-	void Place();
+	/* shard_rank.cpp */
+	[[nodiscard]] std::vector<ShardJob *> JobsInOrder();
 	[[nodiscard]] JobRank RankOf(const ShardJob &job) const;
 	[[nodiscard]] double RunTimeOf(const ShardJob &job, const StepSpec &step) const;
-	void PlaceJob(ShardJob &job);
-	void PlaceStep(ShardJob &job, uint32_t occurrence, uint32_t step);
-	void PlaceGang(ShardJob &job, uint32_t occurrence, uint32_t step);
+	void RefreshOutlook(ShardJob &job) const;
+	[[nodiscard]] JobOutlook MakeOutlook(const ShardJob &job) const;
 	[[nodiscard]] bool StepReady(const ShardJob &job, uint32_t occurrence, uint32_t step) const;
 	[[nodiscard]] bool Due(const ShardJob &job, uint32_t occurrence) const;
-	[[nodiscard]] int64_t WaitingCpu(const ShardJob &job) const;
-	[[nodiscard]] std::vector<ShardBox *> Candidates(const StepSpec &step);
-	ShardBox *Choose(const std::vector<ShardBox *> &open, const ShardJob &job, const TaskId &first);
+	[[nodiscard]] int64_t ReadyCpu(const ShardJob &job) const;
+
+	/* shard_place.cpp */
+	void Place();
+	[[nodiscard]] PlaceRound BeginRound();
+	void PlaceJob(PlaceRound &round, ShardJob &job);
+	void PlaceStep(PlaceRound &round, ShardJob &job, uint32_t occurrence, uint32_t step);
+	void PlaceGang(PlaceRound &round, ShardJob &job, uint32_t occurrence, uint32_t step);
+	OpenBox *Choose(std::vector<OpenBox> &open, const ShardJob &job, const TaskId &first);
+	bool PickGang(std::vector<OpenBox> &open, const ShardJob &job, const TaskId &first, std::vector<ShardBox *> &picks);
 	[[nodiscard]] uint32_t CountOn(const ShardBox &box, const TaskId &first) const;
 	void Assign(ShardJob &job, const TaskId &id, ShardBox &box, RunNumber run);
 	void SendStart(const PendingStart &start);
--- a/src/jobs/shard_boxes.cpp
+++ b/src/jobs/shard_boxes.cpp
@@ -389,7 +389,7 @@
 		   box.clock && now >= box.avoid_until && now >= box.drain_until;
 }
 
-PoolStatus Shard::Status() const
+PoolStatus Shard::Status()
 {
 	PoolStatus out;
 	for (const auto &[life, box] : this->boxes) {
@@ -399,7 +399,9 @@
 		}
 	}
 	for (const JobId &id : this->live) {
-		out.waiting_cpu += this->WaitingCpu(this->jobs.at(id));
+		ShardJob &job = this->jobs.at(id);
+		this->RefreshOutlook(job);
+		out.waiting_cpu += job.outlook.ready_cpu;
 	}
 	return out;
 }
--- a/src/jobs/shard_jobs.cpp
+++ b/src/jobs/shard_jobs.cpp
@@ -146,7 +146,10 @@
 void Shard::Configure(const JobConfig &config)
 {
 	this->config = config;
-	std::ranges::for_each(this->jobs | std::views::values, [this](ShardJob &it) { this->ApplyRoute(it); });
+	std::ranges::for_each(this->jobs | std::views::values, [this](ShardJob &it) {
+		this->ApplyRoute(it);
+		it.outlook.stale = true;
+	});
 	this->Wake();
 }
 
@@ -198,6 +201,7 @@
 void Shard::Touch(const JobId &id)
 {
 	this->dirty.insert(id);
+	this->jobs.at(id).outlook.stale = true;
 	this->Wake();
 }
 
@@ -227,8 +231,12 @@
 	this->woken = false;
 	this->LapseBoxes();
 	this->EvacuateDrained();
-	this->Place();
-	this->Commit();
+	/* Nothing can be recorded, and so nothing started, before the append under way has ended: OnCommitted() goes on. */
+	this->place_wanted = this->journal.Busy();
+	if (!this->place_wanted) {
+		this->Place();
+		this->Commit();
+	}
 	if (!this->woken) {
 		this->timer = this->scheduler.After(TICK, [this] { this->Turn(); });
 	}
@@ -236,10 +244,7 @@
 
 void Shard::Commit()
 {
-	if (this->journal.Busy()) {
-		return;
-	}
-	/* Nothing is under way, so all that was taken in is either recorded or among the dirty jobs. */
+	/* No append is under way, so all that was taken in is either recorded or among the dirty jobs. */
 	std::map<BoxLife, uint64_t> ends;
 	for (const auto &[life, box] : this->boxes) {
 		if (box.ends_seen > box.ends_durable) {
@@ -287,7 +292,7 @@
 			this->PumpLease(it->second);
 		}
 	}
-	if (!this->dirty.empty()) {
+	if (!this->dirty.empty() || this->place_wanted) {
 		this->Wake();
 	}
 }
--- /dev/null
+++ b/src/jobs/shard_rank.cpp
@@ -0,0 +1,133 @@
+/** @file shard_rank.cpp Shard: what jobs ask for, and in which order they are served. */
+#include "shard_base.h"
+
+#include <algorithm>
+#include <cmath>
+#include <ranges>
+
+namespace {
+
+constexpr double LATE_FACTOR = 3.0; ///< Beyond this many times its objective a job is worth nothing to its caller.
+constexpr Millis OUTLOOK_FOR(1000); ///< An outlook is worked out anew after this: learned run times move slowly.
+constexpr Millis
+		OUTLOOK_TIMED(100); ///< The same for jobs with occurrences at set times, whose turn comes by the clock.
+
+} // namespace
+
+bool Shard::StepReady(const ShardJob &job, uint32_t occurrence, uint32_t step) const
+{
+	return std::ranges::all_of(job.spec.steps[step].after, [&](uint32_t before) {
+		const size_t first = job.IndexOf(TaskId{job.spec.id, occurrence, before, 0});
+		return std::ranges::all_of(job.tasks | std::views::drop(first) | std::views::take(job.spec.steps[before].count),
+								   [](const ShardTask &it) { return it.phase == TaskPhase::TP_DONE; });
+	});
+}
+
+double Shard::RunTimeOf(const ShardJob &job, const StepSpec &step) const
+{
+	/* Callers' guesses are far off; what the route's tasks took so far is not known for this job. The middle of both,
+	 * on a scale of ratios, is better than either. */
+	const auto guess = std::max(static_cast<double>(step.estimate.Value()), 1.0);
+	const auto learned = this->run_times.find(job.spec.route);
+	return learned == this->run_times.end() ? guess : std::sqrt(guess * learned->second);
+}
+
+JobOutlook Shard::MakeOutlook(const ShardJob &job) const
+{
+	JobOutlook out;
+	out.stale = false;
+	out.made_at = this->scheduler.Now();
+	std::vector<double> chain_all(job.spec.steps.size());
+	std::vector<double> chain_left(job.spec.steps.size());
+	for (uint32_t n = 0; n < job.spec.steps.size(); n++) {
+		const StepSpec &step = job.spec.steps[n];
+		const double takes = this->RunTimeOf(job, step);
+		const size_t first = job.IndexOf(TaskId{job.spec.id, 0, n, 0});
+		const auto tasks = job.tasks | std::views::drop(first) | std::views::take(step.count);
+		const auto open =
+				std::ranges::count_if(tasks, [](const ShardTask &it) { return it.phase != TaskPhase::TP_DONE; });
+		const auto waiting = std::ranges::count(tasks, TaskPhase::TP_WAITING, &ShardTask::phase);
+		out.lasting = out.lasting || step.lasting;
+		for (const uint32_t before : step.after) {
+			chain_all[n] = std::max(chain_all[n], chain_all[before]);
+			chain_left[n] = std::max(chain_left[n], chain_left[before]);
+		}
+		chain_all[n] += takes;
+		chain_left[n] += open > 0 ? takes : 0;
+		out.chain_all = std::max(out.chain_all, chain_all[n]);
+		out.chain_left = std::max(out.chain_left, chain_left[n]);
+		out.waiting_work +=
+				static_cast<double>(waiting) * takes * static_cast<double>(std::max<int64_t>(step.demand.cpu, 1));
+	}
+	if (job.spec.repeats > 0) {
+		/* Only the waiting work of the first occurrence was counted: enough to know that there may be some. */
+		out.waiting_work = std::max(out.waiting_work, 1.0);
+	}
+	out.ready_cpu = this->ReadyCpu(job);
+	return out;
+}
+
+void Shard::RefreshOutlook(ShardJob &job) const
+{
+	const Millis age = this->scheduler.Now() - job.outlook.made_at;
+	if (job.outlook.stale || age >= (job.spec.repeats > 0 ? OUTLOOK_TIMED : OUTLOOK_FOR)) {
+		job.outlook = this->MakeOutlook(job);
+	}
+}
+
+JobRank Shard::RankOf(const ShardJob &job) const
+{
+	const JobOutlook &outlook = job.outlook;
+	JobRank rank;
+	rank.priority = job.route.priority;
+	rank.waiting_work = outlook.waiting_work;
+	const auto age = static_cast<double>((this->scheduler.WallNow() - job.spec.accepted).Value());
+	const double objective = job.route.stretch * outlook.chain_all + static_cast<double>(job.route.headroom.Value());
+	if (outlook.lasting) {
+		rank.hope = JobHope::JH_LASTING;
+	} else if (age + outlook.chain_left <= objective) {
+		rank.hope = JobHope::JH_ON_TIME;
+	} else {
+		rank.hope = age + outlook.chain_left <= LATE_FACTOR * objective ? JobHope::JH_LATE : JobHope::JH_TOO_LATE;
+	}
+	return rank;
+}
+
+std::vector<ShardJob *> Shard::JobsInOrder()
+{
+	std::vector<std::pair<JobRank, ShardJob *>> order;
+	for (const JobId &id : this->live) {
+		ShardJob &job = this->jobs.at(id);
+		this->RefreshOutlook(job);
+		if (job.outlook.waiting_work > 0) {
+			order.emplace_back(this->RankOf(job), &job);
+		}
+	}
+	std::ranges::stable_sort(order, {}, [](const auto &it) { return it.first; });
+	std::vector<ShardJob *> out;
+	out.reserve(order.size());
+	std::ranges::copy(order | std::views::values, std::back_inserter(out));
+	return out;
+}
+
+bool Shard::Due(const ShardJob &job, uint32_t occurrence) const
+{
+	const int64_t due = job.spec.first_due.Value() + int64_t{occurrence} * job.spec.interval.Value();
+	return job.spec.repeats == 0 || this->scheduler.WallNow().Value() >= due;
+}
+
+int64_t Shard::ReadyCpu(const ShardJob &job) const
+{
+	int64_t sum = 0;
+	for (const uint32_t occurrence : std::views::iota(0U, job.spec.Occurrences())) {
+		for (uint32_t step = 0; step < job.spec.steps.size() && this->Due(job, occurrence); step++) {
+			const size_t first = job.IndexOf(TaskId{job.spec.id, occurrence, step, 0});
+			const auto tasks = job.tasks | std::views::drop(first) | std::views::take(job.spec.steps[step].count);
+			const auto waiting = std::ranges::count(tasks, TaskPhase::TP_WAITING, &ShardTask::phase);
+			if (waiting > 0 && this->StepReady(job, occurrence, step)) {
+				sum += waiting * job.spec.steps[step].demand.cpu;
+			}
+		}
+	}
+	return sum;
+}
