Soak: node processes under random faults from outside, on loopback

glade_soak starts glade_node processes, serves them the store, the boxes and the machines (the state machines of the tests in memory, over HTTP), hands jobs in, and injects kills, freezes, planned stops, reloads, cut, one-way, silent and slow ways, lost and late appends and orders, forgotten history, partitions dealt anew, restarted boxes, waves and configurations, in series and overlapping. It checks what callers and boxes see: two runs at once, starts after noted ends, refused jobs that ran, accepted jobs unknown or not where they belong, removed routes, planned stops that cut a request, processes that end by themselves.

--- a/src/standin/memory/box_site.cpp
+++ b/src/standin/memory/box_site.cpp
@@ -171,6 +171,7 @@
 	}
 	this->Judge(*box, order);
 	this->starts++;
+	this->started.insert(order.task.job);
 	Run run{order.run, demand, TimerId()};
 	if (job != this->jobs.end() && !job->second.spec.steps.at(order.task.step).lasting) {
 		const bool fails = this->failed[order.task] < job->second.fail_first;
--- a/src/standin/memory/box_site.h
+++ b/src/standin/memory/box_site.h
@@ -30,7 +30,7 @@
 class BoxSite {
 public:
 	/** @param clock The world's clock. */
-	explicit BoxSite(VirtualScheduler &clock) : clock(clock) {}
+	explicit BoxSite(Scheduler &clock) : clock(clock) {}
 
 	/** Adds a box. @param report What it will say of itself. */
 	void Add(const BoxReport &report);
@@ -42,6 +42,8 @@
 	SiteJob &JobOf(const JobId &id) { return this->jobs.at(id); }
 	/** @return Reports of all boxes. */
 	[[nodiscard]] std::vector<BoxReport> Reports() const;
+	/** @return Whether a task of a job was ever started. @param id The job. */
+	[[nodiscard]] bool Started(const JobId &id) const { return this->started.contains(id); }
 	/** @return Tasks of a job that run now. @param id The job. */
 	[[nodiscard]] size_t Running(const JobId &id) const;
 
@@ -75,7 +77,8 @@
 		uint64_t last_end = 0;               ///< Number of the last end.
 	};
 
-	VirtualScheduler &clock;                   ///< The world's clock.
+	Scheduler &clock;                          ///< The world's clock.
+	std::set<JobId> started;                   ///< Jobs of which a task was started.
 	std::map<BoxName, Box> boxes;              ///< Boxes.
 	std::map<JobId, SiteJob> jobs;             ///< Jobs handed in.
 	std::map<TaskId, uint32_t> failures_noted; ///< Failed runs noted.
--- /dev/null
+++ b/tests/soak/main.cpp
@@ -0,0 +1,64 @@
+/** @file main.cpp glade_soak: node processes under random faults from outside, on loopback. */
+#include "soak_world.h"
+
+#include "program/program.h"
+
+#include <QCoreApplication>
+
+#include <filesystem>
+#include <iostream>
+
+namespace {
+
+constexpr const char *USAGE = R"(glade_soak: runs glade_node processes under random faults and checks what must hold.
+
+Usage:
+  glade_soak --node PROGRAM --folder FOLDER [--seed N] [--seconds N] [--nodes N] [--boxes N] [--jobs N] [--port N]
+  glade_soak (-h | --help)
+  glade_soak --version
+
+Options:
+  --node PROGRAM   The glade_node to run.
+  --folder FOLDER  Settings and logs of the nodes; made if it is missing.
+  --seed N         Chooses jobs and faults [default: 1].
+  --seconds N      Time with faults [default: 20].
+  --nodes N        Node processes [default: 4].
+  --boxes N        Boxes of each of the two services [default: 6].
+  --jobs N         Jobs a second [default: 6].
+  --port N         First port of the nodes; each takes four [default: 21000].
+  -h --help        Show this.
+  --version        Show the version.
+)";
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+	UseFastEventLoop();
+	const QCoreApplication app(argc, argv);
+	ParsedArguments args;
+	if (const std::optional<int> end = ParseArguments(USAGE, "glade_soak", argc, argv, args); end) {
+		return *end;
+	}
+	SoakPlan plan;
+	plan.program = args["--node"].asString();
+	plan.folder = args["--folder"].asString();
+	plan.seed = static_cast<uint32_t>(args["--seed"].asLong());
+	plan.faults_for = Millis(args["--seconds"].asLong() * MS_PER_SECOND);
+	plan.nodes = static_cast<int>(args["--nodes"].asLong());
+	plan.boxes = static_cast<int>(args["--boxes"].asLong());
+	plan.jobs_per_second = static_cast<int>(args["--jobs"].asLong());
+	plan.first_port = static_cast<quint16>(args["--port"].asLong());
+	std::filesystem::create_directories(plan.folder);
+	SoakWorld world(plan);
+	if (!world.Start([] { QCoreApplication::exit(0); })) {
+		std::cerr << "the stand-ins can't listen\n";
+		return static_cast<int>(ExitCode::EC_ADDRESS);
+	}
+	QCoreApplication::exec();
+	for (const std::string &it : world.Broken()) {
+		std::cout << "broken: " << it << '\n';
+	}
+	std::cout << world.Summary() << '\n';
+	return static_cast<int>(world.Broken().empty() ? ExitCode::EC_OK : ExitCode::EC_FAILED);
+}
--- /dev/null
+++ b/tests/soak/soak_boxes.cpp
@@ -0,0 +1,177 @@
+/** @file soak_boxes.cpp Agents of boxes and control of machines over HTTP. */
+#include "soak_boxes.h"
+
+#include "../../platform/box_words.h"
+
+#include <QJsonArray>
+
+#include <algorithm>
+
+namespace {
+
+constexpr Millis POLL_EVERY(10);    ///< A waiting answer looks for an end so often.
+constexpr Millis LATE_BY(2500);     ///< An order that is done late comes after this.
+constexpr Millis MAINTAIN_FOR(600); ///< A box that is maintained is away for so long.
+constexpr int HUNDRED = 100;        ///< Percent.
+constexpr double SLOW_CLOCK = 0.98; ///< Rate of the clock of every second box.
+constexpr size_t FAST_OF = 2;       ///< See SLOW_CLOCK.
+
+double RateOf(const BoxReport &box)
+{
+	return std::hash<std::string>()(box.box.Value()) % FAST_OF == 0 ? SLOW_CLOCK : 1.0;
+}
+
+} // namespace
+
+SoakBoxes::SoakBoxes(QtScheduler &scheduler, uint32_t seed)
+		: site(scheduler), scheduler(scheduler), random(seed),
+		  agents(scheduler, [this](const Answering &to, const CallerRequest &it) { this->ServeAgent(to, it); }),
+		  control(scheduler, [this](const Answering &to, const CallerRequest &it) { this->ServeControl(to, it); })
+{
+}
+
+Millis SoakBoxes::ClockOf(const BoxReport &box) const
+{
+	return Millis(static_cast<int64_t>(static_cast<double>(this->scheduler.Now().Value()) * RateOf(box)));
+}
+
+Millis SoakBoxes::WorldTime(const BoxReport &box, Millis box_time) const
+{
+	return Millis(static_cast<int64_t>(static_cast<double>(box_time.Value()) / RateOf(box)));
+}
+
+std::optional<BoxReport> SoakBoxes::BoxOf(const CallerRequest &request) const
+{
+	const std::string *life = request.headers.Find("X-Target-Instance");
+	const std::vector<BoxReport> all = this->site.Reports();
+	const auto it = std::ranges::find_if(
+			all, [life](const BoxReport &box) { return life != nullptr && box.life.Value() == *life; });
+	return it == all.end() ? std::nullopt : std::optional(*it);
+}
+
+QJsonObject SoakBoxes::Written(const BoxReport &box, const OrderAnswer &answer, int &status) const
+{
+	QJsonObject json{{"clock-ms", static_cast<qint64>(this->ClockOf(box).Value())}};
+	status = answer.outcome == OrderOutcome::OO_DONE ? 200 : 409;
+	if (answer.outcome == OrderOutcome::OO_OTHER_LIFE) {
+		status = 421;
+	} else if (status != 200) {
+		json["reason"] = ReasonWordOf(answer.outcome);
+	}
+	return json;
+}
+
+void SoakBoxes::ServeAgent(const Answering &answer, const CallerRequest &request)
+{
+	const std::optional<BoxReport> box = this->BoxOf(request);
+	if (!box) {
+		answer->Answer(421, std::string("{}"));
+		return;
+	}
+	const QJsonObject json = JsonOf(request.body);
+	const FenceToken fence(static_cast<uint64_t>(json["fencing-token"].toInteger()));
+	const TaskId task = TaskOf(json["task"].toString());
+	const RunNumber run(static_cast<uint32_t>(json["run-id"].toInteger()));
+	const Millis until = this->WorldTime(*box, Millis(json["expiry-ms"].toInteger()));
+	std::function<OrderAnswer()> work;
+	if (request.target == "/v1/run-start") {
+		StartOrder order;
+		order.task = task;
+		order.run = run;
+		order.payload = json["spec"].toString().toStdString();
+		order.saved = json["checkpoint"].toString().toStdString();
+		order.lease_until = until;
+		order.fence = fence;
+		work = [this, box, order] { return this->site.Start(*box, order); };
+	} else if (request.target == "/v1/run-stop") {
+		work = [this, box, task, run, fence] { return this->site.Stop(*box, task, run, fence); };
+	} else if (request.target == "/v1/hold") {
+		LeaseOrder order;
+		order.fence = fence;
+		order.ends_noted = static_cast<uint64_t>(json["last-seen"].toInteger());
+		if (json.contains("expiry-ms")) {
+			order.lease_until = until;
+		}
+		this->Lease(answer, *box, order, this->scheduler.Now() + Millis(json["wait-ms"].toInteger()));
+		return;
+	} else {
+		answer->Answer(200, QJsonObject{{"clock-ms", static_cast<qint64>(this->ClockOf(*box).Value())}});
+		return;
+	}
+	const SoakBoxFaults &bad = this->faults[box->box];
+	if (static_cast<int>(this->random() % HUNDRED) < bad.lose_percent) {
+		this->scheduler.After(bad.late ? LATE_BY : Millis(0), [work] { work(); });
+		answer->Cut();
+		return;
+	}
+	int status = 0;
+	const QJsonObject out = this->Written(*box, work(), status);
+	answer->Answer(status, out);
+}
+
+void SoakBoxes::Lease(const Answering &answer, const BoxReport &box, LeaseOrder order, Millis until)
+{
+	if (!answer->Waits()) {
+		return;
+	}
+	const LeaseAnswer seen = this->site.Lease(box, order);
+	const bool nothing = seen.order.outcome == OrderOutcome::OO_DONE && seen.ended.empty();
+	if (nothing && this->scheduler.Now() < until) {
+		order.lease_until.reset();
+		this->scheduler.After(POLL_EVERY,
+							  [this, answer, box, order, until] { this->Lease(answer, box, order, until); });
+		return;
+	}
+	int status = 0;
+	QJsonObject json = this->Written(box, seen.order, status);
+	QJsonArray running;
+	for (const RunningRow &it : seen.running) {
+		running.append(QJsonArray{TaskText(it.task), static_cast<qint64>(it.run.Value()), "",
+								  static_cast<qint64>(it.share), 0});
+	}
+	QJsonArray ended;
+	for (const EndedRow &it : seen.ended) {
+		ended.append(QJsonArray{static_cast<qint64>(it.number), TaskText(it.task), static_cast<qint64>(it.run.Value()),
+								EndingWordOf(it.ending), ""});
+	}
+	json["running"] = running;
+	json["finished"] = ended;
+	answer->Answer(status, json);
+}
+
+void SoakBoxes::ServeControl(const Answering &answer, const CallerRequest &request)
+{
+	if (PathOf(request.target) == "/v1/machine-upkeep") {
+		this->Maintain(answer, request);
+		return;
+	}
+	if (PathOf(request.target) != "/v1/machines") {
+		answer->Answer(400, std::string("{}")); /* Boxes of this site don't move. */
+		return;
+	}
+	QJsonArray rows;
+	for (const BoxReport &it : this->site.Reports()) {
+		rows.append(QJsonObject{{"machine", QString::fromStdString(it.box.Value())},
+								{"pool", QString::fromStdString(it.service.Value())},
+								{"state", "up"},
+								{"zone", QString::fromStdString(it.zone.Value())},
+								{"capacity", QJsonObject{{"cpu", static_cast<qint64>(it.capacity.cpu)}}},
+								{"id", QString::fromStdString(it.life.Value())}});
+	}
+	answer->Answer(200, QJsonObject{{"machines", rows}});
+}
+
+void SoakBoxes::Maintain(const Answering &answer, const CallerRequest &request)
+{
+	const std::string machine = JsonOf(request.body)["machine"].toString().toStdString();
+	const std::string *token = request.headers.Find("X-Fencing-Token");
+	const uint64_t fence = token == nullptr ? 0 : std::stoull(*token);
+	if (fence < this->fences[machine]) {
+		answer->Answer(409, QJsonObject{{"reason", "fence"}});
+		return;
+	}
+	this->fences[machine] = fence;
+	this->site.Restart(BoxName(machine));
+	this->scheduler.After(MAINTAIN_FOR, [this] { this->on_restart(); });
+	answer->Answer(200, std::string("{}"));
+}
--- /dev/null
+++ b/tests/soak/soak_callers.cpp
@@ -0,0 +1,184 @@
+/** @file soak_callers.cpp The soak's callers: they hand jobs in, ask, cancel, and hold the nodes to their word. */
+#include "soak_world.h"
+
+#include <QJsonArray>
+
+namespace {
+
+constexpr Millis PATIENCE(3000);       ///< Callers wait so long for an answer.
+constexpr Millis PATIENCE_SLACK(400);  ///< Beyond it, a connection that ends is the caller's own doing.
+constexpr Millis RETRY(300);           ///< Before a caller tries again.
+constexpr Millis VISIBLE_WITHIN(3000); ///< An accepted job must be known from then on.
+constexpr int TRIES = 8;               ///< Times that a caller hands a job in.
+constexpr uint32_t LASTING_OF = 8;     ///< One job of so many lasts.
+constexpr uint32_t HOPELESS_OF = 20;   ///< One job of so many can't be done.
+constexpr uint32_t CANCEL_OF = 10;     ///< One job of so many is cancelled.
+
+QJsonObject StepJson(const StepSpec &step)
+{
+	QJsonObject json{{"count", static_cast<qint64>(step.count)},
+					 {"cpu", static_cast<qint64>(step.demand.cpu)},
+					 {"mem-mb", static_cast<qint64>(step.demand.memory)},
+					 {"est-runtime-ms", static_cast<qint64>(step.estimate.Value())}};
+	if (!step.after.empty()) {
+		QJsonArray after;
+		for (const uint32_t it : step.after) {
+			after.append(static_cast<qint64>(it));
+		}
+		json["after"] = after;
+	}
+	if (step.lasting) {
+		json["long-running"] = true;
+		json["anti-affinity"] = static_cast<qint64>(step.per_box);
+		json["may_miss"] = static_cast<qint64>(step.absent_max.value_or(0));
+	}
+	return json;
+}
+
+StepSpec PlainStep(uint32_t count, Millis estimate)
+{
+	StepSpec step;
+	step.count = count;
+	step.demand = Resources{1000, 100, 0};
+	step.estimate = estimate;
+	return step;
+}
+
+} // namespace
+
+std::unique_ptr<SoakJob> SoakWorld::MakeJob()
+{
+	auto job = std::make_unique<SoakJob>();
+	const std::string digits = std::to_string(this->jobs.size());
+	job->service = this->Pick(2) == 0 ? "calc" : "grid";
+	job->spec.id = JobId(std::string(16 - digits.size(), 'a') + digits);
+	job->spec.payload = "payload of " + digits;
+	SiteJob known;
+	known.run_time = this->Between(100, 900);
+	known.fail_first = this->Pick(10) == 0 ? 1 : 0;
+	job->expected = "completed";
+	if (this->Pick(LASTING_OF) == 0) {
+		StepSpec step = PlainStep(2 + this->Pick(2), known.run_time);
+		step.lasting = true;
+		step.per_box = 1;
+		step.absent_max = 1;
+		job->spec.steps = {step};
+		job->expected = "running";
+		job->cancel_wanted = this->Pick(2) == 0;
+	} else {
+		StepSpec last = PlainStep(1, known.run_time);
+		last.after = {0};
+		job->spec.steps = {PlainStep(1 + this->Pick(4), known.run_time), last};
+		job->cancel_wanted = this->Pick(CANCEL_OF) == 0;
+		if (this->Pick(HOPELESS_OF) == 0) {
+			known.fail_first = known.failures_max;
+			job->expected = "failed";
+		}
+	}
+	QJsonArray steps;
+	for (const StepSpec &it : job->spec.steps) {
+		steps.append(StepJson(it));
+	}
+	job->body = BodyOf(QJsonObject{{"spec", QString::fromStdString(job->spec.payload)}, {"steps", steps}});
+	known.spec = job->spec;
+	known.service = ServiceName(job->service);
+	this->boxes.site.Know(known);
+	return job;
+}
+
+void SoakWorld::NextJob()
+{
+	if (this->calm) {
+		return;
+	}
+	this->jobs.push_back(this->MakeJob());
+	SoakJob &job = *this->jobs.back();
+	this->HandIn(job);
+	if (job.cancel_wanted) {
+		this->scheduler.After(this->Between(300, 4000), [this, &job] { this->Cancel(job); });
+	}
+	constexpr int64_t MEAN_OF = 2000;
+	this->scheduler.After(this->Between(1, MEAN_OF / this->plan.jobs_per_second), [this] { this->NextJob(); });
+}
+
+void SoakWorld::Send(SoakNode &node, const char *method, const std::string &path, const std::string &body,
+					 const std::function<void(const HttpReply &)> &then)
+{
+	HttpCallSpec spec{node.Address(), {}, PATIENCE + PATIENCE_SLACK};
+	spec.request.method = method;
+	spec.request.target = path;
+	spec.request.headers.Add("Host", "soak");
+	spec.request.headers.Add("X-Deadline-Ms", std::to_string(PATIENCE.Value()));
+	spec.request.body = body;
+	const Millis sent = this->scheduler.Now();
+	const bool stopping = node.OnlyStopping();
+	this->caller.Call(spec, [this, then, sent, stopping, &node, method, path](const HttpReply &reply) {
+		const bool cut = reply.result == CallResult::CR_UNKNOWN && this->scheduler.Now() - sent < PATIENCE;
+		/* Over a connection that stood, or a new one: read whole, or not at all; but not cut while it is served. */
+		if (cut && stopping && node.OnlyStopping() && this->store_harm == 0) {
+			this->broken.push_back(std::string("a planned stop of ") + node.Address() + " cut " + method + " " + path);
+		}
+		then(reply);
+	});
+}
+
+void SoakWorld::HandIn(SoakJob &job)
+{
+	SoakNode &node = this->AnyNode();
+	job.tries++;
+	const Millis sent = this->scheduler.Now();
+	this->Send(node, "POST", "/" + job.service + "/" + job.spec.id.Value(), job.body,
+			   [this, &job, &node, sent](const HttpReply &reply) { this->OnHandedIn(job, node, sent, reply); });
+}
+
+void SoakWorld::OnHandedIn(SoakJob &job, SoakNode &, Millis, const HttpReply &reply)
+{
+	constexpr int OK = 200;
+	const bool refused = reply.result == CallResult::CR_NOT_SENT ||
+						 (reply.result == CallResult::CR_ANSWERED && (reply.status == 503 || reply.status == 429));
+	if (reply.result == CallResult::CR_ANSWERED && reply.status == OK) {
+		job.accepted_at = this->scheduler.Now();
+		if (this->Pick(3) == 0) {
+			this->scheduler.After(VISIBLE_WITHIN, [this, &job] { this->Ask(job); });
+		}
+		return;
+	}
+	job.uncertain = job.uncertain || !refused;
+	if (job.tries < TRIES && !job.accepted_at) {
+		this->scheduler.After(RETRY, [this, &job] { this->HandIn(job); });
+	}
+}
+
+void SoakWorld::Cancel(SoakJob &job)
+{
+	this->Send(this->AnyNode(), "DELETE", "/" + job.service + "/" + job.spec.id.Value(), {},
+			   [this, &job](const HttpReply &reply) {
+				   if (reply.result == CallResult::CR_ANSWERED && reply.status == 200) {
+					   job.cancelled = true;
+					   this->boxes.site.JobOf(job.spec.id).cancelled_at = this->scheduler.Now();
+				   } else {
+					   this->scheduler.After(RETRY, [this, &job] { this->Cancel(job); });
+				   }
+			   });
+}
+
+void SoakWorld::Ask(SoakJob &job)
+{
+	if (job.asking) {
+		return;
+	}
+	job.asking = true;
+	this->Send(this->AnyNode(), "GET", "/" + job.service + "/" + job.spec.id.Value(), {},
+			   [this, &job](const HttpReply &reply) {
+				   job.asking = false;
+				   if (reply.result != CallResult::CR_ANSWERED) {
+					   return;
+				   }
+				   if (reply.status == 200) {
+					   job.state = JsonOf(reply.body)["state"].toString().toStdString();
+				   } else if (reply.status == 410 && job.accepted_at &&
+							  this->scheduler.Now() - *job.accepted_at >= VISIBLE_WITHIN) {
+					   this->broken.push_back("an accepted job is not known: " + job.spec.id.Value());
+				   }
+			   });
+}
--- /dev/null
+++ b/tests/soak/soak_http.cpp
@@ -0,0 +1,70 @@
+/** @file soak_http.cpp Small HTTP answers and listeners of the soak's stand-ins. */
+#include "soak_http.h"
+
+#include <QJsonDocument>
+#include <QUrl>
+
+#include <utility>
+
+void LateAnswer::Answer(int status, const std::string &body)
+{
+	if (CallerSink *to = std::exchange(this->sink, nullptr); to != nullptr) {
+		AnswerHead head;
+		head.status = status;
+		head.length = body.size();
+		to->Begin(head);
+		to->Body(body);
+		to->End();
+	}
+}
+
+void LateAnswer::Answer(int status, const QJsonObject &json)
+{
+	this->Answer(status, BodyOf(json));
+}
+
+void LateAnswer::Cut()
+{
+	if (CallerSink *to = std::exchange(this->sink, nullptr); to != nullptr) {
+		to->Break();
+	}
+}
+
+SoakListener::SoakListener(QtScheduler &scheduler, Serving serve)
+		: serve(std::move(serve)), listener([this, &scheduler](qintptr descriptor) {
+			  new CallerLink(scheduler, *this, this->limits, this->open, descriptor);
+		  })
+{
+}
+
+bool SoakListener::Listen()
+{
+	return this->listener.listen(QHostAddress::LocalHost, 0);
+}
+
+std::shared_ptr<ServedRequest> SoakListener::Serve(CallerSink &sink, CallerRequest request)
+{
+	auto answer = std::make_shared<LateAnswer>(sink);
+	this->serve(answer, request);
+	return answer->Waits() ? answer : nullptr;
+}
+
+QUrlQuery QueryOf(const std::string &target)
+{
+	return QUrlQuery(QUrl(QString::fromStdString("http://soak" + target)).query(QUrl::FullyDecoded));
+}
+
+std::string PathOf(const std::string &target)
+{
+	return target.substr(0, target.find('?'));
+}
+
+QJsonObject JsonOf(const std::string &body)
+{
+	return QJsonDocument::fromJson(QByteArray::fromStdString(body)).object();
+}
+
+std::string BodyOf(const QJsonObject &json)
+{
+	return QJsonDocument(json).toJson(QJsonDocument::Compact).toStdString();
+}
--- /dev/null
+++ b/tests/soak/soak_node.cpp
@@ -0,0 +1,110 @@
+/** @file soak_node.cpp A node process of the soak. */
+#include "soak_node.h"
+
+#include <csignal>
+#include <fstream>
+
+namespace {
+
+constexpr quint16 PORTS_EACH = 4;    ///< Callers, balancer, other nodes, metrics.
+constexpr Millis RESTART_AFTER(200); ///< A process that ended starts again after this.
+
+} // namespace
+
+SoakNode::SoakNode(QtScheduler &scheduler, const SoakSite &site, int number, const std::string &cpu)
+		: way(scheduler, site.store), scheduler(scheduler), site(site), name("node-" + std::to_string(number)),
+		  pause(RESTART_AFTER)
+{
+	const auto first = static_cast<quint16>(site.first_port + number * PORTS_EACH);
+	const auto at = [first](quint16 n) { return "127.0.0.1:" + std::to_string(first + n); };
+	this->address = at(0);
+	this->file = site.folder + "/" + this->name + ".yaml";
+	this->way.Start();
+	std::ofstream(this->file) << "name: " << this->name << "\nzone: z" << number % 2 << "\ncallers: " << at(0)
+							  << "\nready: " << at(1) << "\nframes: " << at(2) << "\nmetrics: " << at(3)
+							  << "\nstore: 127.0.0.1:" << this->way.serverPort()
+							  << "\nmachines: 127.0.0.1:" << site.machines << "\ncpu: " << cpu
+							  << "\npartitions: " << site.partitions << "\nlease_max: 10s\n";
+	this->process.setProcessChannelMode(QProcess::MergedChannels);
+	this->process.setStandardOutputFile(QString::fromStdString(site.folder + "/" + this->name + ".log"),
+										QIODevice::Append);
+	QObject::connect(&this->process, &QProcess::finished, &this->process,
+					 [this](int code, QProcess::ExitStatus status) { this->OnEnded(code, status); });
+}
+
+SoakNode::~SoakNode()
+{
+	this->process.disconnect();
+	if (this->process.state() != QProcess::NotRunning) {
+		this->process.kill();
+		this->process.waitForFinished();
+	}
+}
+
+void SoakNode::Start()
+{
+	this->stopping = this->killed = this->frozen = this->harmed = false;
+	this->process.start(QString::fromStdString(this->site.program), {"--settings", QString::fromStdString(this->file)});
+}
+
+void SoakNode::OnEnded(int code, QProcess::ExitStatus status)
+{
+	const bool asked = this->killed || (this->stopping && code == 0 && status == QProcess::NormalExit);
+	if (!asked) {
+		this->ended_by_itself = this->name + " ended with code " + std::to_string(code) +
+								(status == QProcess::CrashExit ? " (crash)" : "");
+	}
+	if (!this->finishing) {
+		this->scheduler.After(this->pause, [this] { this->Start(); });
+	}
+	this->pause = RESTART_AFTER;
+}
+
+void SoakNode::Signal(int number)
+{
+	if (this->process.state() == QProcess::Running) {
+		::kill(static_cast<pid_t>(this->process.processId()), number);
+	}
+}
+
+void SoakNode::Kill(Millis pause)
+{
+	this->pause = pause;
+	this->killed = this->harmed = true;
+	this->Signal(SIGKILL);
+}
+
+void SoakNode::Stop()
+{
+	this->stopping = true;
+	this->Signal(SIGTERM);
+}
+
+void SoakNode::Freeze(Millis span)
+{
+	if (this->frozen) {
+		return;
+	}
+	this->frozen = this->harmed = true;
+	this->Signal(SIGSTOP);
+	this->scheduler.After(span, [this] {
+		this->frozen = false;
+		this->Signal(SIGCONT);
+	});
+}
+
+void SoakNode::Reload()
+{
+	this->Signal(SIGHUP);
+}
+
+void SoakNode::Finish()
+{
+	this->finishing = true;
+	this->Stop();
+}
+
+bool SoakNode::Sound() const
+{
+	return this->process.state() == QProcess::Running && !this->stopping && !this->killed && !this->frozen;
+}
--- /dev/null
+++ b/tests/soak/soak_proxy.cpp
@@ -0,0 +1,93 @@
+/** @file soak_proxy.cpp A loopback proxy with faults. */
+#include "soak_proxy.h"
+
+#include <QHostAddress>
+
+namespace {
+
+constexpr Millis DELAY(150); ///< Of bytes under PF_DELAY.
+
+} // namespace
+
+struct SoakProxy::Pair {
+	QTcpSocket caller; ///< Who connected.
+	QTcpSocket server; ///< Where it goes.
+};
+
+void SoakProxy::Set(ProxyFault now)
+{
+	this->fault = now;
+	const bool heals = now == ProxyFault::PF_NONE;
+	/* What was held is lost: connections that stood during a cut can't go on after it. */
+	if (now == ProxyFault::PF_RESET || heals) {
+		const auto all = this->pairs;
+		for (const auto &it : all) {
+			this->Drop(it, true);
+		}
+	}
+}
+
+void SoakProxy::incomingConnection(qintptr descriptor)
+{
+	auto pair = std::make_shared<Pair>();
+	pair->caller.setSocketDescriptor(descriptor);
+	if (this->fault == ProxyFault::PF_RESET) {
+		pair->caller.abort();
+		return;
+	}
+	this->pairs.insert(pair);
+	const std::weak_ptr<Pair> weak = pair;
+	const auto wire = [this, weak](QTcpSocket &socket, bool answering) {
+		QObject::connect(&socket, &QTcpSocket::readyRead, &socket, [this, weak, answering] {
+			if (const auto it = weak.lock()) {
+				this->Forward(it, answering);
+			}
+		});
+		QObject::connect(&socket, &QTcpSocket::disconnected, &socket, [this, weak] {
+			this->scheduler.After(Millis(0), [this, weak] {
+				if (const auto it = weak.lock()) {
+					this->Drop(it, false);
+				}
+			});
+		});
+	};
+	wire(pair->caller, false);
+	wire(pair->server, true);
+	pair->server.connectToHost(QHostAddress(QHostAddress::LocalHost), this->to);
+}
+
+void SoakProxy::Forward(const std::shared_ptr<Pair> &pair, bool answering)
+{
+	const QByteArray data = (answering ? pair->server : pair->caller).readAll();
+	const bool held = this->fault == ProxyFault::PF_SILENT || (this->fault == ProxyFault::PF_ONE_WAY && answering);
+	if (held) {
+		return;
+	}
+	const auto pass = [weak = std::weak_ptr<Pair>(pair), data, answering] {
+		if (const auto it = weak.lock()) {
+			(answering ? it->caller : it->server).write(data);
+		}
+	};
+	if (this->fault == ProxyFault::PF_DELAY) {
+		this->scheduler.After(DELAY, pass);
+	} else {
+		pass();
+	}
+}
+
+void SoakProxy::Drop(const std::shared_ptr<Pair> &pair, bool reset)
+{
+	if (this->pairs.erase(pair) == 0) {
+		return;
+	}
+	for (QTcpSocket *it : {&pair->caller, &pair->server}) {
+		it->disconnect();
+		if (reset) {
+			it->abort();
+		} else {
+			it->disconnectFromHost();
+		}
+	}
+	/* Not from inside a signal of its sockets. */
+	this->scheduler.After(Millis(100), [pair] {});
+}
--- /dev/null
+++ b/tests/soak/soak_world.h
@@ -0,0 +1,109 @@
+/** @file soak_world.h A randomized day: node processes, stand-ins, callers, faults from outside, and what must hold. */
+#ifndef SOAK_WORLD_H
+#define SOAK_WORLD_H
+
+#include "net/http_caller.h"
+#include "soak_boxes.h"
+#include "soak_node.h"
+#include "soak_store.h"
+
+/** What a soak is to be. */
+struct SoakPlan {
+	std::string program;     ///< glade_node.
+	std::string folder;      ///< Settings and logs.
+	uint32_t seed = 1;       ///< Chooses everything.
+	Millis faults_for;       ///< Time with faults; then all heals.
+	int nodes = 4;           ///< Node processes.
+	int boxes = 6;           ///< Boxes of each service.
+	int jobs_per_second = 6; ///< Jobs handed in.
+	quint16 first_port = 0;  ///< Of the nodes.
+};
+
+/** A job as its caller sees it. */
+struct SoakJob {
+	JobSpec spec;                      ///< As handed in.
+	std::string service;               ///< Its service.
+	std::string body;                  ///< As sent.
+	int tries = 0;                     ///< Times that it was handed in.
+	bool uncertain = false;            ///< Whether a try ended without a refusal.
+	std::optional<Millis> accepted_at; ///< When it was first confirmed.
+	bool cancel_wanted = false;        ///< Whether its caller asks for its cancellation.
+	bool cancelled = false;            ///< Whether that was confirmed.
+	std::string expected;              ///< State that it must end in.
+	std::string state;                 ///< State told last.
+	bool asking = false;               ///< Whether a question is under way.
+};
+
+/** The whole. */
+class SoakWorld {
+public:
+	/** @param plan What it is to be. */
+	explicit SoakWorld(const SoakPlan &plan);
+
+	/** Begins. @param done Told when it is over. @return Whether it could begin. */
+	bool Start(std::function<void()> done);
+
+	/** @return What was broken, in words; empty when all held. */
+	[[nodiscard]] std::vector<std::string> Broken() const;
+	/** @return Counts, in a line. */
+	[[nodiscard]] std::string Summary() const;
+
+private:
+	/** A fault: what it does for how long. */
+	struct Fault {
+		const char *name;                             ///< For the log.
+		std::function<std::function<void()>()> begin; ///< Begins it; the result ends it, if there is anything to end.
+	};
+
+	SoakPlan plan;                                    ///< What it is to be.
+	QtScheduler scheduler;                            ///< Clock.
+	std::mt19937 random;                              ///< Chooses everything.
+	SoakStore store;                                  ///< The store.
+	SoakBoxes boxes;                                  ///< The boxes.
+	std::vector<std::unique_ptr<SoakProxy>> box_ways; ///< Ways to the boxes' agents.
+	std::vector<std::unique_ptr<SoakNode>> nodes;     ///< Node processes.
+	HttpCaller caller;                                ///< Callers' connections.
+	std::vector<std::unique_ptr<SoakJob>> jobs;       ///< All jobs.
+	std::vector<Fault> kinds;                         ///< Faults that may come.
+	std::vector<std::string> broken;                  ///< Promises broken.
+	std::function<void()> done;                       ///< Told at the end.
+	Millis begun;                                     ///< When traffic began.
+	Millis healed_at;                                 ///< When the last fault ended.
+	uint64_t version = 0;                             ///< Of the configuration.
+	uint64_t wave = 0;                                ///< Last wave ordered.
+	uint32_t faults = 0;                              ///< Faults begun.
+	uint32_t store_harm = 0;                          ///< Faults of the store in force.
+	bool calm = false;                                ///< Whether no more faults come.
+
+	uint32_t Pick(uint32_t below);
+	Millis Between(int64_t low, int64_t high);
+	SoakNode &AnyNode() { return *this->nodes[this->Pick(static_cast<uint32_t>(this->nodes.size()))]; }
+
+	/* soak_world.cpp */
+	void AddBoxes();
+	void PublishReports();
+	void PublishConfig(bool with_extra);
+	void NextFault();
+	void Heal();
+	void Settle();
+	bool AllSettled();
+	void CheckRemovedRoute();
+	void StopAll();
+	void Check();
+
+	/* soak_faults.cpp */
+	void ListFaults();
+	std::function<void()> HarmStore(const std::function<void()> &begin, const std::function<void()> &end);
+
+	/* soak_callers.cpp */
+	void NextJob();
+	std::unique_ptr<SoakJob> MakeJob();
+	void HandIn(SoakJob &job);
+	void OnHandedIn(SoakJob &job, SoakNode &node, Millis sent, const HttpReply &reply);
+	void Cancel(SoakJob &job);
+	void Ask(SoakJob &job);
+	void Send(SoakNode &node, const char *method, const std::string &path, const std::string &body,
+			  const std::function<void(const HttpReply &)> &then);
+};
+
+#endif /* SOAK_WORLD_H */
