Routes with a policy are served: tickets asked ahead of starts, kept until they are over

Change: TicketDesk keeps tickets by step and life of a box, asks for the boxes that are needed and three more, the best first, eight questions under way at most; a box that a policy refuses is not asked about again; tickets are not stored.

--- a/src/jobs/job_type.h
+++ b/src/jobs/job_type.h
@@ -121,6 +121,7 @@
 	uint32_t failures_max = 1; ///< Runs of a task that may fail; the job fails with the last.
 	double stretch = 1.0;      ///< Objective: this times the longest chain of work, plus `headroom`.
 	Millis headroom;           ///< Time on top of the stretched chain.
+	bool advised = false;      ///< Only boxes that a policy allows may run its steps: each start needs a ticket.
 };
 
 /** A service, as the configuration has it. */
@@ -173,6 +174,7 @@
 	RunNumber run;         ///< Counts its starts.
 	std::string payload;   ///< The job's payload.
 	std::string saved;     ///< Checkpoint to resume from; empty for none.
+	std::string ticket;    ///< Of the route's policy; empty for none.
 	Millis lease_until;    ///< End of the lease, by the box's clock.
 	FenceToken fence;      ///< The owner's token.
 };
--- a/src/jobs/shard_base.h
+++ b/src/jobs/shard_base.h
@@ -5,6 +5,7 @@
 #include "../event_log.h"
 #include "job_codec.h"
 #include "shard_journal.h"
+#include "ticket_desk.h"
 
 #include <map>
 #include <memory>
@@ -184,9 +185,10 @@
 	 * @param service The service.
 	 * @param fence Token of this ownership.
 	 * @param limits Figures.
+	 * @param advisor Knows the policies of routes; null when there is none; outlives this.
 	 */
 	Shard(Scheduler &scheduler, ShardJournal &journal, BoxOrders &orders, EventLog &log, ServiceName service,
-		  FenceToken fence, ShardLimits limits);
+		  FenceToken fence, ShardLimits limits, PlacementAdvisor *advisor = nullptr);
 	~Shard();
 	Shard(const Shard &) = delete;
 	Shard &operator=(const Shard &) = delete;
@@ -264,6 +266,7 @@
 	std::map<RouteName, double> run_times;    ///< ms that tasks of a route took, on a scale of ratios, smoothed.
 	std::set<JobId> dirty;                    ///< Jobs to be recorded.
 	std::vector<PendingStart> starts;         ///< Orders to send once recorded.
+	TicketDesk tickets;                       ///< What policies of routes allow.
 	ShardCounters counters;                   ///< Counters.
 	TimerId timer;                            ///< Next turn without an event.
 	std::shared_ptr<bool> alive = std::make_shared<bool>(true); ///< Expires with this.
@@ -299,6 +302,8 @@
 	void PlaceStep(PlaceRound &round, ShardJob &job, uint32_t occurrence, uint32_t step);
 	void PlaceGang(PlaceRound &round, ShardJob &job, uint32_t occurrence, uint32_t step);
 	OpenBox *Choose(std::vector<OpenBox> &open, const ShardJob &job, const TaskId &first);
+	[[nodiscard]] bool MayRun(const ShardJob &job, const TaskId &first, const ShardBox &box) const;
+	void WantTickets(const PlaceRound &round, const ShardJob &job, const TaskId &first);
 	bool PickGang(std::vector<OpenBox> &open, const ShardJob &job, const TaskId &first, std::vector<ShardBox *> &picks);
 	[[nodiscard]] uint32_t CountOn(const ShardBox &box, const TaskId &first) const;
 	void Assign(ShardJob &job, const TaskId &id, ShardBox &box, RunNumber run);
--- a/src/jobs/shard_jobs.cpp
+++ b/src/jobs/shard_jobs.cpp
@@ -28,11 +28,12 @@
 }
 
 Shard::Shard(Scheduler &scheduler, ShardJournal &journal, BoxOrders &orders, EventLog &log, ServiceName service,
-			 FenceToken fence, ShardLimits limits)
+			 FenceToken fence, ShardLimits limits, PlacementAdvisor *advisor)
 		: scheduler(scheduler), journal(journal), orders(orders), log(log), service(std::move(service)), fence(fence),
 		  limits(limits), owned_since(scheduler.Now()), confirmed_at(scheduler.Now()),
-		  other_owner_until(scheduler.Now() + limits.owner_term)
+		  other_owner_until(scheduler.Now() + limits.owner_term), tickets(scheduler, log, advisor)
 {
+	this->tickets.on_tickets = [this] { this->Wake(); };
 }
 
 Shard::~Shard()
@@ -302,6 +303,7 @@
 {
 	job.phase = phase;
 	this->live.erase(job.spec.id);
+	this->tickets.Forget(job.spec.id);
 	this->log.Write("job_over", {{"job", job.spec.id.Value()},
 								 {"phase", NameOf(phase)},
 								 {"why", why},
--- a/src/jobs/shard_owner.cpp
+++ b/src/jobs/shard_owner.cpp
@@ -42,8 +42,9 @@
 	this->epoch = claimed.epoch;
 	this->journal =
 			std::make_unique<ShardJournal>(this->parts.scheduler, this->parts.log, this->progress, claimed.epoch);
-	this->shard = std::make_unique<Shard>(this->parts.scheduler, *this->journal, this->parts.orders, this->parts.events,
-										  this->service, FenceToken(claimed.epoch), this->parts.limits);
+	this->shard =
+			std::make_unique<Shard>(this->parts.scheduler, *this->journal, this->parts.orders, this->parts.events,
+									this->service, FenceToken(claimed.epoch), this->parts.limits, this->parts.advisor);
 	if (claimed.released) {
 		this->shard->NoOtherOwner();
 	}
--- a/src/jobs/shard_owner.h
+++ b/src/jobs/shard_owner.h
@@ -18,12 +18,13 @@
 
 /** What an owner needs of its node. */
 struct OwnerParts {
-	Scheduler &scheduler; ///< Clock and timers.
-	KeyedLog &log;        ///< The log.
-	BoxOrders &orders;    ///< Boxes.
-	EventLog &events;     ///< Lines.
-	std::string address;  ///< Where this node answers others.
-	ShardLimits limits;   ///< Figures.
+	Scheduler &scheduler;                ///< Clock and timers.
+	KeyedLog &log;                       ///< The log.
+	BoxOrders &orders;                   ///< Boxes.
+	EventLog &events;                    ///< Lines.
+	std::string address;                 ///< Where this node answers others.
+	ShardLimits limits;                  ///< Figures.
+	PlacementAdvisor *advisor = nullptr; ///< Knows the policies of routes; null when there is none.
 };
 
 /** Ownership of one shard, from the wish to own it on. Destroying it lets go. */
--- a/src/jobs/shard_place.cpp
+++ b/src/jobs/shard_place.cpp
@@ -64,6 +64,31 @@
 	}));
 }
 
+bool Shard::MayRun(const ShardJob &job, const TaskId &first, const ShardBox &box) const
+{
+	return !job.route.advised ||
+		   this->tickets.Find(StepId{first.job, first.occurrence, first.step}, box.report.life) != nullptr;
+}
+
+void Shard::WantTickets(const PlaceRound &round, const ShardJob &job, const TaskId &first)
+{
+	const StepSpec &step = job.spec.steps[first.step];
+	const auto tasks = job.tasks | std::views::drop(job.IndexOf(first)) | std::views::take(step.count);
+	const auto waiting = std::ranges::count(tasks, TaskPhase::TP_WAITING, &ShardTask::phase);
+	std::vector<OpenBox> able;
+	std::ranges::copy_if(round.open, std::back_inserter(able), [&step](const OpenBox &it) {
+		return it.free.Holds(step.demand) &&
+			   (step.required_label.empty() || it.box->report.HasLabel(step.required_label));
+	});
+	/* As in Choose(): near its data, then the fullest. */
+	std::ranges::stable_sort(able, std::ranges::greater{}, [&step](const OpenBox &it) {
+		return std::tuple(!step.data_rack.empty() && it.box->report.HasLabel(step.data_rack), -it.free.cpu);
+	});
+	std::vector<BoxLife> lives;
+	std::ranges::transform(able, std::back_inserter(lives), [](const OpenBox &it) { return it.box->report.life; });
+	this->tickets.Want(StepId{first.job, first.occurrence, first.step}, lives, static_cast<size_t>(waiting));
+}
+
 OpenBox *Shard::Choose(std::vector<OpenBox> &open, const ShardJob &job, const TaskId &first)
 {
 	const StepSpec &step = job.spec.steps[first.step];
@@ -73,7 +98,8 @@
 		const BoxReport &report = it.box->report;
 		const bool fits = it.free.Holds(step.demand) &&
 						  (step.required_label.empty() || report.HasLabel(step.required_label)) &&
-						  (step.per_box == 0 || this->CountOn(*it.box, first) + it.picked < step.per_box);
+						  (step.per_box == 0 || this->CountOn(*it.box, first) + it.picked < step.per_box) &&
+						  this->MayRun(job, first, *it.box);
 		if (!fits) {
 			continue;
 		}
@@ -102,7 +128,9 @@
 		OpenBox *it = this->Choose(round.open, job, first);
 		if (it == nullptr) {
 			/* Others with the same wishes or more need not look. */
-			if (spec.required_label.empty() && spec.per_box == 0) {
+			if (job.route.advised) {
+				this->WantTickets(round, job, first);
+			} else if (spec.required_label.empty() && spec.per_box == 0) {
 				round.hopeless.push_back(spec.demand);
 			}
 			return;
@@ -150,6 +178,9 @@
 	std::vector<ShardBox *> picks;
 	const bool found =
 			std::ranges::any_of(choices, [&](auto &open) { return this->PickGang(open, job, first, picks); });
+	if (!found && job.route.advised) {
+		this->WantTickets(round, job, first);
+	}
 	for (TaskId id = first; const uint32_t index : std::views::iota(0U, found ? spec.count : 0U)) {
 		id.index = index;
 		this->Assign(job, id, *picks[index], RunNumber(last_run + 1));
@@ -196,6 +227,14 @@
 	order.saved = task->saved;
 	order.lease_until = *until;
 	order.fence = this->fence;
+	if (const std::string *ticket =
+				this->tickets.Find(StepId{start.task.job, start.task.occurrence, start.task.step}, task->box);
+		ticket != nullptr) {
+		order.ticket = *ticket;
+	} else if (job.route.advised) {
+		this->Resolve(start.task, RunEnding::RE_STOPPED, {}, "ticket_over");
+		return;
+	}
 	this->NoteLeaseAsked(it->second, *until);
 	task->run_state = RunState::RS_ORDERED;
 	this->counters.starts++;
@@ -244,7 +283,9 @@
 	const bool short_of_room = answer.outcome == OrderOutcome::OO_NO_ROOM ||
 							   answer.outcome == OrderOutcome::OO_RUN_TOO_OLD ||
 							   answer.outcome == OrderOutcome::OO_LEASE_PAST;
-	if (box != this->boxes.end()) {
+	if (answer.outcome == OrderOutcome::OO_NO_TICKET) {
+		this->tickets.Drop(StepId{id.job, id.occurrence, id.step}, life);
+	} else if (box != this->boxes.end()) {
 		box->second.avoid_until = this->scheduler.Now() + (short_of_room ? AVOID_REFUSED : AVOID_BUSY);
 	}
 	const bool invalid = answer.outcome == OrderOutcome::OO_REJECTED;
--- /dev/null
+++ b/src/jobs/ticket_desk.cpp
@@ -0,0 +1,104 @@
+/** @file ticket_desk.cpp Tickets that a route's policy gives. */
+#include "ticket_desk.h"
+
+#include <algorithm>
+
+namespace {
+
+constexpr Millis USE_BEFORE(300);   ///< A ticket is not used in its last moments: record and order take some 50 ms.
+constexpr Millis RETRY_AFTER(200);  ///< Another question after one that failed.
+constexpr size_t SPARE_BOXES = 3;   ///< Boxes asked about beyond those needed: some will be refused.
+constexpr size_t ASK_AT_ONCE = 100; ///< Boxes of a question (the platform's page on advice).
+constexpr size_t OPEN_MAX = 8;      ///< Questions under way: the service works on one at a time and refuses the 33rd.
+
+} // namespace
+
+TicketDesk::~TicketDesk()
+{
+	this->scheduler.Cancel(this->retry);
+}
+
+const std::string *TicketDesk::Find(const StepId &step, const BoxLife &life) const
+{
+	const auto known = this->steps.find(step);
+	if (known == this->steps.end()) {
+		return nullptr;
+	}
+	const auto it = known->second.tickets.find(life);
+	const bool holds = it != known->second.tickets.end() && this->scheduler.Now() < it->second.until;
+	return holds ? &it->second.text : nullptr;
+}
+
+void TicketDesk::Want(const StepId &step, const std::vector<BoxLife> &boxes, size_t wanted)
+{
+	Known &known = this->steps[step];
+	if (this->advisor == nullptr || known.asking || this->open >= OPEN_MAX) {
+		return;
+	}
+	std::vector<BoxLife> ask;
+	const size_t most = std::min(ASK_AT_ONCE, wanted + SPARE_BOXES);
+	for (const BoxLife &it : boxes) {
+		if (ask.size() < most && !known.refused.contains(it) && this->Find(step, it) == nullptr) {
+			ask.push_back(it);
+		}
+	}
+	if (ask.empty()) {
+		return;
+	}
+	known.asking = true;
+	this->open++;
+	this->advisor->Ask(step, ask,
+					   [this, step, ask, sent = this->scheduler.Now(),
+						still = std::weak_ptr<bool>(this->alive)](const Advice &advice) {
+						   if (!still.expired()) {
+							   this->OnAdvice(step, ask, sent, advice);
+						   }
+					   });
+}
+
+void TicketDesk::OnAdvice(const StepId &step, const std::vector<BoxLife> &asked, Millis sent, const Advice &advice)
+{
+	this->open--;
+	this->events.Write("advice", {{"job", step.job.Value()},
+								  {"step", std::to_string(step.step)},
+								  {"code", SymbolOf(advice.code)},
+								  {"asked", std::to_string(asked.size())},
+								  {"good", std::to_string(advice.tickets.size())},
+								  {"took_ms", std::to_string((this->scheduler.Now() - sent).Value())}});
+	const auto it = this->steps.find(step);
+	if (it != this->steps.end()) {
+		it->second.asking = false;
+		for (const BoxLife &life : advice.code == ResultCode::RC_OK ? asked : std::vector<BoxLife>()) {
+			const auto good = advice.tickets.find(life);
+			if (good == advice.tickets.end()) {
+				it->second.refused.insert(life);
+			} else {
+				/* From the sending on: the answer may have been under way for long. */
+				it->second.tickets[life] = Ticket{good->second, sent + advice.valid - USE_BEFORE};
+			}
+		}
+	}
+	if (!this->on_tickets) {
+		return;
+	}
+	if (advice.code == ResultCode::RC_OK) {
+		this->on_tickets();
+	} else {
+		this->scheduler.Cancel(this->retry);
+		this->retry = this->scheduler.After(RETRY_AFTER, [this] { this->on_tickets(); });
+	}
+}
+
+void TicketDesk::Drop(const StepId &step, const BoxLife &life)
+{
+	if (const auto it = this->steps.find(step); it != this->steps.end()) {
+		it->second.tickets.erase(life);
+	}
+}
+
+void TicketDesk::Forget(const JobId &job)
+{
+	const auto first = this->steps.lower_bound(StepId{job, 0, 0});
+	const auto last = std::find_if(first, this->steps.end(), [&job](const auto &it) { return it.first.job != job; });
+	this->steps.erase(first, last);
+}
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -40,7 +40,7 @@
 		: scheduler(scheduler), links(links), self(self),
 		  member(scheduler, links.log, links.events,
 				 GroupSpec{NODE_GROUP, GroupPeer{self.frames, self.cpu}, NODE_TOPIC, self.silence}),
-		  host(OwnerParts{scheduler, links.log, links.orders, links.events, self.frames, self.limits}, this->member,
+		  host(OwnerParts{scheduler, links.log, links.orders, links.events, self.frames, self.limits, links.advisor}, this->member,
 			   links.feed, self.partitions),
 		  lookup(scheduler, links.log, links.events),
 		  desk(scheduler, links.log, this->host, this->lookup, links.events, self.partitions),
--- a/src/node/node_core.h
+++ b/src/node/node_core.h
@@ -18,12 +18,13 @@
 
 /** What a node speaks to. All outlive it. */
 struct NodeLinks {
-	KeyedLog &log;            ///< The store.
-	BoxOrders &orders;        ///< Boxes.
-	SiteFeed &feed;           ///< What is published.
-	MachineControl &machines; ///< Machines.
-	WaveReports &reports;     ///< For operators.
-	EventLog &events;         ///< Lines.
+	KeyedLog &log;                       ///< The store.
+	BoxOrders &orders;                   ///< Boxes.
+	SiteFeed &feed;                      ///< What is published.
+	MachineControl &machines;            ///< Machines.
+	WaveReports &reports;                ///< For operators.
+	EventLog &events;                    ///< Lines.
+	PlacementAdvisor *advisor = nullptr; ///< Policies of routes; null when there are none.
 };
 
 /** The node without its transport to callers. */
--- a/src/standin/memory/box_site.cpp
+++ b/src/standin/memory/box_site.cpp
@@ -169,6 +169,9 @@
 	if (!free.Holds(demand)) {
 		return this->Plain(OrderOutcome::OO_NO_ROOM);
 	}
+	if (this->ticket_holds && !this->ticket_holds(report, order)) {
+		return this->Plain(OrderOutcome::OO_NO_TICKET);
+	}
 	this->Judge(*box, order);
 	this->starts++;
 	this->started.insert(order.task.job);
--- a/src/standin/memory/box_site.h
+++ b/src/standin/memory/box_site.h
@@ -52,10 +52,12 @@
 	OrderAnswer Stop(const BoxReport &box, const TaskId &task, RunNumber run, FenceToken fence);
 	LeaseAnswer Lease(const BoxReport &box, const LeaseOrder &order);
 
-	std::map<BoxName, BoxFaults> faults; ///< Faults by box.
-	std::vector<std::string> violations; ///< Rules broken, in words.
-	Millis lease_max = Millis(10000);    ///< Longest lease granted.
-	uint64_t starts = 0;                 ///< Runs begun.
+	std::map<BoxName, BoxFaults> faults;                                     ///< Faults by box.
+	std::vector<std::string> violations;                                     ///< Rules broken, in words.
+	Millis lease_max = Millis(10000);                                        ///< Longest lease granted.
+	std::function<bool(const BoxReport &, const StartOrder &)> ticket_holds; ///< Judges tickets; none are asked for
+																			 ///< without it.
+	uint64_t starts = 0;                                                     ///< Runs begun.
 
 private:
 	/** A run. */
--- a/tests/job_world.h
+++ b/tests/job_world.h
@@ -19,14 +19,59 @@
 	[[nodiscard]] Millis HeardAt() const override { return Millis(0); }
 };
 
+/** A policy: the first box of a service may run its steps. Its tickets hold for a while. */
+class WorldAdvisor : public PlacementAdvisor {
+public:
+	explicit WorldAdvisor(VirtualScheduler &clock) : clock(clock) {}
+
+	void Ask(const StepId &step, const std::vector<BoxLife> &boxes, std::function<void(Advice)> done) override
+	{
+		this->asked += boxes.size();
+		if (this->silent) {
+			this->clock.After(PATIENCE, [done] { done(Advice{}); });
+			return;
+		}
+		Advice advice{ResultCode::RC_OK, {}, VALID};
+		for (const BoxLife &it : boxes) {
+			if (this->Allows(it)) {
+				advice.tickets[it] = step.job.Value() + "/" + std::to_string(step.step) + "@" +
+									 std::to_string((this->clock.Now() + VALID).Value());
+			}
+		}
+		this->clock.After(ANSWER, [done, advice] { done(advice); });
+	}
+
+	/** @return Whether a start order's ticket is for its step and still holds. @param order The order. */
+	[[nodiscard]] bool Holds(const StartOrder &order) const
+	{
+		const std::string head = order.task.job.Value() + "/" + std::to_string(order.task.step) + "@";
+		return order.ticket.starts_with(head) &&
+			   std::stoll(order.ticket.substr(head.size())) > this->clock.Now().Value();
+	}
+
+	/** @return Whether the policy allows a box. @param life The box. */
+	static bool Allows(const BoxLife &life) { return life.Value().find("box0") != std::string::npos; }
+
+	bool silent = false; ///< Whether it doesn't answer.
+	size_t asked = 0;    ///< Boxes that it was asked about.
+
+private:
+	static constexpr Millis VALID = Millis(2000);    ///< Tickets hold so long.
+	static constexpr Millis ANSWER = Millis(60);     ///< Its answers take so long.
+	static constexpr Millis PATIENCE = Millis(1000); ///< A question without an answer has failed after this.
+
+	VirtualScheduler &clock; ///< The world's clock.
+};
+
 /** A node process. */
 class WorldNode {
 public:
-	WorldNode(VirtualScheduler &clock, KeyedStore &store, BoxSite &site, const std::string &name, int64_t cpu)
+	WorldNode(VirtualScheduler &clock, KeyedStore &store, BoxSite &site, const std::string &name, int64_t cpu,
+			  PlacementAdvisor *advisor)
 			: scheduler(clock), log(this->scheduler, clock, store), orders(this->scheduler, clock, site),
 			  member(this->scheduler, this->log, this->events,
 					 GroupSpec{NODE_GROUP, GroupPeer{name, cpu}, NODE_TOPIC, Millis(1500)}),
-			  host(OwnerParts{this->scheduler, this->log, this->orders, this->events, name, ShardLimits{}},
+			  host(OwnerParts{this->scheduler, this->log, this->orders, this->events, name, ShardLimits{}, advisor},
 				   this->member, this->feed, PARTS),
 			  lookup(this->scheduler, this->log, this->events),
 			  desk(this->scheduler, this->log, this->host, this->lookup, this->events, PARTS), name(name)
@@ -83,7 +128,8 @@
 	/** Starts a node. @param name Its name. @param cpu Thousandths of a core that it has. */
 	WorldNode &Boot(const std::string &name, int64_t cpu = 250)
 	{
-		this->nodes.push_back(std::make_unique<WorldNode>(this->clock, this->store, this->site, name, cpu));
+		this->nodes.push_back(
+				std::make_unique<WorldNode>(this->clock, this->store, this->site, name, cpu, &this->advisor));
 		this->nodes.back()->desk.Configure(this->config);
 		return *this->nodes.back();
 	}
@@ -218,6 +264,7 @@
 	VirtualScheduler clock{Millis(1700000000000)}; ///< The world's clock.
 	KeyedStore store{WorldNode::PARTS};            ///< The log.
 	BoxSite site{clock};                           ///< The boxes.
+	WorldAdvisor advisor{clock};                   ///< Knows the policies of routes.
 	std::vector<std::unique_ptr<WorldNode>> nodes; ///< All nodes ever started.
 	std::vector<std::unique_ptr<WorldJob>> jobs;   ///< All jobs.
 	JobConfig config;                              ///< The configuration.
