--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -8,7 +8,7 @@
 	local port=$((20000 + seed % 500 * 20))
 	rm -rf "$folder"
 	mkdir -p "$folder"
-	if build/bin/glade_soak --node build/bin/glade_node --folder "$folder" --seed "$seed" --seconds "$seconds" \
+	if build/soak/bin/glade_soak --node build/soak/bin/glade_node --folder "$folder" --seed "$seed" --seconds "$seconds" \
 		--port "$port" >"$folder/soak.txt" 2>&1; then
 		tail -n 1 "$folder/soak.txt"
 		rm -rf "$folder"
@@ -20,6 +20,9 @@
 	fi
 }
 export -f run
+# The programs as they are now: a build that goes on meanwhile must not replace them.
+mkdir -p build/soak/bin
+cp build/bin/glade_node build/bin/glade_soak build/soak/bin/
 if [ "${1:-}" = regress ]; then
 	seeds=$(grep -oE '^[0-9]+' tests/soak/seeds.txt)
 	parallel=${2:-4}
--- a/tests/soak/soak_node.cpp
+++ b/tests/soak/soak_node.cpp
@@ -28,6 +28,11 @@
 	this->process.setProcessChannelMode(QProcess::MergedChannels);
 	this->process.setStandardOutputFile(QString::fromStdString(site.folder + "/" + this->name + ".log"),
 										QIODevice::Append);
+	QObject::connect(&this->process, &QProcess::errorOccurred, &this->process, [this](QProcess::ProcessError error) {
+		if (error == QProcess::FailedToStart) {
+			this->ended_by_itself = this->name + " could not be started: " + this->site.program;
+		}
+	});
 	QObject::connect(&this->process, &QProcess::finished, &this->process,
 					 [this](int code, QProcess::ExitStatus status) { this->OnEnded(code, status); });
 }
