--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -40,8 +40,8 @@
 		: scheduler(scheduler), links(links), self(self),
 		  member(scheduler, links.log, links.events,
 				 GroupSpec{NODE_GROUP, GroupPeer{self.frames, self.cpu}, NODE_TOPIC, self.silence}),
-		  host(OwnerParts{scheduler, links.log, links.orders, links.events, self.frames, self.limits, links.advisor}, this->member,
-			   links.feed, self.partitions),
+		  host(OwnerParts{scheduler, links.log, links.orders, links.events, self.frames, self.limits, links.advisor},
+			   this->member, links.feed, self.partitions),
 		  lookup(scheduler, links.log, links.events),
 		  desk(scheduler, links.log, this->host, this->lookup, links.events, self.partitions),
 		  frames([this](FrameLink &link, const MessageUnion &message) { this->OnFrame(link, message); },
@@ -64,7 +64,7 @@
 void NodeCore::Leave(std::function<void()> done)
 {
 	this->leaving = true;
-	this->fleet.reset();
+	this->ReleaseFleet();
 	this->host.Clear();
 	this->member.Leave(std::move(done));
 }
@@ -81,7 +81,7 @@
 	/* The last partition stands for the fleet: services take the first of each even share. */
 	const bool wanted = this->member.Holds(this->self.partitions - 1) && this->desk.Config().version > 0;
 	if (!wanted) {
-		this->fleet.reset();
+		this->ReleaseFleet();
 	} else if (!this->fleet) {
 		this->BeginFleet();
 	} else {
@@ -89,6 +89,21 @@
 	}
 }
 
+void NodeCore::ReleaseFleet()
+{
+	if (!this->fleet) {
+		return;
+	}
+	FleetOwner *owner = this->fleet.get();
+	this->releasing.push_back(std::move(this->fleet));
+	owner->Release([this, owner] {
+		/* Not from inside its own call. */
+		this->scheduler.After(Millis(0), [this, owner] {
+			std::erase_if(this->releasing, [owner](const auto &it) { return it.get() == owner; });
+		});
+	});
+}
+
 void NodeCore::BeginFleet()
 {
 	this->fleet = std::make_unique<FleetOwner>(FleetParts{this->scheduler, this->links.log, this->links.machines,
--- a/src/node/node_core.h
+++ b/src/node/node_core.h
@@ -5,6 +5,8 @@
 #include "../upkeep/fleet_owner.h"
 #include "job_desk.h"
 
+#include <list>
+
 /** Who this node is. */
 struct NodeIdentity {
 	std::string name;        ///< Name of this process.
@@ -57,20 +59,22 @@
 	[[nodiscard]] const JobDesk &Desk() const { return this->desk; }   ///< Answers to callers.
 
 private:
-	Scheduler &scheduler;                ///< Clock and timers.
-	NodeLinks links;                     ///< What it speaks to.
-	NodeIdentity self;                   ///< Who this node is.
-	GroupMember member;                  ///< Its part in the group.
-	ShardHost host;                      ///< Shards owned.
-	OwnerLookup lookup;                  ///< Owners elsewhere.
-	JobDesk desk;                        ///< Answers.
-	FrameServer frames;                  ///< Other nodes ask here.
-	bool leaving = false;                ///< Whether Leave() was called.
-	std::map<uint64_t, WaveOrder> waves; ///< Waves heard of.
-	std::unique_ptr<FleetOwner> fleet;   ///< While this node gives orders to machines.
+	Scheduler &scheduler;                             ///< Clock and timers.
+	NodeLinks links;                                  ///< What it speaks to.
+	NodeIdentity self;                                ///< Who this node is.
+	GroupMember member;                               ///< Its part in the group.
+	ShardHost host;                                   ///< Shards owned.
+	OwnerLookup lookup;                               ///< Owners elsewhere.
+	JobDesk desk;                                     ///< Answers.
+	FrameServer frames;                               ///< Other nodes ask here.
+	bool leaving = false;                             ///< Whether Leave() was called.
+	std::map<uint64_t, WaveOrder> waves;              ///< Waves heard of.
+	std::unique_ptr<FleetOwner> fleet;                ///< While this node gives orders to machines.
+	std::list<std::unique_ptr<FleetOwner>> releasing; ///< Those whose letting go is being recorded.
 
 	void OnMembership();
 	void BeginFleet();
+	void ReleaseFleet();
 	void OnFrame(FrameLink &link, const MessageUnion &message);
 	void OnJobQuestion(FrameLink &link, const glade::wire::JobQuestionT &in);
 	void OnPoolQuestion(FrameLink &link, const glade::wire::PoolQuestionT &in);
--- a/src/upkeep/fleet_owner.cpp
+++ b/src/upkeep/fleet_owner.cpp
@@ -1,6 +1,8 @@
 /** @file fleet_owner.cpp The one node that gives orders to machines. */
 #include "fleet_owner.h"
 
+#include "../store/owner_record.h"
+
 #include <algorithm>
 #include <ranges>
 
@@ -14,6 +16,8 @@
 
 const PartitionId FLEET{"keyed.fleet", 0};
 
+constexpr const char *TURN_PREFIX = "turn/"; ///< Before a box that had an order shortly before its holder let go.
+
 /** Key of the record that maintenance of a box has begun. */
 std::string KeyOf(uint64_t wave, const BoxName &box)
 {
@@ -42,6 +46,11 @@
 void FleetOwner::Run(const ClaimedPartition &claimed)
 {
 	for (const auto &[key, value] : claimed.records) {
+		if (key.starts_with(TURN_PREFIX)) {
+			this->turn_keys.insert(key);
+			this->recent_before.insert(BoxName(key.substr(std::string_view(TURN_PREFIX).size())));
+			continue;
+		}
 		const size_t slash = key.find('/');
 		const uint64_t wave = std::stoull(key);
 		if (slash == std::string::npos) {
@@ -50,6 +59,8 @@
 			this->desk.Restore(wave, BoxName(key.substr(slash + 1)));
 		}
 	}
+	this->epoch = claimed.epoch;
+	this->turns_known = claimed.released;
 	this->fence = FenceToken(claimed.epoch);
 	this->orders_from = this->parts.scheduler.Now() + this->parts.turn_gap + TURN_SLACK;
 	this->journal = std::make_unique<ShardJournal>(this->parts.scheduler, this->parts.log, FLEET, claimed.epoch);
@@ -77,7 +88,52 @@
 {
 	const Millis now = this->parts.scheduler.Now();
 	const Millis confirmed = std::max(this->confirmed_at, this->journal->ConfirmedAt());
-	return !this->lost && now >= this->orders_from && now - confirmed <= CONFIRM_FOR;
+	return !this->lost && (this->turns_known || now >= this->orders_from) && now - confirmed <= CONFIRM_FOR;
+}
+
+bool FleetOwner::MayOrder(const BoxName &box) const
+{
+	const bool recent = this->recent_before.contains(box) && this->parts.scheduler.Now() < this->orders_from;
+	return this->MayOrder() && !recent;
+}
+
+std::set<BoxName> FleetOwner::RecentOrders() const
+{
+	const Millis now = this->parts.scheduler.Now();
+	const Millis gap = this->parts.turn_gap + TURN_SLACK;
+	std::set<BoxName> out = now < this->orders_from ? this->recent_before : std::set<BoxName>();
+	for (const auto &[box, at] : this->ordered_at) {
+		if (now - at < gap) {
+			out.insert(box);
+		}
+	}
+	return out;
+}
+
+void FleetOwner::Release(const std::function<void()> &done)
+{
+	this->parts.scheduler.Cancel(this->timer);
+	this->claim.reset();
+	if (std::exchange(this->lost, true) || !this->journal) {
+		done();
+		return;
+	}
+	/* Who doesn't know the orders of those before can't vouch for them: the next holder then waits for all boxes. */
+	const bool knows = this->turns_known || this->parts.scheduler.Now() >= this->orders_from;
+	std::vector<KeyedRecord> records;
+	std::set<std::string> old = this->turn_keys;
+	for (const BoxName &box : this->RecentOrders()) {
+		const std::string key = TURN_PREFIX + box.Value();
+		records.push_back(KeyedRecord{key, std::string("1")});
+		old.erase(key);
+	}
+	std::ranges::for_each(old, [&records](const std::string &it) { records.push_back(KeyedRecord{it, std::nullopt}); });
+	records.push_back(KeyedRecord{OWNER_KEY, EncodeOwner(StoredOwner{this->epoch, this->parts.address, knows})});
+	this->parts.events.Write("fleet_released", {{"fence", std::to_string(this->fence.Value())},
+												{"recent", std::to_string(records.size() - 1)},
+												{"known", knows ? "yes" : "no"}});
+	this->journal->on_deposed = done;
+	this->journal->Append(std::move(records), done);
 }
 
 void FleetOwner::Tick()
@@ -168,11 +224,15 @@
 	for (const auto &[pool, boxes] : moves.drain) {
 		this->actions.drain[pool].insert(boxes.begin(), boxes.end());
 	}
-	if (this->MayOrder()) {
-		for (const auto &[box, wave] : this->actions.maintain) {
+	for (const auto &[box, wave] : this->actions.maintain) {
+		if (this->MayOrder(box)) {
 			this->Maintain(box, wave);
 		}
-		std::ranges::for_each(moves.moves, [this](const PoolMove &it) { this->Move(it); });
+	}
+	for (const PoolMove &it : moves.moves) {
+		if (this->MayOrder(it.box)) {
+			this->Move(it);
+		}
 	}
 	std::ranges::for_each(this->actions.completed, [this](uint64_t wave) { this->Publish(wave, true); });
 }
@@ -180,6 +240,7 @@
 void FleetOwner::Move(const PoolMove &move)
 {
 	const auto row = std::ranges::find(this->view.machines, move.box, &MachineRow::box);
+	this->ordered_at[move.box] = this->parts.scheduler.Now();
 	this->movers.Ordered(move, this->parts.scheduler.Now());
 	this->parts.events.Write("move_ordered", {{"box", move.box.Value()},
 											  {"from", row->pool.Value()},
@@ -205,6 +266,7 @@
 void FleetOwner::Maintain(const BoxName &box, uint64_t wave)
 {
 	const auto row = std::ranges::find(this->view.machines, box, &MachineRow::box);
+	this->ordered_at[box] = this->parts.scheduler.Now();
 	this->desk.Ordered(box, wave, row->life, this->parts.scheduler.Now());
 	this->parts.events.Write("maintenance_ordered", {{"box", box.Value()},
 													 {"wave", std::to_string(wave)},
--- a/src/upkeep/fleet_owner.h
+++ b/src/upkeep/fleet_owner.h
@@ -49,6 +49,10 @@
 	/** The group has confirmed that this node should own the fleet. @param at When the question was sent. */
 	void Confirm(Millis at) { this->confirmed_at = std::max(this->confirmed_at, at); }
 
+	/** Lets go because another node is to own the fleet: gives no more orders, and tells the log which boxes had some a
+	 * moment ago. The object may be destroyed once `done` was called. @param done Told when the log has it. */
+	void Release(const std::function<void()> &done);
+
 	std::function<void()> on_lost; ///< Another node has taken over: this object may be destroyed from a later turn.
 
 private:
@@ -60,7 +64,12 @@
 	std::unique_ptr<PartitionClaim> claim; ///< The claim.
 	std::unique_ptr<ShardJournal> journal; ///< Records, once claimed.
 	FenceToken fence;                      ///< Token of this ownership.
-	Millis orders_from;                    ///< No order before: the holder before may still have given some.
+	uint64_t epoch = 0;                    ///< Of the claim.
+	Millis orders_from;                    ///< From then on no order of an earlier holder is recent.
+	bool turns_known = false;              ///< Whether the holder before has told which boxes had recent orders.
+	std::set<BoxName> recent_before;       ///< Those boxes.
+	std::map<BoxName, Millis> ordered_at;  ///< When this holder last gave an order for a box.
+	std::set<std::string> turn_keys;       ///< Records of recent orders in the log.
 	Millis confirmed_at;                   ///< When the group last confirmed the ownership.
 	bool lost = false;                     ///< Whether another holder has come.
 	size_t pending = 0;                    ///< Questions of this tick that are not answered.
@@ -81,6 +90,8 @@
 	void Publish(uint64_t wave, bool completed);
 	void Lose();
 	[[nodiscard]] bool MayOrder() const;
+	[[nodiscard]] bool MayOrder(const BoxName &box) const;
+	[[nodiscard]] std::set<BoxName> RecentOrders() const;
 };
 
 #endif /* FLEET_OWNER_H */
--- /dev/null
+++ b/tests/test_fleet_owner.cpp
@@ -0,0 +1,201 @@
+/** @file test_fleet_owner.cpp Holders of the fleet's orders: one after the other, and never close together on a box. */
+#include "standin/memory/keyed_store.h"
+#include "upkeep/fleet_owner.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+namespace {
+
+/** Each box has a pool of its own, so that no pool's limit of boxes that are away at once gets in the way. */
+ServiceName PoolOf(const std::string &box)
+{
+	return ServiceName("pool-" + box);
+}
+
+constexpr Millis GAP(3300); ///< Between the orders of two holders for one box.
+
+/** Machines, each of a pool of its own; notes who ordered what when. */
+class NotedMachines : public MachineControl {
+public:
+	explicit NotedMachines(VirtualScheduler &clock) : clock(clock) {}
+
+	/** An order. */
+	struct Order {
+		BoxName box;        ///< For which box.
+		std::string holder; ///< By whom.
+		Millis at;          ///< When.
+	};
+
+	void List(std::function<void(ResultCode, std::vector<MachineRow>)> done) override
+	{
+		std::vector<MachineRow> rows;
+		for (const char *name : {"m0", "m1", "m2"}) {
+			rows.push_back(MachineRow{BoxName(name), PoolOf(name), MachineState::MS_UP, ZoneName("z"),
+									  Resources{8000, 8000, 0}, BoxLife(std::string(name) + "-1")});
+		}
+		this->clock.After(Millis(2), [done, rows] { done(ResultCode::RC_OK, rows); });
+	}
+
+	void Move(const BoxName &, const ServiceName &, const ControlLease &, Done done) override
+	{
+		this->clock.After(Millis(2), [done] { done(ControlOutcome::CO_REJECTED); });
+	}
+
+	void Maintain(const BoxName &box, uint64_t, const ControlLease &lease, Done done) override
+	{
+		this->orders.push_back(Order{box, lease.holder, this->clock.Now()});
+		/* Never carried out, so that holders order again. */
+		this->clock.After(Millis(2), [done] { done(ControlOutcome::CO_REFUSED); });
+	}
+
+	std::vector<Order> orders; ///< All orders.
+
+private:
+	VirtualScheduler &clock; ///< The clock.
+};
+
+/** Pools whose boxes are empty at once; publishes nothing. */
+class EmptyPools : public PoolOwners, public WaveReports {
+public:
+	void Ask(const ServiceName &service, const std::set<BoxName> &drain, const std::set<BoxName> &,
+			 std::function<void(std::optional<PoolStatus>)> done) override
+	{
+		PoolStatus out;
+		for (const char *name : {"m0", "m1", "m2"}) {
+			if (PoolOf(name) != service) {
+				continue;
+			}
+			out.boxes.push_back(PoolBox{BoxName(name), BoxLife(std::string(name) + "-1"), 0, 0, 8000,
+										!drain.contains(BoxName(name))});
+		}
+		done(out);
+	}
+	void Publish(uint64_t, bool, std::function<void(bool)> done) override { done(true); }
+};
+
+/** A fleet with up to two holders. */
+struct FleetWorld {
+	VirtualScheduler clock{Millis(1700000000000)};         ///< The clock.
+	KeyedStore store{12};                                  ///< The log.
+	KeyedStoreClient log{this->clock, this->clock, store}; ///< The way to it.
+	NotedMachines machines{clock};                         ///< Machines.
+	EmptyPools pools;                                      ///< Pools.
+	NoEventLog events;                                     ///< Lines.
+
+	std::unique_ptr<FleetOwner> Make(const std::string &name, const std::vector<std::string> &boxes)
+	{
+		auto owner = std::make_unique<FleetOwner>(FleetParts{this->clock, this->log, this->machines, this->pools,
+															 this->pools, this->events, name, name, GAP});
+		JobConfig config;
+		for (const char *box : {"m0", "m1", "m2"}) {
+			config.services.push_back(JobService{PoolOf(box), true, false});
+		}
+		owner->Configure(config);
+		WaveOrder wave;
+		wave.number = 1;
+		std::ranges::transform(boxes, std::back_inserter(wave.boxes),
+							   [](const std::string &it) { return BoxName(it); });
+		wave.within = Millis(1000); /* Late at once: nothing is put off. */
+		wave.down_max = 3;
+		owner->OnWave(wave);
+		owner->Start();
+		return owner;
+	}
+
+	void RunConfirmed(FleetOwner &owner, Millis span)
+	{
+		const Millis until = this->clock.Now() + span;
+		while (this->clock.Now() < until) {
+			owner.Confirm(this->clock.Now());
+			this->clock.RunUntil(this->clock.Now() + Millis(100));
+		}
+	}
+
+	/** @return When a holder first ordered something for a box, or nothing. */
+	std::optional<Millis> First(const std::string &holder, const std::string &box)
+	{
+		const auto it = std::ranges::find_if(this->machines.orders, [&](const NotedMachines::Order &order) {
+			return order.holder == holder && order.box == BoxName(box);
+		});
+		return it == this->machines.orders.end() ? std::nullopt : std::optional(it->at);
+	}
+};
+
+} // namespace
+
+TEST_CASE("a holder that lets go by itself is followed at once, but for boxes that it has just given orders for")
+{
+	FleetWorld world;
+	auto first = world.Make("first", {"m0"});
+	world.RunConfirmed(*first, Millis(1500));
+	REQUIRE(world.First("first", "m0"));
+	const Millis last = world.machines.orders.back().at;
+	bool released = false;
+	first->Release([&released] { released = true; });
+	world.clock.RunUntil(world.clock.Now() + Millis(100));
+	REQUIRE(released);
+	first.reset();
+	const Millis begun = world.clock.Now();
+	auto second = world.Make("second", {"m0", "m1", "m2"});
+	world.RunConfirmed(*second, Millis(6000));
+	REQUIRE(world.First("second", "m1"));
+	REQUIRE(world.First("second", "m0"));
+	CHECK(*world.First("second", "m1") - begun < Millis(1000));
+	CHECK(*world.First("second", "m0") - last >= GAP);
+}
+
+TEST_CASE("a holder that was only silent is followed after the gap")
+{
+	FleetWorld world;
+	auto first = world.Make("first", {"m0"});
+	world.RunConfirmed(*first, Millis(1500));
+	const Millis last = world.machines.orders.back().at;
+	first.reset();
+	auto second = world.Make("second", {"m0", "m1", "m2"});
+	world.RunConfirmed(*second, Millis(6000));
+	REQUIRE(world.First("second", "m1"));
+	CHECK(*world.First("second", "m1") - last >= GAP);
+	CHECK(*world.First("second", "m0") - last >= GAP);
+}
+
+TEST_CASE("a holder that follows a silent one doesn't vouch for it when it lets go early")
+{
+	FleetWorld world;
+	auto first = world.Make("first", {"m0"});
+	world.RunConfirmed(*first, Millis(1500));
+	const Millis last = world.machines.orders.back().at;
+	first.reset();
+	auto second = world.Make("second", {"m0"});
+	world.RunConfirmed(*second, Millis(500));
+	second->Release([] {});
+	world.clock.RunUntil(world.clock.Now() + Millis(100));
+	second.reset();
+	auto third = world.Make("third", {"m0"});
+	world.RunConfirmed(*third, Millis(6000));
+	REQUIRE(world.First("third", "m0"));
+	CHECK(*world.First("third", "m0") - last >= GAP);
+}
+
+TEST_CASE("recent orders are passed on over two holders that let go")
+{
+	FleetWorld world;
+	auto first = world.Make("first", {"m0"});
+	world.RunConfirmed(*first, Millis(1500));
+	const Millis last = world.machines.orders.back().at;
+	first->Release([] {});
+	world.clock.RunUntil(world.clock.Now() + Millis(100));
+	first.reset();
+	auto second = world.Make("second", {"m1"});
+	world.RunConfirmed(*second, Millis(700));
+	second->Release([] {});
+	world.clock.RunUntil(world.clock.Now() + Millis(100));
+	second.reset();
+	auto third = world.Make("third", {"m0", "m2"});
+	world.RunConfirmed(*third, Millis(6000));
+	REQUIRE(world.First("third", "m2"));
+	REQUIRE(world.First("third", "m0"));
+	CHECK(*world.First("third", "m0") - last >= GAP);
+	CHECK(*world.First("third", "m2") - last < GAP);
+}
