--- a/src/upkeep/wave_desk.cpp
+++ b/src/upkeep/wave_desk.cpp
@@ -92,31 +92,6 @@
 							   std::ranges::count_if(this->down | std::views::keys, in_pool));
 }
 
-bool WaveDesk::Short(const ServiceName &pool, const FleetView &view) const
-{
-	const auto it = view.pools.find(pool);
-	if (it == view.pools.end()) {
-		return false;
-	}
-	int64_t room = 0;
-	std::ranges::for_each(it->second.boxes, [&room](const PoolBox &box) { room += box.placing ? box.cpu : 0; });
-	return static_cast<double>(it->second.waiting_cpu) > static_cast<double>(room) * this->limits.short_share;
-}
-
-bool WaveDesk::AnyShort(const FleetView &view) const
-{
-	return std::ranges::any_of(view.pools | std::views::keys,
-							   [&](const ServiceName &it) { return this->Short(it, view); });
-}
-
-bool WaveDesk::Pressing(const Wave &wave, size_t left, Millis now) const
-{
-	const size_t at_once = std::max<size_t>(wave.order.down_max, 1);
-	const auto rounds = static_cast<int64_t>((left + at_once - 1) / at_once);
-	const Millis needed = Millis(rounds * this->limits.round.Value()) + this->limits.reserve_time;
-	return wave.since + wave.order.within - now < needed;
-}
-
 WaveActions WaveDesk::Decide(const FleetView &view, Millis now)
 {
 	this->NoteReturns(view, now);
@@ -166,14 +141,7 @@
 	std::ranges::stable_sort(open, {}, weight);
 	const bool late = now - wave.since >
 					  Millis(static_cast<int64_t>(static_cast<double>(wave.order.within.Value()) * LATE_AFTER));
-	const bool any_short = this->AnyShort(view);
-	const bool may_wait = !late && !this->Pressing(wave, left, now);
 	for (const MachineRow *row : open) {
-		/* Boxes of the reserve are what a pool that is short gets next. */
-		const bool needed = view.reserves.contains(row->pool) ? any_short : this->Short(row->pool, view);
-		if (may_wait && needed) {
-			continue;
-		}
 		const auto in_pool = std::ranges::count(view.machines, row->pool, &MachineRow::pool);
 		const double share = late ? this->limits.late_share : this->limits.pool_share;
 		const auto most = std::max<size_t>(1, static_cast<size_t>(static_cast<double>(in_pool) * share));
--- a/src/upkeep/wave_desk.h
+++ b/src/upkeep/wave_desk.h
@@ -8,12 +8,8 @@
 
 /** Figures of waves. */
 struct WaveLimits {
-	double pool_share = 0.25; ///< Boxes of a pool that are emptied or down for waves at once, at least one.
-	double late_share = 0.5;  ///< The same once two thirds of a wave's time have passed.
-	/** A pool whose waiting tasks ask for more than this part of its room gives no boxes, while there is time. */
-	double short_share = 0.1;
-	Millis round = Millis(3500);        ///< Emptying a box and having it back takes about so long.
-	Millis reserve_time = Millis(3000); ///< Time kept beyond the rounds that are left.
+	double pool_share = 0.25;          ///< Boxes of a pool that are emptied or down for waves at once, at least one.
+	double late_share = 0.5;           ///< The same once two thirds of a wave's time have passed.
 	Millis forget_down = Millis(8000); ///< A box that was ordered down and is not seen down or back is counted so long.
 };
 
@@ -90,9 +86,6 @@
 	void NoteReturns(const FleetView &view, Millis now);
 	void DecideWave(const Wave &wave, const FleetView &view, Millis now, WaveActions &actions);
 	[[nodiscard]] size_t Taken(uint64_t wave) const;
-	[[nodiscard]] bool Short(const ServiceName &pool, const FleetView &view) const;
-	[[nodiscard]] bool AnyShort(const FleetView &view) const;
-	[[nodiscard]] bool Pressing(const Wave &wave, size_t left, Millis now) const;
 	[[nodiscard]] size_t TakenOf(const ServiceName &pool, const FleetView &view) const;
 };
 
