--- a/src/store/group_member.cpp
+++ b/src/store/group_member.cpp
@@ -19,6 +19,19 @@
 constexpr int64_t THOUSANDTHS = 1000; ///< In a core.
 constexpr char CPU_MARK = '/';        ///< Between address and processor time in a member's name.
 
+/** @return Members that hold something and have so much processor time. @param cpu Thousandths of a core. @param rows
+ * Who holds what. */
+std::set<std::string> MembersWith(int64_t cpu, const std::vector<PartitionHolder> &rows)
+{
+	std::set<std::string> out;
+	for (const PartitionHolder &it : rows) {
+		if (PeerOf(it.member).cpu >= cpu) {
+			out.insert(it.member);
+		}
+	}
+	return out;
+}
+
 } // namespace
 
 std::string MemberNameOf(const GroupPeer &peer)
@@ -67,12 +80,7 @@
 void GroupMember::OnHolders(ResultCode code, const std::vector<PartitionHolder> &rows)
 {
 	const int64_t own = std::max<int64_t>(this->spec.self.cpu, 1);
-	std::set<std::string> stronger;
-	for (const PartitionHolder &it : rows) {
-		if (PeerOf(it.member).cpu >= MUCH_STRONGER * own) {
-			stronger.insert(it.member);
-		}
-	}
+	const std::set<std::string> stronger = MembersWith(MUCH_STRONGER * own, rows);
 	if (stronger.size() >= STRONG_ENOUGH) {
 		this->StandBy(*stronger.begin());
 		return;
--- a/src/store/group_member.h
+++ b/src/store/group_member.h
@@ -69,7 +69,7 @@
 	GroupSpec spec;                                             ///< Which group, and as whom.
 	std::string name;                                           ///< This member's name in the group.
 	Millis started_at;                                          ///< When Start() was called.
-	bool joined = false;                                        ///< Whether a join was answered and this node stays in.
+	bool joined = false;                                        ///< Whether this node takes part, or tries to.
 	bool standing_by = false;                                   ///< For StandsBy().
 	uint64_t generation = 0;                                    ///< Last one heard.
 	std::set<uint32_t> parts;                                   ///< Partitions held.
--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -126,12 +126,11 @@
 {
 	SoakNode &node = this->AnyNode();
 	job.tries++;
-	const Millis sent = this->scheduler.Now();
 	this->Send(node, "POST", "/" + job.service + "/" + job.spec.id.Value(), job.body,
-			   [this, &job, &node, sent](const HttpReply &reply) { this->OnHandedIn(job, node, sent, reply); });
+			   [this, &job](const HttpReply &reply) { this->OnHandedIn(job, reply); });
 }
 
-void SoakWorld::OnHandedIn(SoakJob &job, SoakNode &, Millis, const HttpReply &reply)
+void SoakWorld::OnHandedIn(SoakJob &job, const HttpReply &reply)
 {
 	constexpr int OK = 200;
 	const bool refused = reply.result == CallResult::CR_NOT_SENT ||
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -201,7 +201,7 @@
 	for (const auto &job : this->jobs) {
 		const std::string id = job->spec.id.Value();
 		if (!job->accepted_at) {
-			if (!job->uncertain && this->boxes.site.Started(id.empty() ? JobId() : job->spec.id)) {
+			if (!job->uncertain && this->boxes.site.Started(job->spec.id)) {
 				this->broken.push_back("a job that was refused at every try has run: " + id);
 			}
 			continue;
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -100,7 +100,7 @@
 	void NextJob();
 	std::unique_ptr<SoakJob> MakeJob();
 	void HandIn(SoakJob &job);
-	void OnHandedIn(SoakJob &job, SoakNode &node, Millis sent, const HttpReply &reply);
+	void OnHandedIn(SoakJob &job, const HttpReply &reply);
 	void Cancel(SoakJob &job);
 	void Ask(SoakJob &job);
 	void Send(SoakNode &node, const char *method, const std::string &path, const std::string &body,
