--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -209,10 +209,16 @@
 		const size_t runs = this->boxes.site.Running(job->spec.id);
 		const std::string expected = job->cancelled ? "cancelled" : job->expected;
 		if (job->state != expected && !(job->cancelled && job->state == job->expected)) {
-			this->broken.push_back("job " + id + " is told as '" + job->state + "', expected " + expected);
+			std::string text = "job " + id;
+			text += " is told as '" + job->state;
+			text += "', expected " + expected;
+			this->broken.push_back(std::move(text));
 		} else if (runs != (job->state == "running" ? job->spec.steps.front().count : 0)) {
-			this->broken.push_back("job " + id + " (" + job->state + ") has " + std::to_string(runs) +
-								   " tasks running");
+			std::string text = "job " + id;
+			text += " (" + job->state;
+			text += ") has " + std::to_string(runs);
+			text += " tasks running";
+			this->broken.push_back(std::move(text));
 		}
 	}
 }
--- a/tests/test_advice.cpp
+++ b/tests/test_advice.cpp
@@ -32,7 +32,9 @@
 {
 	AdvisedWorld world;
 	std::vector<WorldJob *> jobs;
-	for (int n = 0; n < 10; n++) {
+	constexpr int COUNT = 10;
+	jobs.reserve(COUNT);
+	for (int n = 0; n < COUNT; n++) {
 		jobs.push_back(&world.Plan(Millis(2000 + n * 700), "calc", JobWorld::Chain(2), Millis(400)));
 	}
 	world.clock.RunUntil(Millis(20000));
--- a/tests/test_group.cpp
+++ b/tests/test_group.cpp
@@ -43,7 +43,9 @@
 	JobWorld world(0);
 	BootAll(world, 3, 6);
 	std::vector<WorldJob *> jobs;
-	for (int n = 0; n < 20; n++) {
+	constexpr int COUNT = 20;
+	jobs.reserve(COUNT);
+	for (int n = 0; n < COUNT; n++) {
 		jobs.push_back(&world.Plan(Millis(3000 + n * 500), n % 2 == 0 ? "calc" : "grid", JobWorld::Chain(3)));
 	}
 	world.clock.RunUntil(Millis(4000));
