Submissions go through the owner and are recorded with its placements in one append; around it in batches

Change: a node hands records to the owner over frames, which says at once that it is recording; one append takes what came and what is placed.

--- a/src/jobs/shard_base.h
+++ b/src/jobs/shard_base.h
@@ -168,6 +168,14 @@
 	int64_t waiting_cpu = 0;    ///< Thousandths of a core that waiting tasks ask for, whose turn has come.
 };
 
+/** A submission or cancellation that a caller waits for. */
+struct IncomingRecord {
+	KeyedRecord record;                   ///< What is to be recorded, under its key in the shard's partition.
+	std::optional<JobSpec> spec;          ///< The job; none for a cancellation.
+	JobId id;                             ///< The job's id.
+	std::function<void(ResultCode)> done; ///< Gets RC_OK once it is durable, RC_LOG_UNAVAILABLE when it never will be.
+};
+
 /** Answer about a job. */
 struct JobView {
 	bool known = false;                   ///< Whether there is such a job.
@@ -220,6 +228,9 @@
 	void Submit(const JobSpec &spec);
 	/** Cancels a job, also one that comes later. @param id The job. */
 	void Cancel(const JobId &id);
+	/** Takes a submission or cancellation that is recorded with the next append, together with the placements that
+	 * follow from it. @param incoming It. */
+	void Accept(IncomingRecord incoming);
 	/** Takes a configuration. @param config It. */
 	void Configure(const JobConfig &config);
 	/** Takes a box's report. @param report It. */
@@ -252,37 +263,42 @@
 		RunNumber run; ///< Which start.
 	};
 
-	Scheduler &scheduler;                     ///< Clock and timers.
-	ShardJournal &journal;                    ///< Records.
-	BoxOrders &orders;                        ///< Boxes.
-	EventLog &log;                            ///< Lines.
-	ServiceName service;                      ///< The service.
-	FenceToken fence;                         ///< Token of this ownership.
-	ShardLimits limits;                       ///< Figures.
-	Millis owned_since;                       ///< When this ownership began.
-	Millis other_owner_until;                 ///< Until then an earlier owner may prolong leases.
-	Millis store_away_at{-1000000};           ///< When the log had last not been heard of for long.
-	bool begun = false;                       ///< Whether Begin().
-	bool woken = false;                       ///< Whether a turn is due.
-	bool place_wanted = false;                ///< Whether a turn came while records were under way.
-	bool deposed = false;                     ///< Whether a box has seen a higher token.
-	JobConfig config;                         ///< The configuration in force.
-	std::map<JobId, ShardJob> jobs;           ///< Jobs, also those that are over.
-	std::set<JobId> live;                     ///< Jobs that are not over.
-	std::map<JobId, StoredProgress> restored; ///< Recorded progress whose submission is not there yet.
-	std::set<JobId> cancelled;                ///< Cancellations, also of jobs that are not there.
-	std::map<BoxLife, ShardBox> boxes;        ///< Boxes of the service.
-	std::map<RouteName, double> run_times;    ///< ms that tasks of a route took, on a scale of ratios, smoothed.
-	std::set<JobId> dirty;                    ///< Jobs to be recorded.
-	std::vector<PendingStart> starts;         ///< Orders to send once recorded.
-	TicketDesk tickets;                       ///< What policies of routes allow.
-	ShardCounters counters;                   ///< Counters.
-	TimerId timer;                            ///< Next turn without an event.
+	Scheduler &scheduler;                        ///< Clock and timers.
+	ShardJournal &journal;                       ///< Records.
+	BoxOrders &orders;                           ///< Boxes.
+	EventLog &log;                               ///< Lines.
+	ServiceName service;                         ///< The service.
+	FenceToken fence;                            ///< Token of this ownership.
+	ShardLimits limits;                          ///< Figures.
+	Millis owned_since;                          ///< When this ownership began.
+	Millis other_owner_until;                    ///< Until then an earlier owner may prolong leases.
+	Millis store_away_at{-1000000};              ///< When the log had last not been heard of for long.
+	bool begun = false;                          ///< Whether Begin().
+	bool woken = false;                          ///< Whether a turn is due.
+	bool place_wanted = false;                   ///< Whether a turn came while records were under way.
+	bool deposed = false;                        ///< Whether a box has seen a higher token.
+	JobConfig config;                            ///< The configuration in force.
+	std::map<JobId, ShardJob> jobs;              ///< Jobs, also those that are over.
+	std::set<JobId> live;                        ///< Jobs that are not over.
+	std::map<JobId, StoredProgress> restored;    ///< Recorded progress whose submission is not there yet.
+	std::set<JobId> cancelled;                   ///< Cancellations, also of jobs that are not there.
+	std::map<BoxLife, ShardBox> boxes;           ///< Boxes of the service.
+	std::map<RouteName, double> run_times;       ///< ms that tasks of a route took, on a scale of ratios, smoothed.
+	std::map<uint64_t, IncomingRecord> incoming; ///< Records that wait for the next append, in the order of arrival.
+	uint64_t incoming_last = 0;                  ///< Number of the last of them.
+	std::vector<IncomingRecord> accepted;        ///< Those that the next append takes along.
+	std::set<JobId> dirty;                       ///< Jobs to be recorded.
+	std::vector<PendingStart> starts;            ///< Orders to send once recorded.
+	TicketDesk tickets;                          ///< What policies of routes allow.
+	ShardCounters counters;                      ///< Counters.
+	TimerId timer;                               ///< Next turn without an event.
 	std::shared_ptr<bool> alive = std::make_shared<bool>(true); ///< Expires with this.
 
 	/* shard_jobs.cpp */
 	void Wake();
 	void Turn();
+	void TakeIncoming();
+	void Withdraw(uint64_t number);
 	void Commit();
 	void OnCommitted(const std::vector<PendingStart> &due, const std::map<BoxLife, uint64_t> &ends,
 					 const std::map<JobId, JobPhase> &phases);
--- a/src/jobs/shard_jobs.cpp
+++ b/src/jobs/shard_jobs.cpp
@@ -7,6 +7,10 @@
 
 namespace {
 
+/** What has waited so long for an append is handed back unrecorded: its caller may try elsewhere. A slow store takes
+ * 600 ms. */
+constexpr Millis WITHDRAW_AFTER(700);
+constexpr Millis LOG_AWAY(1600); ///< An owner that was confirmed longer ago takes nothing to be recorded.
 constexpr Millis TICK(500); ///< Turn without an event: lapsed leases and boxes to be tried again are noticed so late.
 
 } // namespace
@@ -238,6 +242,7 @@
 	/* Nothing can be recorded, and so nothing started, before the append under way has ended: OnCommitted() goes on. */
 	this->place_wanted = this->journal.Busy();
 	if (!this->place_wanted) {
+		this->TakeIncoming();
 		this->Place();
 		this->Commit();
 	}
@@ -246,6 +251,44 @@
 	}
 }
 
+void Shard::Accept(IncomingRecord incoming)
+{
+	if (!this->begun || this->deposed || this->scheduler.Now() - this->journal.ConfirmedAt() > LOG_AWAY) {
+		incoming.done(ResultCode::RC_LOG_UNAVAILABLE);
+		return;
+	}
+	const uint64_t number = ++this->incoming_last;
+	this->incoming.emplace(number, std::move(incoming));
+	this->scheduler.After(WITHDRAW_AFTER, [this, number, still = std::weak_ptr<bool>(this->alive)] {
+		if (!still.expired()) {
+			this->Withdraw(number);
+		}
+	});
+	this->Wake();
+}
+
+void Shard::Withdraw(uint64_t number)
+{
+	if (const auto node = this->incoming.extract(number); !node.empty()) {
+		node.mapped().done(ResultCode::RC_LOG_UNAVAILABLE);
+	}
+}
+
+void Shard::TakeIncoming()
+{
+	for (IncomingRecord &it : std::exchange(this->incoming, {}) | std::views::values) {
+		const bool known = it.spec ? this->jobs.contains(it.id) : this->cancelled.contains(it.id);
+		if (known) {
+			it.record.key.clear(); /* Recorded before: no append is under way. */
+		} else if (it.spec) {
+			this->Submit(*it.spec);
+		} else {
+			this->Cancel(it.id);
+		}
+		this->accepted.push_back(std::move(it));
+	}
+}
+
 void Shard::Commit()
 {
 	/* No append is under way, so all that was taken in is either recorded or among the dirty jobs. */
@@ -257,6 +300,15 @@
 	}
 	std::vector<KeyedRecord> records;
 	std::map<JobId, JobPhase> phases;
+	const std::vector<IncomingRecord> taken = std::exchange(this->accepted, {});
+	for (const IncomingRecord &it : taken) {
+		if (!it.record.key.empty()) {
+			records.push_back(it.record);
+		}
+	}
+	const auto tell = [taken] {
+		std::ranges::for_each(taken, [](const IncomingRecord &it) { it.done(ResultCode::RC_OK); });
+	};
 	for (const JobId &id : this->dirty) {
 		const ShardJob &job = this->jobs.at(id);
 		records.push_back(KeyedRecord{id.Value(), EncodeProgress(this->Stored(job))});
@@ -265,10 +317,12 @@
 	this->dirty.clear();
 	const std::vector<PendingStart> due = std::exchange(this->starts, {});
 	if (records.empty()) {
+		tell();
 		this->OnCommitted(due, ends, phases);
 		return;
 	}
-	this->journal.Append(std::move(records), [this, due, ends, phases, still = std::weak_ptr<bool>(this->alive)] {
+	this->journal.Append(std::move(records), [this, due, ends, phases, tell, still = std::weak_ptr<bool>(this->alive)] {
+		tell();
 		/* The journal may outlive the shard, to say in the log that its owner has let go. */
 		if (!still.expired()) {
 			this->OnCommitted(due, ends, phases);
--- a/src/jobs/shard_owner.cpp
+++ b/src/jobs/shard_owner.cpp
@@ -67,6 +67,9 @@
 	this->journal->on_deposed = let_go;
 	this->shard->on_deposed = let_go;
 	for (const auto &[key, bytes] : claimed.records) {
+		if (key.front() == TAKEN_MARK) {
+			continue; /* Once all progress is restored. */
+		}
 		if (const auto progress = DecodeProgress(bytes); progress) {
 			this->shard->Restore(JobId(key), *progress);
 		} else {
@@ -74,6 +77,11 @@
 		}
 	}
 	this->shard->Configure(this->config);
+	for (const auto &[key, bytes] : claimed.records) {
+		if (key.front() == TAKEN_MARK) {
+			this->OnInbox(KeyedRecord{key.substr(1), bytes});
+		}
+	}
 	std::ranges::for_each(this->reports | std::views::values,
 						  [this](const BoxReport &it) { this->shard->OnReport(it); });
 	this->inbox = std::make_unique<KeyedFollower>(this->parts.scheduler, this->parts.log,
@@ -105,6 +113,26 @@
 	}
 }
 
+void ShardOwner::Accept(const KeyedRecord &record, std::function<void(ResultCode)> done)
+{
+	if (!this->running) {
+		done(ResultCode::RC_PEER_UNAVAILABLE);
+		return;
+	}
+	const bool cancels = record.key.front() == CANCEL_MARK;
+	IncomingRecord incoming{KeyedRecord{TAKEN_MARK + record.key, record.value}, std::nullopt,
+							JobId(cancels ? record.key.substr(1) : record.key), std::move(done)};
+	if (!cancels) {
+		incoming.spec = DecodeSubmission(incoming.id, record.value.value_or(std::string()));
+	}
+	if (!cancels && !incoming.spec) {
+		this->parts.events.Write("bad_record", {{"topic", this->progress.topic}, {"key", record.key}});
+		incoming.done(ResultCode::RC_LOG_UNAVAILABLE);
+		return;
+	}
+	this->shard->Accept(std::move(incoming));
+}
+
 void ShardOwner::KeepConfirmed()
 {
 	this->confirm_timer = this->parts.scheduler.After(CONFIRM_EVERY, [this] { this->KeepConfirmed(); });
--- a/src/jobs/shard_owner.h
+++ b/src/jobs/shard_owner.h
@@ -13,6 +13,9 @@
 /** Before the id of a job in the key of its cancellation. */
 inline constexpr char CANCEL_MARK = 'x';
 
+/** Before the key of an inbox's record in the key under which the owner records it, among the progress. */
+inline constexpr char TAKEN_MARK = 'j';
+
 /** @return Topic of a service. @param service The service. */
 std::string TopicOf(const ServiceName &service);
 
@@ -48,6 +51,9 @@
 	void Release(const std::function<void()> &done);
 	/** Takes a configuration. @param config It. */
 	void Configure(const JobConfig &config);
+	/** Takes a caller's record, as it would lie in the inbox. @param record It. @param done Gets RC_OK once it is
+	 * durable, RC_PEER_UNAVAILABLE or RC_LOG_UNAVAILABLE when it never will be. */
+	void Accept(const KeyedRecord &record, std::function<void(ResultCode)> done);
 	/** Takes a box's report. @param report It. */
 	void OnReport(const BoxReport &report);
 	/** A box's report is gone. @param life The box's life. */
--- a/src/node/job_desk.cpp
+++ b/src/node/job_desk.cpp
@@ -5,8 +5,11 @@
 
 namespace {
 
-constexpr Millis
-		APPEND_PATIENCE(700);        ///< A try without an answer is repeated after this; a slow log takes a few 100 ms.
+/** An owner that has not said by then that it is recording can't be asked: the inbox takes the record. Three times what
+ * a node that runs five times slower takes. */
+constexpr Millis OWNER_WAIT(300);
+/** An owner that records has until so long before the caller's deadline; then the inbox is tried. */
+constexpr Millis INBOX_RESERVE(900);
 constexpr Millis REFUSED_AGAIN(40);  ///< Pause before another try after the log refused.
 constexpr Millis REFUSE_WITHIN(120); ///< What the log refuses for so long is refused to the caller: another node, or a
 									 ///< later try, serves it sooner (a quarter of the shortest objective is 150 ms).
@@ -29,32 +32,92 @@
 
 void JobDesk::Submit(const JobSpec &spec, const ServiceName &service, Millis deadline, Done done)
 {
-	auto it = std::make_shared<Pending>(Pending{PartitionId{TopicOf(service), INBOX_PART},
-												KeyedRecord{spec.id.Value(), EncodeSubmission(spec)},
-												this->scheduler.Now(), deadline, false, std::move(done)});
-	this->open++;
-	this->Try(it);
+	this->Record(std::make_shared<Pending>(Pending{service, KeyedRecord{spec.id.Value(), EncodeSubmission(spec)},
+												   this->scheduler.Now(), deadline, false, std::move(done)}));
 }
 
 void JobDesk::Cancel(const JobId &id, const ServiceName &service, Millis deadline, Done done)
 {
-	auto it = std::make_shared<Pending>(Pending{PartitionId{TopicOf(service), INBOX_PART},
-												KeyedRecord{CANCEL_MARK + id.Value(), std::string("1")},
-												this->scheduler.Now(), deadline, false, std::move(done)});
+	this->Record(std::make_shared<Pending>(Pending{service, KeyedRecord{CANCEL_MARK + id.Value(), std::string("1")},
+												   this->scheduler.Now(), deadline, false, std::move(done)}));
+}
+
+void JobDesk::Record(const std::shared_ptr<Pending> &it)
+{
 	this->open++;
-	this->Try(it);
+	this->scheduler.After(std::max(it->deadline - ANSWER_MARGIN - this->scheduler.Now(), Millis(1)),
+						  [this, it, still = std::weak_ptr<bool>(this->alive)] {
+							  if (!still.expired()) {
+								  this->Finish(it, it->uncertain ? ResultCode::RC_OUTCOME_UNKNOWN
+																 : ResultCode::RC_LOG_UNAVAILABLE);
+							  }
+						  });
+	ShardOwner *owner = this->host.Find(it->service);
+	if (owner != nullptr && owner->Running() != nullptr) {
+		it->uncertain = true;
+		owner->Accept(it->record, [this, it, still = std::weak_ptr<bool>(this->alive)](ResultCode code) {
+			if (!still.expired()) {
+				this->OnOwner(it, code);
+			}
+		});
+	} else if (this->lookup.Ready(PartitionId{TopicOf(it->service), PROGRESS_PART})) {
+		this->AskOwner(it);
+	} else {
+		this->TryInbox(it);
+	}
 }
 
-void JobDesk::Try(const std::shared_ptr<Pending> &it)
+void JobDesk::AskOwner(const std::shared_ptr<Pending> &it)
 {
+	const auto make = [it](uint64_t number) {
+		glade::wire::RecordQuestionT out;
+		out.number = number;
+		out.service = it->service.Value();
+		out.key = it->record.key;
+		out.value.assign(it->record.value->begin(), it->record.value->end());
+		return MakeMessage(std::move(out));
+	};
+	it->uncertain = true;
+	this->lookup.Ask(
+			PartitionId{TopicOf(it->service), PROGRESS_PART}, it->record.key, this->scheduler.Now() + OWNER_WAIT, make,
+			[this, it, still = std::weak_ptr<bool>(this->alive)](ResultCode code, const MessageUnion *) {
+				if (!still.expired()) {
+					this->OnOwner(it, code);
+				}
+			},
+			it->deadline - INBOX_RESERVE);
+}
+
+void JobDesk::OnOwner(const std::shared_ptr<Pending> &it, ResultCode code)
+{
+	if (code == ResultCode::RC_OK) {
+		this->Finish(it, code);
+		return;
+	}
+	/* Anything but silence means that the owner won't record it. */
+	it->uncertain = code == ResultCode::RC_OUTCOME_UNKNOWN;
+	this->TryInbox(it);
+}
+
+void JobDesk::TryInbox(const std::shared_ptr<Pending> &it)
+{
+	if (!it->done) {
+		return;
+	}
+	auto &inbox = this->inboxes[it->service];
+	if (!inbox) {
+		inbox = std::make_unique<InboxWriter>(this->scheduler, this->log,
+											  PartitionId{TopicOf(it->service), INBOX_PART});
+	}
 	/* A repeated record changes nothing: the first one of a key counts. So no sequence numbers are needed. */
-	const Millis left = it->deadline - ANSWER_MARGIN - this->scheduler.Now();
-	this->log.Append(it->partition, {it->record}, AppendCondition{}, std::clamp(left, Millis(1), APPEND_PATIENCE),
-					 [this, it, still = std::weak_ptr<bool>(this->alive)](const KeyedAppendAnswer &answer) {
-						 if (!still.expired()) {
-							 this->OnAppended(it, answer.code);
-						 }
-					 });
+	const bool before = std::exchange(it->uncertain, true); /* As long as the append may be under way. */
+	inbox->Append(it->record, it->deadline - ANSWER_MARGIN,
+				  [this, it, before, still = std::weak_ptr<bool>(this->alive)](ResultCode code) {
+					  if (!still.expired()) {
+						  it->uncertain = before;
+						  this->OnAppended(it, code);
+					  }
+				  });
 }
 
 void JobDesk::OnAppended(const std::shared_ptr<Pending> &it, ResultCode code)
@@ -63,31 +126,31 @@
 		this->Finish(it, code);
 		return;
 	}
-	const Millis now = this->scheduler.Now();
 	it->uncertain = it->uncertain || code == ResultCode::RC_LOG_ANSWER_LOST;
-	const bool late = now + ANSWER_MARGIN >= it->deadline;
-	if (it->uncertain && late) {
-		this->Finish(it, ResultCode::RC_OUTCOME_UNKNOWN);
-	} else if (!it->uncertain && (late || now - it->begun >= REFUSE_WITHIN)) {
+	if (!it->uncertain && this->scheduler.Now() - it->begun >= REFUSE_WITHIN) {
 		this->Finish(it, code);
-	} else {
-		this->scheduler.After(REFUSED_AGAIN, [this, it, still = std::weak_ptr<bool>(this->alive)] {
-			if (!still.expired()) {
-				this->Try(it);
-			}
-		});
+		return;
 	}
+	this->scheduler.After(REFUSED_AGAIN, [this, it, still = std::weak_ptr<bool>(this->alive)] {
+		if (!still.expired()) {
+			this->TryInbox(it);
+		}
+	});
 }
 
 void JobDesk::Finish(const std::shared_ptr<Pending> &it, ResultCode code)
 {
+	const Done done = std::exchange(it->done, nullptr);
+	if (!done) {
+		return; /* Told before. */
+	}
 	this->open--;
 	this->events.Write("recorded", {{"key", it->record.key},
-									{"topic", it->partition.topic},
+									{"service", it->service.Value()},
 									{"config", std::to_string(this->config.version)},
 									{"code", SymbolOf(code)},
 									{"took_ms", std::to_string((this->scheduler.Now() - it->begun).Value())}});
-	it->done(code);
+	done(code);
 }
 
 JobAnswer JobDesk::AnswerHere(const JobQuestion &question) const
--- a/src/node/job_desk.h
+++ b/src/node/job_desk.h
@@ -2,6 +2,7 @@
 #ifndef JOB_DESK_H
 #define JOB_DESK_H
 
+#include "inbox_writer.h"
 #include "owner_lookup.h"
 #include "shard_host.h"
 
@@ -45,26 +46,30 @@
 	[[nodiscard]] size_t Open() const { return this->open; }
 
 private:
-	/** An append until its outcome is known or nobody waits any more. */
+	/** A record until its outcome is known or nobody waits any more. */
 	struct Pending {
-		PartitionId partition;  ///< Where.
-		KeyedRecord record;     ///< What.
+		ServiceName service;    ///< Service whose shard it is for.
+		KeyedRecord record;     ///< What, as it lies in the inbox.
 		Millis begun;           ///< When the caller asked.
 		Millis deadline;        ///< When the caller stops waiting.
 		bool uncertain = false; ///< Whether one of the tries may have had an effect.
-		Done done;              ///< Gets the result.
+		Done done;              ///< Gets the result; null once told.
 	};
 
-	Scheduler &scheduler;                                       ///< Clock and timers.
-	KeyedLog &log;                                              ///< The log.
-	ShardHost &host;                                            ///< Shards of this node.
-	OwnerLookup &lookup;                                        ///< Owners elsewhere.
-	EventLog &events;                                           ///< Lines.
-	JobConfig config;                                           ///< The configuration in force.
-	size_t open = 0;                                            ///< Appends under way.
-	std::shared_ptr<bool> alive = std::make_shared<bool>(true); ///< Expires with this.
+	Scheduler &scheduler;                                        ///< Clock and timers.
+	KeyedLog &log;                                               ///< The log.
+	ShardHost &host;                                             ///< Shards of this node.
+	OwnerLookup &lookup;                                         ///< Owners elsewhere.
+	EventLog &events;                                            ///< Lines.
+	JobConfig config;                                            ///< The configuration in force.
+	std::map<ServiceName, std::unique_ptr<InboxWriter>> inboxes; ///< Ways around owners that can't be asked.
+	size_t open = 0;                                             ///< Appends under way.
+	std::shared_ptr<bool> alive = std::make_shared<bool>(true);  ///< Expires with this.
 
-	void Try(const std::shared_ptr<Pending> &it);
+	void Record(const std::shared_ptr<Pending> &it);
+	void AskOwner(const std::shared_ptr<Pending> &it);
+	void OnOwner(const std::shared_ptr<Pending> &it, ResultCode code);
+	void TryInbox(const std::shared_ptr<Pending> &it);
 	void OnAppended(const std::shared_ptr<Pending> &it, ResultCode code);
 	void Finish(const std::shared_ptr<Pending> &it, ResultCode code);
 };
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -47,7 +47,7 @@
 		  lookup(scheduler, links.log, links.events),
 		  desk(scheduler, links.log, this->host, this->lookup, links.events),
 		  frames([this](FrameLink &link, const MessageUnion &message) { this->OnFrame(link, message); },
-				 [](FrameLink &) {})
+				 [this](FrameLink &link) { this->recording.erase(&link); })
 {
 	this->member.on_answer = [this] { this->OnMembership(); };
 }
@@ -213,6 +213,8 @@
 		this->OnJobQuestion(link, *job);
 	} else if (const auto *pool = message.AsPoolQuestion(); pool != nullptr) {
 		this->OnPoolQuestion(link, *pool);
+	} else if (const auto *record = message.AsRecordQuestion(); record != nullptr) {
+		this->OnRecordQuestion(link, *record);
 	} else {
 		this->links.events.Write("bad_frame", {{"kind", std::to_string(static_cast<int>(message.type))}});
 	}
@@ -230,6 +232,30 @@
 	link.Send(MakeMessage(out));
 }
 
+void NodeCore::OnRecordQuestion(FrameLink &link, const glade::wire::RecordQuestionT &in)
+{
+	const auto answer = [number = in.number](FrameLink &to, ResultCode code) {
+		glade::wire::RecordAnswerT out;
+		out.number = number;
+		out.code = static_cast<uint32_t>(code);
+		to.Send(MakeMessage(out));
+	};
+	ShardOwner *owner = this->host.Find(ServiceName(in.service));
+	if (owner == nullptr || owner->Running() == nullptr || in.key.empty()) {
+		answer(link, ResultCode::RC_PEER_UNAVAILABLE);
+		return;
+	}
+	/* The asking node waits on as long as it knows that this one lives. */
+	answer(link, ResultCode::RC_LOG_RECORDING);
+	this->recording.insert(&link);
+	const std::string value(reinterpret_cast<const char *>(in.value.data()), in.value.size());
+	owner->Accept(KeyedRecord{in.key, value}, [this, to = &link, answer](ResultCode code) {
+		if (this->recording.contains(to)) {
+			answer(*to, code);
+		}
+	});
+}
+
 void NodeCore::OnPoolQuestion(FrameLink &link, const glade::wire::PoolQuestionT &in)
 {
 	const std::optional<PoolStatus> status =
--- a/src/node/node_core.h
+++ b/src/node/node_core.h
@@ -67,6 +67,7 @@
 	OwnerLookup lookup;                               ///< Owners elsewhere.
 	JobDesk desk;                                     ///< Answers.
 	FrameServer frames;                               ///< Other nodes ask here.
+	std::set<FrameLink *> recording;                  ///< Connections that wait for the result of an append.
 	bool leaving = false;                             ///< Whether Leave() was called.
 	std::map<uint64_t, WaveOrder> waves;              ///< Waves heard of.
 	std::unique_ptr<FleetOwner> fleet;                ///< While this node gives orders to machines, or waits to.
@@ -80,6 +81,7 @@
 	void OnFrame(FrameLink &link, const MessageUnion &message);
 	void OnJobQuestion(FrameLink &link, const glade::wire::JobQuestionT &in);
 	void OnPoolQuestion(FrameLink &link, const glade::wire::PoolQuestionT &in);
+	void OnRecordQuestion(FrameLink &link, const glade::wire::RecordQuestionT &in);
 	std::optional<PoolStatus> PoolHere(const ServiceName &service, const std::set<BoxName> &drain,
 									   const std::set<BoxName> &due);
 };
--- a/src/node/owner_lookup.cpp
+++ b/src/node/owner_lookup.cpp
@@ -20,10 +20,18 @@
 {
 }
 
-void OwnerLookup::Ask(const PartitionId &shard, const std::string &what, Millis deadline, Make make, Done done)
+void OwnerLookup::Ask(const PartitionId &shard, const std::string &what, Millis deadline, Make make, Done done,
+					  Millis recording_until)
 {
 	const uint64_t number = ++this->last_number;
-	this->open.emplace(number, Open{shard, what, deadline, std::move(make), std::move(done), {}, TimerId()});
+	Open question;
+	question.shard = shard;
+	question.what = what;
+	question.deadline = deadline;
+	question.make = std::move(make);
+	question.done = std::move(done);
+	question.recording_until = recording_until;
+	this->open.emplace(number, std::move(question));
 	this->Try(number);
 }
 
@@ -38,7 +46,8 @@
 		this->events.Write("owner_silent", {{"what", it->second.what},
 											{"shard", it->second.shard.topic},
 											{"asked", it->second.asked.empty() ? "nobody" : it->second.asked}});
-		this->Finish(number, ResultCode::RC_PEER_UNAVAILABLE, nullptr);
+		const bool sent = it->second.sent || it->second.lost;
+		this->Finish(number, sent ? ResultCode::RC_OUTCOME_UNKNOWN : ResultCode::RC_PEER_UNAVAILABLE, nullptr);
 		return;
 	}
 	const KnownOwner &owner = this->owners[it->second.shard];
@@ -55,7 +64,8 @@
 void OwnerLookup::Again(uint64_t number)
 {
 	Open &it = this->open.at(number);
-	const Millis wait = it.asked.empty() ? ASK_AGAIN : ANSWER_WAIT;
+	const Millis answer = it.recording ? it.deadline - this->scheduler.Now() : ANSWER_WAIT;
+	const Millis wait = it.asked.empty() ? ASK_AGAIN : answer;
 	this->scheduler.Cancel(it.timer);
 	it.timer = this->scheduler.After(std::min(wait, it.deadline - this->scheduler.Now()), [this, number] {
 		const auto late = this->open.find(number);
@@ -63,6 +73,7 @@
 			/* The node is gone or another owns the shard by now. */
 			this->clients.erase(late->second.asked);
 			late->second.asked.clear();
+			late->second.lost = late->second.lost || late->second.sent;
 			this->Refresh(late->second.shard);
 		}
 		this->Try(number);
@@ -101,6 +112,15 @@
 	owner.address = found ? found->address : std::string();
 }
 
+bool OwnerLookup::Ready(const PartitionId &shard)
+{
+	const KnownOwner &owner = this->owners[shard];
+	if (owner.address.empty() || this->scheduler.Now() - owner.asked_at > OWNER_VALID) {
+		this->Refresh(shard);
+	}
+	return !owner.address.empty() && this->ClientOf(owner.address).Up();
+}
+
 FrameClient &OwnerLookup::ClientOf(const std::string &address)
 {
 	auto &client = this->clients[address];
@@ -127,6 +147,7 @@
 	FrameClient &client = this->ClientOf(it.asked);
 	if (client.Up()) {
 		client.Send(it.make(number));
+		it.sent = true;
 	}
 	this->Again(number);
 }
@@ -141,15 +162,28 @@
 	} else if (const auto *pool = message.AsPoolAnswer(); pool != nullptr) {
 		number = pool->number;
 		code = static_cast<ResultCode>(pool->code);
+	} else if (const auto *record = message.AsRecordAnswer(); record != nullptr) {
+		number = record->number;
+		code = static_cast<ResultCode>(record->code);
 	}
 	const auto it = this->open.find(number);
 	if (it == this->open.end()) {
 		return; /* Answered before, by a repeated question. */
 	}
-	if (code == ResultCode::RC_OK || code == ResultCode::RC_UNKNOWN_JOB) {
-		this->Finish(number, code, &message);
+	if (code == ResultCode::RC_LOG_RECORDING) {
+		it->second.recording = true;
+		it->second.deadline = std::max(it->second.deadline, it->second.recording_until);
+		this->Again(number);
+		return;
+	}
+	const bool final =
+			code == ResultCode::RC_OK || code == ResultCode::RC_UNKNOWN_JOB || code == ResultCode::RC_LOG_UNAVAILABLE;
+	if (final) {
+		const bool unknown = code == ResultCode::RC_LOG_UNAVAILABLE && it->second.lost;
+		this->Finish(number, unknown ? ResultCode::RC_OUTCOME_UNKNOWN : code, &message);
 		return;
 	}
+	it->second.sent = false;
 	it->second.asked.clear();
 	this->Refresh(it->second.shard);
 	this->Again(number);
--- a/src/node/owner_lookup.h
+++ b/src/node/owner_lookup.h
@@ -42,20 +42,30 @@
 	 * @param what What is asked, for the log.
 	 * @param deadline Until when.
 	 * @param make Makes the question.
-	 * @param done Gets the answer.
+	 * @param done Gets the answer. RC_OUTCOME_UNKNOWN when a node was asked and said nothing.
+	 * @param recording_until Until when the result may come, once an owner has said that it is recording.
 	 */
-	void Ask(const PartitionId &shard, const std::string &what, Millis deadline, Make make, Done done);
+	void Ask(const PartitionId &shard, const std::string &what, Millis deadline, Make make, Done done,
+			 Millis recording_until = Millis(0));
+
+	/** @return Whether an owner is known and the connection to its node stands; seeks it otherwise. @param shard
+	 * Partition that holds the shard's progress. */
+	[[nodiscard]] bool Ready(const PartitionId &shard);
 
 private:
 	/** A question under way. */
 	struct Open {
-		PartitionId shard; ///< Partition that holds the shard's progress.
-		std::string what;  ///< What is asked, for the log.
-		Millis deadline;   ///< Until when.
-		Make make;         ///< Makes the question.
-		Done done;         ///< Gets the answer.
-		std::string asked; ///< Node that was asked last.
-		TimerId timer;     ///< Next try.
+		PartitionId shard;      ///< Partition that holds the shard's progress.
+		std::string what;       ///< What is asked, for the log.
+		Millis deadline;        ///< Until when.
+		Make make;              ///< Makes the question.
+		Done done;              ///< Gets the answer.
+		std::string asked;      ///< Node that was asked last.
+		Millis recording_until; ///< New deadline once an owner is recording.
+		bool recording = false; ///< Whether an owner has said so.
+		bool sent = false;      ///< Whether a question is out that nobody has answered.
+		bool lost = false;      ///< Whether an earlier question got no answer: it may still be carried out.
+		TimerId timer;          ///< Next try.
 	};
 
 	/** What is known of a shard's owner. */
--- a/tests/test_job_matrix.cpp
+++ b/tests/test_job_matrix.cpp
@@ -302,3 +302,50 @@
 	world.clock.RunUntil(Millis(6100 + 600 + 1200));
 	CHECK(world.ViewOf(job).phase == JobPhase::JP_COMPLETED);
 }
+
+TEST_CASE("a caller is told that its job was not taken only when it never will be")
+{
+	/* Every moment of a slow store at which the caller's time may be over. */
+	for (int64_t latency = 100; latency <= 1600; latency += 50) {
+		JobWorld world;
+		world.clock.RunUntil(Millis(3000));
+		EachNode(world, [latency](WorldNode &it) { it.log.faults.latency = Millis(latency); });
+		std::vector<ResultCode> told(world.nodes.size(), ResultCode::RC_OK);
+		std::vector<WorldJob *> jobs;
+		for (size_t n = 0; n < world.nodes.size(); n++) {
+			WorldJob &job = world.Plan(Millis(1000000), "calc", JobWorld::Chain(2));
+			jobs.push_back(&job);
+			world.nodes[n]->desk.Submit(job.spec, job.service, world.nodes[n]->scheduler.Now() + Millis(1500),
+										[&told, n](ResultCode code) { told[n] = code; });
+		}
+		world.clock.RunUntil(Millis(12000));
+		EachNode(world, [](WorldNode &it) { it.log.faults.latency = Millis(4); });
+		world.clock.RunUntil(Millis(25000));
+		CAPTURE(latency);
+		for (size_t n = 0; n < jobs.size(); n++) {
+			const bool refused = told[n] == ResultCode::RC_LOG_UNAVAILABLE || told[n] == ResultCode::RC_LOG_THROTTLED;
+			CHECK_FALSE((refused && world.site.Started(jobs[n]->spec.id)));
+			CHECK((told[n] != ResultCode::RC_OK || world.site.Started(jobs[n]->spec.id)));
+		}
+	}
+}
+
+TEST_CASE("with a slow store, jobs are accepted and begun with one append of the owner")
+{
+	JobWorld world;
+	world.clock.RunUntil(Millis(3000));
+	WorldNode *owner = world.OwnerOf(ServiceName("calc"));
+	REQUIRE(owner != nullptr);
+	EachNode(world, [](WorldNode &it) { it.log.faults.latency = Millis(200); });
+	std::vector<WorldJob *> jobs;
+	size_t accepted = 0;
+	for (int n = 0; n < 8; n++) {
+		jobs.push_back(&world.Plan(Millis(1000000), "calc", JobWorld::Chain(2)));
+		owner->desk.Submit(jobs.back()->spec, ServiceName("calc"), owner->scheduler.Now() + Millis(3000),
+						   [&accepted](ResultCode code) { accepted += code == ResultCode::RC_OK ? 1 : 0; });
+	}
+	/* The append under way, and theirs: 0.4 s each. Before, theirs, a read and the placements': 1.2 s at least. */
+	world.clock.RunUntil(Millis(3000 + 850));
+	CHECK(accepted == jobs.size());
+	CHECK(std::ranges::all_of(jobs, [&world](const WorldJob *it) { return world.site.Started(it->spec.id); }));
+}
