--- a/src/net/http_caller.cpp
+++ b/src/net/http_caller.cpp
@@ -13,6 +13,7 @@
 
 	void Start(const HttpCallSpec &spec)
 	{
+		this->begun = this->caller.scheduler.Now();
 		this->timer = this->caller.scheduler.After(spec.patience, [this] { this->End(CallResult::CR_UNKNOWN); });
 		this->call = this->caller.dialer.Start(spec.address, spec.request, *this);
 	}
@@ -40,6 +41,7 @@
 	std::unique_ptr<EndpointCall> call; ///< The call.
 	HttpReply reply;                    ///< What came so far.
 	TimerId timer;                      ///< Time limit.
+	Millis begun;                       ///< When the call was made.
 	bool ended = false;                 ///< Whether the answer was told.
 
 	void End(CallResult result)
@@ -51,6 +53,7 @@
 		this->caller.scheduler.Cancel(this->timer);
 		this->call->Abandon();
 		this->reply.result = result;
+		this->reply.took = this->caller.scheduler.Now() - this->begun;
 		this->caller.Finish(this, this->reply);
 	}
 };
--- a/src/net/http_caller.h
+++ b/src/net/http_caller.h
@@ -18,6 +18,7 @@
 	CallResult result = CallResult::CR_UNKNOWN; ///< How it ended.
 	int status = 0;                             ///< HTTP status, when answered.
 	std::string body;                           ///< Body, when answered.
+	Millis took;                                ///< Time from the call to its end.
 };
 
 /** A call to make. */
--- a/src/upkeep/fleet_owner.cpp
+++ b/src/upkeep/fleet_owner.cpp
@@ -46,7 +46,7 @@
 {
 	for (const auto &[key, value] : claimed.records) {
 		if (TurnLog::Owns(key)) {
-			this->turns.Inherit(key, this->parts.scheduler.Now());
+			this->turns.Inherit(key, value, this->parts.scheduler.Now());
 			continue;
 		}
 		const size_t slash = key.find('/');
@@ -90,9 +90,10 @@
 	}
 	this->parts.events.Write("fleet_released", {{"fence", std::to_string(this->fence.Value())}});
 	this->journal->on_deposed = done;
-	this->journal->Append(
-			{KeyedRecord{OWNER_KEY, EncodeOwner(StoredOwner{this->epoch, this->parts.address, true, Millis(0)})}},
-			done);
+	std::vector<KeyedRecord> records = this->turns.Release(this->parts.scheduler.Now());
+	records.push_back(
+			KeyedRecord{OWNER_KEY, EncodeOwner(StoredOwner{this->epoch, this->parts.address, true, Millis(0)})});
+	this->journal->Append(std::move(records), done);
 }
 
 void FleetOwner::Tick()
@@ -190,7 +191,8 @@
 	for (const PoolMove &it : moves.moves) {
 		this->Plan(planned, it.box, std::nullopt, it.to);
 	}
-	if (!planned.empty() && !this->recording) {
+	const bool tidy = this->turns.Stale(now) && !this->journal->Busy();
+	if (!this->recording && (!planned.empty() || tidy)) {
 		this->Record(planned);
 	}
 	std::ranges::for_each(this->actions.completed, [this](uint64_t wave) { this->Publish(wave, true); });
--- a/src/upkeep/turn_log.h
+++ b/src/upkeep/turn_log.h
@@ -19,18 +19,24 @@
 
 	/** @return Whether a record's key is one of these. @param key The key. */
 	static bool Owns(const std::string &key);
-	/** Takes over a record of the holder before. @param key Its key. @param now When this holder has claimed. */
-	void Inherit(const std::string &key, Millis now);
+	/** Takes over a record of the holder before. @param key Its key. @param value Its value. @param now When this
+	 * holder has claimed. */
+	void Inherit(const std::string &key, const std::string &value, Millis now);
 	/** @return Whether a box may have an order of this holder. @param box The box. @param now The time. */
 	[[nodiscard]] bool MayOrder(const BoxName &box, Millis now) const;
 	/** Notes orders that are about to leave. @param boxes For which boxes. @param now The time.
 	 * @return What is to be recorded before: these boxes, and those whose record has had its time. */
 	std::vector<KeyedRecord> Note(const std::set<BoxName> &boxes, Millis now);
+	/** Lets go: no order of this holder leaves any more. @param now The time. @return What is to be recorded: for how
+	 * long the next holder has to wait for each box. */
+	[[nodiscard]] std::vector<KeyedRecord> Release(Millis now) const;
+	/** @return Whether records have had their time. @param now The time. */
+	[[nodiscard]] bool Stale(Millis now) const;
 
 private:
 	/** A box with an order. */
 	struct Turn {
-		Millis at;          ///< When it was noted last; for that of an earlier holder, when this one has claimed.
+		Millis until;       ///< From then on another holder may give orders for it.
 		bool other = false; ///< Whether it is an earlier holder's.
 	};
 
--- a/tests/test_fleet_owner.cpp
+++ b/tests/test_fleet_owner.cpp
@@ -214,3 +214,28 @@
 	CHECK(*world.First("third", "m0") - last >= GAP);
 	CHECK(*world.First("third", "m2") - last < GAP);
 }
+
+TEST_CASE("records of orders tell how long the next holder has to wait, and go when they have had their time")
+{
+	const Millis gap(4300);
+	TurnLog first(gap);
+	std::vector<KeyedRecord> log = first.Note({BoxName("m0")}, Millis(0));
+	CHECK(log.size() == 1);
+	/* The holder falls silent: the whole gap from the claim on. */
+	TurnLog silent(gap);
+	silent.Inherit(log[0].key, *log[0].value, Millis(1000));
+	CHECK_FALSE(silent.MayOrder(BoxName("m0"), Millis(5299)));
+	CHECK(silent.MayOrder(BoxName("m0"), Millis(5300)));
+	CHECK(silent.MayOrder(BoxName("m1"), Millis(1000)));
+	/* It lets go: what is left of the gap. */
+	log = first.Release(Millis(4000));
+	TurnLog next(gap);
+	next.Inherit(log[0].key, *log[0].value, Millis(4010));
+	CHECK_FALSE(next.MayOrder(BoxName("m0"), Millis(4309)));
+	CHECK(next.MayOrder(BoxName("m0"), Millis(4310)));
+	/* And in time the record is dropped. */
+	CHECK_FALSE(first.Stale(Millis(4299)));
+	CHECK(first.Stale(Millis(4300)));
+	CHECK(first.Note({}, Millis(4300)) == std::vector<KeyedRecord>{KeyedRecord{log[0].key, std::nullopt}});
+	CHECK(first.Release(Millis(4400)).empty());
+}
