--- a/src/jobs/shard_base.h
+++ b/src/jobs/shard_base.h
@@ -7,6 +7,7 @@
 #include "shard_journal.h"
 #include "ticket_desk.h"
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <set>
@@ -95,29 +96,30 @@
 
 /** A box of the service. */
 struct ShardBox {
-	BoxReport report;            ///< What its agent says of itself.
-	bool listed = true;          ///< Whether its report stands.
-	bool adopted = false;        ///< It has answered this owner: orders of earlier owners can't come any more.
-	bool asking = false;         ///< A lease order is under way.
-	bool silent = false;         ///< It can't be reached, or two orders in a row got no answer.
-	uint32_t lost = 0;           ///< Orders without an answer since the last answer.
-	Millis lost_at{-1000000};    ///< When the last order without an answer was given up.
-	bool over = false;           ///< This life has ended for certain.
-	std::optional<Millis> clock; ///< Its clock at `clock_at`.
-	Millis clock_at;             ///< When `clock` was heard.
-	Millis lapse_at;             ///< From then on no lease can hold there any more, by our clock.
-	Millis asked_at;             ///< When the last lease order was sent.
-	Millis answered_at;          ///< When the last answer to any order came.
-	Millis listed_at;            ///< When it last listed its runs.
-	Millis avoid_until;          ///< Nothing is placed there before.
-	uint64_t ends_seen = 0;      ///< Ends up to this number are taken in.
-	uint64_t ends_durable = 0;   ///< Ends up to this number are recorded.
-	Millis drain_until;          ///< Until then it is being emptied for planned work.
-	bool due = false;            ///< It will be emptied before long.
-	bool strangers = false;      ///< It runs something that this shard has not placed.
-	Resources used;              ///< Taken by the tasks placed there.
-	std::set<TaskId> placed;     ///< Tasks placed there.
-	TimerId timer;               ///< Next lease order.
+	BoxReport report;               ///< What its agent says of itself.
+	bool listed = true;             ///< Whether its report stands.
+	bool adopted = false;           ///< It has answered this owner: orders of earlier owners can't come any more.
+	bool asking = false;            ///< A lease order is under way.
+	bool silent = false;            ///< It can't be reached, or two orders in a row got no answer.
+	uint32_t lost = 0;              ///< Orders without an answer since the last answer.
+	Millis lost_at{-1000000};       ///< When the last order without an answer was given up.
+	Millis lost_again_at{-1000000}; ///< When that last happened twice within a short time.
+	bool over = false;              ///< This life has ended for certain.
+	std::optional<Millis> clock;    ///< Its clock at `clock_at`.
+	Millis clock_at;                ///< When `clock` was heard.
+	Millis lapse_at;                ///< From then on no lease can hold there any more, by our clock.
+	Millis asked_at;                ///< When the last lease order was sent.
+	Millis answered_at;             ///< When the last answer to any order came.
+	Millis listed_at;               ///< When it last listed its runs.
+	Millis avoid_until;             ///< Nothing is placed there before.
+	uint64_t ends_seen = 0;         ///< Ends up to this number are taken in.
+	uint64_t ends_durable = 0;      ///< Ends up to this number are recorded.
+	Millis drain_until;             ///< Until then it is being emptied for planned work.
+	bool due = false;               ///< It will be emptied before long.
+	bool strangers = false;         ///< It runs something that this shard has not placed.
+	Resources used;                 ///< Taken by the tasks placed there.
+	std::set<TaskId> placed;        ///< Tasks placed there.
+	TimerId timer;                  ///< Next lease order.
 };
 
 /** What a job can still be, in the order in which jobs are served. */
@@ -293,6 +295,8 @@
 	std::vector<IncomingRecord> accepted;        ///< Those that the next append takes along.
 	std::set<JobId> dirty;                       ///< Jobs to be recorded.
 	std::vector<PendingStart> starts;            ///< Orders to send once recorded.
+	std::deque<PendingStart> recorded_starts;    ///< Recorded ones that wait for their turn to be sent.
+	size_t starts_under_way = 0;                 ///< Start orders without answer.
 	TicketDesk tickets;                          ///< What policies of routes allow.
 	ShardCounters counters;                      ///< Counters.
 	TimerId timer;                               ///< Next turn without an event.
@@ -336,6 +340,7 @@
 	bool PickGang(std::vector<OpenBox> &open, const ShardJob &job, const TaskId &first, std::vector<ShardBox *> &picks);
 	[[nodiscard]] uint32_t CountOn(const ShardBox &box, const TaskId &first) const;
 	void Assign(ShardJob &job, const TaskId &id, ShardBox &box, RunNumber run);
+	void PumpStarts();
 	void SendStart(const PendingStart &start);
 	void OnStarted(const TaskId &id, RunNumber run, const BoxLife &life, OrderAnswer answer);
 	void OnStartUnknown(const TaskId &id, ShardTask &task);
--- a/src/jobs/shard_boxes.cpp
+++ b/src/jobs/shard_boxes.cpp
@@ -14,7 +14,7 @@
 /** While answers of a box get lost, it is asked to answer sooner: an end that it tells is then missed for 0.6 s, not
  * for 1.4 s. */
 constexpr Millis LOSSY_WAIT(250);
-constexpr Millis LOSSY_FOR(5000);     ///< Answers of a box are taken to get lost for so long after one was.
+constexpr Millis LOSSY_FOR(5000);     ///< Answers of a box are taken to get lost for so long after two were.
 constexpr Millis LOOK_GAP(25);        ///< Least time between two lease orders to a box: ends are taken in together.
 constexpr Millis UNRECORDED_GAP(700); ///< The same while ends can't be recorded: the box answers at once each time.
 constexpr Millis SILENT_AFTER(1500);  ///< Beyond the wait: a box that is silent for so long gets no longer lease.
@@ -112,7 +112,7 @@
 
 Millis Shard::LeaseWait(const ShardBox &box) const
 {
-	const bool lossy = this->scheduler.Now() - box.lost_at < LOSSY_FOR;
+	const bool lossy = this->scheduler.Now() - box.lost_again_at < LOSSY_FOR;
 	const Millis wait = lossy ? std::min(LOSSY_WAIT, this->limits.lease_wait) : this->limits.lease_wait;
 	return box.adopted ? wait : Millis(0);
 }
@@ -127,6 +127,7 @@
 		box.lost = 0;
 		box.silent = false;
 	} else {
+		box.lost_again_at = now - box.lost_at < LOSSY_FOR ? now : box.lost_again_at;
 		box.lost_at = now;
 		/* What was answered since shows that only this order was lost: the box goes on taking tasks. With four answers
 		 * of ten lost, half of the boxes took none when one loss was enough. */
--- a/src/jobs/shard_jobs.cpp
+++ b/src/jobs/shard_jobs.cpp
@@ -350,7 +350,8 @@
 		}
 		job.durable_phase = phase;
 	}
-	std::ranges::for_each(due, [this](const PendingStart &it) { this->SendStart(it); });
+	std::ranges::copy(due, std::back_inserter(this->recorded_starts));
+	this->PumpStarts();
 	for (const auto &[life, number] : ends) {
 		const auto it = this->boxes.find(life);
 		if (it != this->boxes.end()) {
--- a/src/jobs/shard_place.cpp
+++ b/src/jobs/shard_place.cpp
@@ -11,6 +11,9 @@
 constexpr Millis AVOID_BUSY(1000);   ///< A box that is unhealthy or can't be reached is tried again after this.
 /** A start without an answer is repeated after this part of the time since it was placed: 0.09 s after the first. */
 constexpr int64_t START_AGAIN_PART = 4;
+/** Start orders under way at once: 1,500 a second are answered with about 15. A node that falls behind keeps the others
+ * to itself, where they don't run out of time. */
+constexpr size_t STARTS_MOST = 100;
 /** A start is repeated for so long before the task goes elsewhere: with four answers of ten lost, 98 of 100 starts are
  * answered by the fourth try. */
 constexpr Millis START_REPEATED_FOR(2000);
@@ -213,6 +216,15 @@
 	job.outlook.stale = true;
 }
 
+void Shard::PumpStarts()
+{
+	while (this->starts_under_way < STARTS_MOST && !this->recorded_starts.empty()) {
+		const PendingStart next = this->recorded_starts.front();
+		this->recorded_starts.pop_front();
+		this->SendStart(next);
+	}
+}
+
 void Shard::SendStart(const PendingStart &start)
 {
 	ShardTask *task = this->FindTask(start.task);
@@ -246,6 +258,7 @@
 	}
 	this->NoteLeaseAsked(it->second, *until);
 	task->run_state = RunState::RS_ORDERED;
+	this->starts_under_way++;
 	this->counters.starts++;
 	this->log.Write("run_ordered", {{"job", start.task.job.Value()},
 									{"task", std::to_string(job.IndexOf(start.task))},
@@ -256,9 +269,14 @@
 	this->orders.Start(it->second.report, order,
 					   [this, start, life = task->box, sent = this->scheduler.Now(),
 						still = std::weak_ptr<bool>(this->alive)](const OrderAnswer &answer) {
-						   if (!still.expired() && this->TakeOutcome(life, sent, answer.outcome)) {
+						   if (still.expired()) {
+							   return;
+						   }
+						   this->starts_under_way--;
+						   if (this->TakeOutcome(life, sent, answer.outcome)) {
 							   this->OnStarted(start.task, start.run, life, answer);
 						   }
+						   this->PumpStarts();
 					   });
 }
 
