--- a/src/store/partition_claim.cpp
+++ b/src/store/partition_claim.cpp
@@ -50,12 +50,13 @@
 	const std::optional<StoredOwner> owner =
 			it == page.records.end() ? std::nullopt : DecodeOwner(it->value.value_or(std::string()));
 	const bool vacant = !owner || owner->released;
-	if (!vacant && owner->address == this->spec.address) {
-		this->Load(); /* Owned by an earlier process here, or lost without another owner. */
-	} else if (!this->spec.wanted()) {
-		this->Wait();
-	} else if (vacant) {
+	/* Owned by an earlier process here, or lost without another owner. */
+	const bool own = !vacant && owner->address == this->spec.address;
+	const bool wanted = this->spec.wanted();
+	if (own || (wanted && vacant)) {
 		this->Load();
+	} else if (!wanted) {
+		this->Wait();
 	} else {
 		this->AskHolders(owner->address, page.end);
 	}
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -102,53 +102,83 @@
 	progress.changed = Millis(5);
 	progress.tasks = {StoredTask{TaskPhase::TP_PLACED, RunNumber(2), 1, BoxLife("i-1"), "saved"}, StoredTask{}};
 	CHECK(DecodeProgress(EncodeProgress(progress)) == progress);
-	const StoredOwner owner{9, "10.0.0.1:7060", true};
+	const StoredOwner owner{9, "10.0.0.1:7060", true, Millis(1200)};
 	CHECK(DecodeOwner(EncodeOwner(owner)) == owner);
 	CHECK(!DecodeProgress("short"));
 	CHECK(!DecodeOwner(std::string(64, '\xff')));
 	CHECK(!DecodeSubmission(spec.id, ""));
 }
 
-TEST_CASE("a call whose answer and time limit fall due together is told once")
-{
-	QTcpServer server;
-	REQUIRE(server.listen(QHostAddress(QHostAddress::LocalHost)));
-	const quint16 port = server.serverPort();
-	server.close();
-	std::atomic<bool> listening = false;
-	/* Answers from a thread of its own, while the loop of the call stands still. */
-	std::thread answering([&] {
-		QTcpServer own;
-		own.listen(QHostAddress(QHostAddress::LocalHost), port);
-		listening = true;
-		own.waitForNewConnection(20000);
-		const std::unique_ptr<QTcpSocket> socket(own.nextPendingConnection());
-		socket->waitForReadyRead(20000);
-		QThread::msleep(150);
-		socket->write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
-		socket->waitForBytesWritten(20000);
-		socket->waitForDisconnected(20000);
-	});
-	while (!listening) {
-		QThread::msleep(1);
-	}
-	int told = 0;
+namespace {
+
+/** Makes a call with a limit of 300 ms to a server that answers late, from a loop that stands still meanwhile. */
+struct HeldUpCall {
+	/** @param answer_after ms after which the server answers. @param still ms that the loop stands still, from 50 on.
+	 * @param loop_for ms that the loop runs. */
+	HeldUpCall(unsigned long answer_after, unsigned long still, int loop_for)
 	{
-		QtScheduler scheduler;
-		HttpCaller caller(scheduler, DialLimits{});
-		HttpCallSpec spec{"127.0.0.1:" + std::to_string(port), {}, Millis(300)};
-		spec.request.method = "GET";
-		spec.request.target = "/";
-		QEventLoop loop;
-		caller.Call(spec, [&](const HttpReply &) { told++; });
-		/* In the turn after this, the socket is readable and the limit has passed: sockets come before timers. */
-		QTimer::singleShot(50, [] { QThread::msleep(500); });
-		QTimer::singleShot(700, &loop, &QEventLoop::quit);
-		loop.exec();
-		CHECK(caller.Open() == 0);
+		QTcpServer server;
+		REQUIRE(server.listen(QHostAddress(QHostAddress::LocalHost)));
+		const quint16 port = server.serverPort();
+		server.close();
+		std::atomic<bool> listening = false;
+		/* Answers from a thread of its own, while the loop of the call stands still. */
+		std::thread answering([&] {
+			QTcpServer own;
+			own.listen(QHostAddress(QHostAddress::LocalHost), port);
+			listening = true;
+			own.waitForNewConnection(20000);
+			const std::unique_ptr<QTcpSocket> socket(own.nextPendingConnection());
+			socket->waitForReadyRead(20000);
+			QThread::msleep(answer_after);
+			socket->write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+			socket->waitForBytesWritten(20000);
+			socket->waitForDisconnected(20000);
+		});
+		while (!listening) {
+			QThread::msleep(1);
+		}
+		{
+			QtScheduler scheduler;
+			HttpCaller caller(scheduler, DialLimits{});
+			HttpCallSpec spec{"127.0.0.1:" + std::to_string(port), {}, Millis(300)};
+			spec.request.method = "GET";
+			spec.request.target = "/";
+			QEventLoop loop;
+			caller.Call(spec, [this](const HttpReply &it) {
+				this->told++;
+				this->reply = it;
+			});
+			QTimer::singleShot(50, [still] { QThread::msleep(still); });
+			QTimer::singleShot(loop_for, &loop, &QEventLoop::quit);
+			loop.exec();
+			this->open = caller.Open();
+		}
+		answering.join();
 	}
-	answering.join();
-	CHECK(told == 1);
+
+	int told = 0;    ///< Times that the call's end was told.
+	HttpReply reply; ///< What was told last.
+	size_t open = 0; ///< Calls that had not ended.
+};
+
+} // namespace
+
+TEST_CASE("a call whose answer and time limit fall due together is told once")
+{
+	/* In the turn after the pause, the socket is readable and the limit has passed: sockets come before timers. */
+	const HeldUpCall call(150, 500, 700);
+	CHECK(call.open == 0);
+	CHECK(call.told == 1);
+}
+
+TEST_CASE("a time limit that falls due late waits for what the process could not read meanwhile")
+{
+	/* Due at 0.3 s, noticed at 1.25 s, the answer comes at 1.4 s: given up until then, its order would be sent again.
+	 */
+	const HeldUpCall call(1400, 1200, 2600);
+	CHECK(call.told == 1);
+	CHECK(static_cast<int>(call.reply.result) == static_cast<int>(CallResult::CR_ANSWERED));
 }
 
 namespace {
