--- a/src/standin/memory/keyed_store.cpp
+++ b/src/standin/memory/keyed_store.cpp
@@ -187,10 +187,10 @@
 }
 
 template <class Answer>
-void KeyedStoreClient::Call(std::function<Answer()> work, Answer failed, Millis patience,
-							const std::function<void(Answer)> &done)
+void KeyedStoreClient::Call(const std::optional<PartitionId> &partition, std::function<Answer()> work, Answer failed,
+							Millis patience, const std::function<void(Answer)> &done)
 {
-	if (this->faults.silent) {
+	if (this->Silent(partition)) {
 		this->scheduler.After(std::min(patience, NO_PATIENCE), [done, failed] { done(failed); });
 		return;
 	}
@@ -213,14 +213,14 @@
 		return store.Append(partition, records, condition);
 	};
 	this->appends++;
-	if (!this->faults.silent && this->faults.lose_every > 0 && this->appends % this->faults.lose_every == 0) {
+	if (!this->Silent(partition) && this->faults.lose_every > 0 && this->appends % this->faults.lose_every == 0) {
 		this->clock.After(this->faults.late ? LATE_BY : this->faults.latency, [work] { work(); });
 		this->scheduler.After(patience, [done, unknown] { done(unknown); });
 		return;
 	}
 	const KeyedAppendAnswer failed =
 			this->faults.refusing ? KeyedAppendAnswer{ResultCode::RC_LOG_THROTTLED, 0} : unknown;
-	this->Call<KeyedAppendAnswer>(work, failed, patience, done);
+	this->Call<KeyedAppendAnswer>(partition, work, failed, patience, done);
 }
 
 void KeyedStoreClient::Poll(const PartitionId &partition, uint64_t from, Millis until,
@@ -228,12 +228,13 @@
 {
 	KeyedReadAnswer answer = this->store.Read(partition, from);
 	const bool nothing = answer.code == ResultCode::RC_OK && answer.records.empty();
-	if (nothing && this->clock.Now() < until && !this->faults.silent && !this->faults.refusing) {
+	const bool broken = this->Silent(partition) || this->faults.refusing;
+	if (nothing && this->clock.Now() < until && !broken) {
 		this->scheduler.After(POLL_EVERY,
 							  [this, partition, from, until, done] { this->Poll(partition, from, until, done); });
 		return;
 	}
-	if (this->faults.silent || this->faults.refusing) {
+	if (broken) {
 		answer = KeyedReadAnswer{};
 	}
 	this->scheduler.After(this->faults.latency, [done, answer] { done(answer); });
@@ -242,8 +243,9 @@
 void KeyedStoreClient::Read(const PartitionId &partition, uint64_t from, Millis wait,
 							std::function<void(KeyedReadAnswer)> done)
 {
-	if (this->faults.silent || this->faults.refusing) {
-		this->Call<KeyedReadAnswer>([] { return KeyedReadAnswer{}; }, KeyedReadAnswer{}, NO_PATIENCE, done);
+	if (this->Silent(partition) || this->faults.refusing) {
+		this->Call<KeyedReadAnswer>(
+				partition, [] { return KeyedReadAnswer{}; }, KeyedReadAnswer{}, NO_PATIENCE, done);
 		return;
 	}
 	this->scheduler.After(this->faults.latency, [this, partition, from, wait, done = std::move(done)] {
@@ -254,14 +256,16 @@
 void KeyedStoreClient::Newest(const PartitionId &partition, const std::string &after,
 							  std::function<void(NewestPage)> done)
 {
-	this->Call<NewestPage>([&store = this->store, partition, after] { return store.Newest(partition, after); },
-						   NewestPage{}, NO_PATIENCE, done);
+	this->Call<NewestPage>(
+			partition, [&store = this->store, partition, after] { return store.Newest(partition, after); },
+			NewestPage{}, NO_PATIENCE, done);
 }
 
 void KeyedStoreClient::Join(const std::string &group, const std::string &member, const std::string &topic,
 							Millis silence, uint64_t generation, std::function<void(GroupMembership)> done)
 {
 	this->Call<GroupMembership>(
+			std::nullopt,
 			[this, group, member, topic, silence, generation] {
 				return this->store.Join(group, member, topic, silence, generation, this->clock.Now());
 			},
@@ -271,6 +275,7 @@
 void KeyedStoreClient::Leave(const std::string &group, const std::string &member, std::function<void()> done)
 {
 	this->Call<int>(
+			std::nullopt,
 			[&store = this->store, group, member] {
 				store.Leave(group, member);
 				return 0;
@@ -282,10 +287,11 @@
 							   std::function<void(ResultCode, std::vector<PartitionHolder>)> done)
 {
 	using Rows = std::optional<std::vector<PartitionHolder>>;
-	this->Call<Rows>([this, group] { return Rows(this->store.Holders(group, this->clock.Now())); }, std::nullopt,
-					 NO_PATIENCE,
-					 [done = std::move(done)](const Rows &rows) {
-						 done(rows ? ResultCode::RC_OK : ResultCode::RC_LOG_UNAVAILABLE,
-							  rows.value_or(std::vector<PartitionHolder>{}));
-					 });
+	this->Call<Rows>(
+			std::nullopt, [this, group] { return Rows(this->store.Holders(group, this->clock.Now())); }, std::nullopt,
+			NO_PATIENCE,
+			[done = std::move(done)](const Rows &rows) {
+				done(rows ? ResultCode::RC_OK : ResultCode::RC_LOG_UNAVAILABLE,
+					 rows.value_or(std::vector<PartitionHolder>{}));
+			});
 }
--- a/src/standin/memory/keyed_store.h
+++ b/src/standin/memory/keyed_store.h
@@ -82,6 +82,7 @@
 /** Faults of one node's way to the log. Change them at any time. */
 struct StoreFaults {
 	bool silent = false;        ///< Calls get no answer, nothing is done.
+	std::set<PartitionId> mute; ///< The same for calls to these partitions alone.
 	bool refusing = false;      ///< Appends and joins are refused, reads fail: nothing is done.
 	uint32_t lose_every = 0;    ///< Every n-th append is done but not answered; 0 for none.
 	bool late = false;          ///< Those are done seconds later instead of at once.
@@ -115,9 +116,15 @@
 	KeyedStore &store;       ///< The log.
 	uint32_t appends = 0;    ///< Appends sent.
 
+	/** @return Whether calls get no answer. @param partition Where they go; none for calls about groups. */
+	[[nodiscard]] bool Silent(const std::optional<PartitionId> &partition) const
+	{
+		return this->faults.silent || (partition && this->faults.mute.contains(*partition));
+	}
 	/** Makes a call: `work` runs at the log, its answer comes back; `failed` is told when the way is broken. */
 	template <class Answer>
-	void Call(std::function<Answer()> work, Answer failed, Millis patience, const std::function<void(Answer)> &done);
+	void Call(const std::optional<PartitionId> &partition, std::function<Answer()> work, Answer failed, Millis patience,
+			  const std::function<void(Answer)> &done);
 	void Poll(const PartitionId &partition, uint64_t from, Millis until,
 			  const std::function<void(KeyedReadAnswer)> &done);
 };
