Owners record around a partition of the log that is silent, and repeat it there when it answers

Cause: nothing is placed while an append is under way, and an append to a silent partition is under way until it is back. Acceptance went on, starts did not.

Change: each claim fences a second partition, too (a queue's inbox; another of the fleet's topic). A batch without an answer for 0.3 s goes there as well and is durable as soon as either has it; later batches go there alone; when the first answers, what it lacks is repeated, and the second one is tidied. Of two records of a job the higher revision counts. Weighed: starts before their record (ends could not be shown, a claimer has to ask all boxes first); a partition more (a takeover would wait for three; the inbox is needed by each takeover anyway).

--- a/src/jobs/job_codec.cpp
+++ b/src/jobs/job_codec.cpp
@@ -100,6 +100,7 @@
 	out.phase = static_cast<uint8_t>(progress.phase);
 	out.route = progress.route.Value();
 	out.changed = progress.changed.Value();
+	out.revision = progress.revision;
 	std::map<BoxLife, uint16_t> places;
 	for (const StoredTask &task : progress.tasks) {
 		auto row = std::make_unique<wire::TaskRecordT>();
@@ -129,6 +130,7 @@
 	progress.phase = static_cast<JobPhase>(in->phase);
 	progress.route = RouteName(in->route);
 	progress.changed = Millis(in->changed);
+	progress.revision = in->revision;
 	for (const auto &row : in->tasks) {
 		if (row->box > in->boxes.size() || row->phase > static_cast<uint8_t>(TaskPhase::TP_DONE)) {
 			return std::nullopt;
--- a/src/jobs/job_codec.h
+++ b/src/jobs/job_codec.h
@@ -20,6 +20,7 @@
 	JobPhase phase = JobPhase::JP_QUEUED; ///< Where it stands.
 	RouteName route;                      ///< Its route.
 	Millis changed;                       ///< Wall time of the record.
+	uint64_t revision = 0;                ///< Rises with each record of the job: of two, the higher one is newer.
 	std::vector<StoredTask> tasks;        ///< By occurrence, step, index.
 
 	bool operator==(const StoredProgress &) const = default;
--- a/src/jobs/shard_base.h
+++ b/src/jobs/shard_base.h
@@ -3,8 +3,8 @@
 #define SHARD_BASE_H
 
 #include "../event_log.h"
+#include "../store/paired_journal.h"
 #include "job_codec.h"
-#include "shard_journal.h"
 #include "ticket_desk.h"
 
 #include <deque>
@@ -75,6 +75,7 @@
 	JobPhase phase = JobPhase::JP_QUEUED;         ///< Where it stands.
 	JobPhase durable_phase = JobPhase::JP_QUEUED; ///< What is recorded: others are told only this.
 	std::vector<ShardTask> tasks;                 ///< By occurrence, step, index.
+	uint64_t revision = 0;                        ///< Of its last record.
 	JobOutlook outlook;                           ///< What its waiting tasks ask for.
 	std::vector<uint32_t> step_offsets;           ///< Where each step begins within an occurrence.
 	uint32_t per_occurrence = 0;                  ///< Tasks of an occurrence.
@@ -202,13 +203,14 @@
 	 * @param limits Figures.
 	 * @param advisor Knows the policies of routes; null when there is none; outlives this.
 	 */
-	Shard(Scheduler &scheduler, ShardJournal &journal, BoxOrders &orders, EventLog &log, ServiceName service,
+	Shard(Scheduler &scheduler, PairedJournal &journal, BoxOrders &orders, EventLog &log, ServiceName service,
 		  FenceToken fence, ShardLimits limits, PlacementAdvisor *advisor = nullptr);
 	~Shard();
 	Shard(const Shard &) = delete;
 	Shard &operator=(const Shard &) = delete;
 
-	/** Takes over recorded progress, before Begin(). @param id The job. @param progress What is recorded. */
+	/** Takes over recorded progress, before Begin(): of two records of a job, the newer one. @param id The job. @param
+	 * progress What is recorded. */
 	void Restore(const JobId &id, const StoredProgress &progress);
 	/** The owner before has let go by itself, or there was none. Before Begin(). @param span For so long owners before
 	 * that one may still prolong leases. Told on from owner to owner: tasks of a dark box stood for 43 s when each of
@@ -269,7 +271,7 @@
 	};
 
 	Scheduler &scheduler;                        ///< Clock and timers.
-	ShardJournal &journal;                       ///< Records.
+	PairedJournal &journal;                      ///< Records.
 	BoxOrders &orders;                           ///< Boxes.
 	EventLog &log;                               ///< Lines.
 	ServiceName service;                         ///< The service.
--- a/src/jobs/shard_jobs.cpp
+++ b/src/jobs/shard_jobs.cpp
@@ -31,7 +31,7 @@
 	return id;
 }
 
-Shard::Shard(Scheduler &scheduler, ShardJournal &journal, BoxOrders &orders, EventLog &log, ServiceName service,
+Shard::Shard(Scheduler &scheduler, PairedJournal &journal, BoxOrders &orders, EventLog &log, ServiceName service,
 			 FenceToken fence, ShardLimits limits, PlacementAdvisor *advisor)
 		: scheduler(scheduler), journal(journal), orders(orders), log(log), service(std::move(service)), fence(fence),
 		  limits(limits), owned_since(scheduler.Now()), other_owner_until(scheduler.Now() + limits.owner_term),
@@ -49,7 +49,10 @@
 
 void Shard::Restore(const JobId &id, const StoredProgress &progress)
 {
-	this->restored[id] = progress;
+	const auto [it, first] = this->restored.try_emplace(id, progress);
+	if (!first && it->second.revision < progress.revision) {
+		it->second = progress;
+	}
 }
 
 ShardJob Shard::MakeJob(const JobSpec &spec) const
@@ -84,6 +87,7 @@
 	this->ApplyRoute(job);
 	if (const auto old = this->restored.find(spec.id); old != this->restored.end()) {
 		job.phase = job.durable_phase = old->second.phase;
+		job.revision = old->second.revision;
 		/* A record of another size can only come from a fault: the tasks keep their fresh state, the phase counts. */
 		if (old->second.tasks.size() == job.tasks.size()) {
 			std::ranges::transform(old->second.tasks, job.tasks.begin(), [&job](const StoredTask &it) {
@@ -226,6 +230,7 @@
 	out.phase = job.phase;
 	out.route = job.spec.route;
 	out.changed = this->scheduler.WallNow();
+	out.revision = job.revision;
 	std::ranges::transform(job.tasks, std::back_inserter(out.tasks),
 						   [](const ShardTask &it) -> const StoredTask & { return it; });
 	return out;
@@ -318,7 +323,8 @@
 		std::ranges::for_each(taken, [](const IncomingRecord &it) { it.done(ResultCode::RC_OK); });
 	};
 	for (const JobId &id : this->dirty) {
-		const ShardJob &job = this->jobs.at(id);
+		ShardJob &job = this->jobs.at(id);
+		job.revision++;
 		records.push_back(KeyedRecord{id.Value(), EncodeProgress(this->Stored(job))});
 		phases[id] = job.phase;
 	}
--- a/src/jobs/shard_owner.cpp
+++ b/src/jobs/shard_owner.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <ranges>
+#include <utility>
 
 namespace {
 
@@ -12,6 +13,16 @@
 /** An owner that has recorded nothing for so long records itself: it learns whether it still is the owner, and the log
  * is known to be there. */
 constexpr Millis CONFIRM_EVERY(500);
+/** @return Key in the inbox of a record of the partition of progress. Submissions and cancellations lie there as other
+ * nodes would append them, and stay; progress goes when it has come to its own partition. */
+SpareKey InboxKeyOf(const std::string &key)
+{
+	if (key == OWNER_KEY) {
+		return SpareKey{key, false};
+	}
+	return key.front() == TAKEN_MARK ? SpareKey{key.substr(1), false} : SpareKey{PROGRESS_MARK + key, true};
+}
+
 constexpr FollowPace INBOX_PACE{Millis(1000), Millis(0), Millis(100)}; ///< Long polls: a submission is read at once.
 
 } // namespace
@@ -48,8 +59,9 @@
 void ShardOwner::Run(const ClaimedPartition &claimed)
 {
 	this->epoch = claimed.epoch;
-	this->journal =
-			std::make_unique<ShardJournal>(this->parts.scheduler, this->parts.log, this->progress, claimed.epoch);
+	this->journal = std::make_unique<PairedJournal>(this->parts.scheduler, this->parts.log, this->parts.events,
+													JournalPair{this->progress, SpareOf(this->progress), InboxKeyOf},
+													claimed.epoch);
 	this->shard =
 			std::make_unique<Shard>(this->parts.scheduler, *this->journal, this->parts.orders, this->parts.events,
 									this->service, FenceToken(claimed.epoch), this->parts.limits, this->parts.advisor);
@@ -65,44 +77,65 @@
 		});
 	};
 	this->journal->on_deposed = let_go;
+	this->journal->on_free = [this] { this->shard->OnJournalFree(); };
 	this->shard->on_deposed = let_go;
 	for (const auto &[key, bytes] : claimed.records) {
 		if (key.front() == TAKEN_MARK) {
-			continue; /* Once all progress is restored. */
-		}
-		if (const auto progress = DecodeProgress(bytes); progress) {
-			this->shard->Restore(JobId(key), *progress);
+			this->loading.push_back(KeyedRecord{key.substr(1), bytes});
 		} else {
-			this->parts.events.Write("bad_record", {{"topic", this->progress.topic}, {"key", key}});
+			this->RestoreProgress(key, JobId(key), bytes);
 		}
 	}
 	this->shard->Configure(this->config);
-	for (const auto &[key, bytes] : claimed.records) {
-		if (key.front() == TAKEN_MARK) {
-			this->OnInbox(KeyedRecord{key.substr(1), bytes});
-		}
-	}
 	std::ranges::for_each(this->reports | std::views::values,
 						  [this](const BoxReport &it) { this->shard->OnReport(it); });
 	std::ranges::for_each(this->gone, [this](const BoxReport &it) { this->shard->KnowGone(it); });
 	this->inbox = std::make_unique<KeyedFollower>(this->parts.scheduler, this->parts.log,
 												  PartitionId{this->progress.topic, INBOX_PART}, INBOX_PACE);
 	this->inbox->on_record = [this](const KeyedRecord &it) { this->OnInbox(it); };
-	this->inbox->on_loaded = [this] {
-		this->running = true;
-		this->shard->Begin();
-		if (this->on_running) {
-			this->on_running();
-		}
-	};
+	this->inbox->on_loaded = [this] { this->OnLoaded(); };
 	this->inbox->Start();
 }
 
+void ShardOwner::RestoreProgress(const std::string &key, const JobId &id, const std::string &bytes)
+{
+	if (const auto progress = DecodeProgress(bytes); progress) {
+		this->shard->Restore(id, *progress);
+	} else {
+		this->parts.events.Write("bad_record", {{"topic", this->progress.topic}, {"key", key}});
+	}
+}
+
 void ShardOwner::OnInbox(const KeyedRecord &record)
 {
-	if (!record.value) {
+	if (!record.value || record.key == OWNER_KEY) {
 		return;
 	}
+	const bool progress = record.key.front() == PROGRESS_MARK;
+	if (this->running) {
+		if (!progress) { /* Its own, otherwise. */
+			this->Take(record);
+		}
+	} else if (progress) {
+		this->RestoreProgress(record.key, JobId(record.key.substr(1)), *record.value);
+	} else {
+		this->loading.push_back(record);
+	}
+}
+
+void ShardOwner::OnLoaded()
+{
+	/* A job is taken once its newest progress is known, and that may lie in either partition. */
+	std::ranges::for_each(std::exchange(this->loading, {}), [this](const KeyedRecord &it) { this->Take(it); });
+	this->running = true;
+	this->shard->Begin();
+	if (this->on_running) {
+		this->on_running();
+	}
+}
+
+void ShardOwner::Take(const KeyedRecord &record)
+{
 	if (record.key.front() == CANCEL_MARK) {
 		this->shard->Cancel(JobId(record.key.substr(1)));
 		return;
@@ -170,6 +203,7 @@
 	}
 	const StoredOwner last{this->epoch, this->parts.address, true, this->shard->OtherOwnersLeft()};
 	this->shard.reset();
+	this->journal->on_free = nullptr;
 	this->journal->on_deposed = done;
 	this->journal->Append({KeyedRecord{OWNER_KEY, EncodeOwner(last)}}, done);
 }
--- a/src/jobs/shard_owner.h
+++ b/src/jobs/shard_owner.h
@@ -15,6 +15,9 @@
 
 /** Before the key of an inbox's record in the key under which the owner records it, among the progress. */
 inline constexpr char TAKEN_MARK = 'j';
+/** Before the id of a job in the key under which the owner records its progress in the inbox, while the partition of
+ * progress doesn't answer. Behind all digits of ids. */
+inline constexpr char PROGRESS_MARK = 'p';
 
 /** @return Topic of a service. @param service The service. */
 std::string TopicOf(const ServiceName &service);
@@ -85,15 +88,19 @@
 	JobConfig config;                                           ///< The configuration in force.
 	std::map<BoxLife, BoxReport> reports;                       ///< Reports of the service's boxes.
 	std::vector<BoxReport> gone;                                ///< Last reports of lives whose report has gone.
-	std::unique_ptr<ShardJournal> journal;                      ///< Records, once claimed.
+	std::unique_ptr<PairedJournal> journal;                     ///< Records, once claimed.
 	std::unique_ptr<Shard> shard;                               ///< Once claimed.
 	std::unique_ptr<KeyedFollower> inbox;                       ///< Once claimed.
+	std::vector<KeyedRecord> loading;                           ///< Submissions and cancellations read until then.
 	bool running = false;                                       ///< Whether the inbox is loaded.
 	TimerId confirm_timer;                                      ///< Next KeepConfirmed().
 	std::shared_ptr<bool> alive = std::make_shared<bool>(true); ///< Expires with this.
 
 	void Run(const ClaimedPartition &claimed);
 	void OnInbox(const KeyedRecord &record);
+	void OnLoaded();
+	void Take(const KeyedRecord &record);
+	void RestoreProgress(const std::string &key, const JobId &id, const std::string &bytes);
 	void LetGo();
 	void KeepConfirmed();
 };
--- a/src/jobs/shard_journal.cpp
+++ b/src/store/owner_journal.cpp
@@ -1,5 +1,5 @@
-/** @file shard_journal.cpp Appends of a shard's owner. */
-#include "shard_journal.h"
+/** @file owner_journal.cpp Appends of an owner. */
+#include "owner_journal.h"
 
 namespace {
 
@@ -9,17 +9,17 @@
 
 } // namespace
 
-ShardJournal::ShardJournal(Scheduler &scheduler, KeyedLog &log, PartitionId partition, uint64_t epoch)
+OwnerJournal::OwnerJournal(Scheduler &scheduler, KeyedLog &log, PartitionId partition, uint64_t epoch)
 		: scheduler(scheduler), log(log), partition(std::move(partition)), epoch(epoch), confirmed_at(scheduler.Now())
 {
 }
 
-ShardJournal::~ShardJournal()
+OwnerJournal::~OwnerJournal()
 {
 	this->scheduler.Cancel(this->timer);
 }
 
-void ShardJournal::Append(std::vector<KeyedRecord> records, Done done)
+void OwnerJournal::Append(std::vector<KeyedRecord> records, Done done)
 {
 	this->queue.push_back(Pending{std::move(records), std::move(done)});
 	if (!this->busy) {
@@ -28,7 +28,7 @@
 	}
 }
 
-void ShardJournal::Send()
+void OwnerJournal::Send()
 {
 	const Millis sent = this->scheduler.Now();
 	this->sendings++;
@@ -41,7 +41,7 @@
 					 });
 }
 
-void ShardJournal::OnAnswer(const KeyedAppendAnswer &answer, Millis sent)
+void OwnerJournal::OnAnswer(const KeyedAppendAnswer &answer, Millis sent)
 {
 	switch (answer.code) {
 	case ResultCode::RC_OK: {
--- a/src/jobs/shard_journal.h
+++ b/src/store/owner_journal.h
@@ -1,31 +1,31 @@
-/** @file shard_journal.h Appends of a shard's owner: one at a time, in order, repeated until their outcome is known. */
-#ifndef SHARD_JOURNAL_H
-#define SHARD_JOURNAL_H
+/** @file owner_journal.h Appends of an owner: one at a time, in order, repeated until their outcome is known. */
+#ifndef OWNER_JOURNAL_H
+#define OWNER_JOURNAL_H
 
 #include "../scheduler_type.h"
-#include "../store/partition_claim.h"
+#include "partition_claim.h"
 
 #include <deque>
 #include <memory>
 
 /**
  * Writes the records of one ownership. Since each append carries the owner's epoch and a sequence number, a repeated
- * append has its effect once, and none at all after a later owner has claimed the shard.
+ * append has its effect once, and none at all after a later owner has claimed the partition.
  */
-class ShardJournal {
+class OwnerJournal {
 public:
 	using Done = std::function<void()>;
 
 	/**
 	 * @param scheduler Clock and timers.
 	 * @param log The log; outlives this.
-	 * @param partition Where the shard's state lies.
+	 * @param partition Where the state of what is owned lies.
 	 * @param epoch The ownership; its claim had sequence number 0.
 	 */
-	ShardJournal(Scheduler &scheduler, KeyedLog &log, PartitionId partition, uint64_t epoch);
-	~ShardJournal();
-	ShardJournal(const ShardJournal &) = delete;
-	ShardJournal &operator=(const ShardJournal &) = delete;
+	OwnerJournal(Scheduler &scheduler, KeyedLog &log, PartitionId partition, uint64_t epoch);
+	~OwnerJournal();
+	OwnerJournal(const OwnerJournal &) = delete;
+	OwnerJournal &operator=(const OwnerJournal &) = delete;
 
 	/**
 	 * Appends records.
@@ -43,7 +43,7 @@
 	/** @return Appends sent, with repeats. */
 	[[nodiscard]] uint64_t Sendings() const { return this->sendings; }
 
-	std::function<void()> on_deposed; ///< A later owner has claimed the shard.
+	std::function<void()> on_deposed; ///< A later owner has claimed the partition.
 
 private:
 	/** An append that waits for its turn. */
@@ -68,4 +68,4 @@
 	void OnAnswer(const KeyedAppendAnswer &answer, Millis sent);
 };
 
-#endif /* SHARD_JOURNAL_H */
+#endif /* OWNER_JOURNAL_H */
--- /dev/null
+++ b/src/store/paired_journal.cpp
@@ -0,0 +1,180 @@
+/** @file paired_journal.cpp Appends of an owner to its partition, and around it to a second one. */
+#include "paired_journal.h"
+
+#include <algorithm>
+#include <ranges>
+
+namespace {
+
+/** A batch that the main partition has not answered by then goes to the spare one, too: an append takes 8 ms, and 40 ms
+ * from a node that runs five times slower. */
+constexpr Millis PATIENCE_LEAST(300);
+constexpr Millis PATIENCE_MOST(900);   ///< The same while the store is slow: below the limit of one append (1 s).
+constexpr int64_t PATIENCE_FACTOR = 3; ///< Times what the main partition took lately.
+constexpr int64_t TOOK_PART = 4;       ///< The newest append counts a fourth in the smoothed time.
+constexpr size_t REPEAT_MOST = 200; ///< Records repeated with one append: about 400 KB, a fifth of what a call carries.
+
+} // namespace
+
+PairedJournal::PairedJournal(Scheduler &scheduler, KeyedLog &log, EventLog &events, JournalPair pair, uint64_t epoch)
+		: scheduler(scheduler), events(events), pair(std::move(pair)), main(scheduler, log, this->pair.main, epoch),
+		  spare(scheduler, log, this->pair.spare, epoch)
+{
+	this->main.on_deposed = [this] { this->OnDeposed(); };
+	this->spare.on_deposed = [this] { this->OnDeposed(); };
+}
+
+PairedJournal::~PairedJournal()
+{
+	this->scheduler.Cancel(this->timer);
+}
+
+void PairedJournal::OnDeposed()
+{
+	if (!std::exchange(this->deposed, true) && this->on_deposed) {
+		this->on_deposed();
+	}
+}
+
+void PairedJournal::Append(std::vector<KeyedRecord> records, Done done)
+{
+	this->queue.push_back(Batch{++this->last_number, std::move(records), std::move(done)});
+	if (!this->current) {
+		this->Next();
+	}
+}
+
+Millis PairedJournal::Patience() const
+{
+	return std::clamp(Millis(this->took.Value() * PATIENCE_FACTOR), PATIENCE_LEAST, PATIENCE_MOST);
+}
+
+void PairedJournal::Next()
+{
+	if (!this->queue.empty()) {
+		this->current = std::move(this->queue.front());
+		this->queue.pop_front();
+	} else if (!this->behind.empty() && !this->main.Busy()) {
+		this->current = Batch{++this->last_number, {}, [this] {
+								  if (this->on_free) {
+									  this->on_free();
+								  }
+							  }};
+	} else {
+		return;
+	}
+	this->sent_at = this->scheduler.Now();
+	if (this->main.Busy()) {
+		this->ToSpare();
+	} else {
+		this->ToMain();
+	}
+}
+
+void PairedJournal::ToMain()
+{
+	std::vector<KeyedRecord> records = this->current->records;
+	std::ranges::for_each(records, [this](const KeyedRecord &it) { this->behind.erase(it.key); });
+	this->repeated.clear();
+	for (const auto &[key, it] : this->behind | std::views::take(REPEAT_MOST)) {
+		records.push_back(it.record);
+		this->repeated.emplace(key, it.number);
+	}
+	const uint64_t number = this->current->number;
+	this->timer = this->scheduler.After(this->Patience(), [this, number] {
+		if (this->current && this->current->number == number) {
+			this->ToSpare();
+		}
+	});
+	this->main.Append(std::move(records), [this, number] { this->OnMain(number); });
+}
+
+void PairedJournal::ToSpare()
+{
+	if (!std::exchange(this->around, true)) {
+		this->events.Write("journal_around", {{"topic", this->pair.main.topic},
+											  {"part", std::to_string(this->pair.main.part)},
+											  {"waited_ms", std::to_string(this->Patience().Value())}});
+	}
+	if (this->current->records.empty()) {
+		this->Finish(); /* Only repeats what the spare partition has. */
+		return;
+	}
+	std::vector<KeyedRecord> records;
+	for (const KeyedRecord &it : this->current->records) {
+		const SpareKey there = this->pair.key_for(it.key);
+		records.push_back(KeyedRecord{there.key, it.value});
+		if (there.drop) {
+			this->droppable.insert(there.key);
+		}
+	}
+	this->spare.Append(std::move(records), [this, number = this->current->number] { this->OnSpare(number); });
+}
+
+void PairedJournal::OnSpare(uint64_t number)
+{
+	if (!this->current || this->current->number != number) {
+		return; /* The main partition was sooner. */
+	}
+	this->detours++;
+	for (const KeyedRecord &it : this->current->records) {
+		this->behind[it.key] = Behind{it, number};
+	}
+	this->Finish();
+}
+
+void PairedJournal::Settle(uint64_t number)
+{
+	std::erase_if(this->behind, [&](const auto &it) {
+		const auto brought = this->repeated.find(it.first);
+		return it.second.number == number || (brought != this->repeated.end() && brought->second == it.second.number);
+	});
+	this->repeated.clear();
+	if (this->behind.empty() && std::exchange(this->around, false)) {
+		this->events.Write("journal_back", {{"topic", this->pair.main.topic},
+											{"part", std::to_string(this->pair.main.part)},
+											{"detours", std::to_string(this->detours)}});
+	}
+}
+
+void PairedJournal::OnMain(uint64_t number)
+{
+	const bool waited_for = this->current && this->current->number == number;
+	if (waited_for) {
+		const Millis now_took = this->scheduler.Now() - this->sent_at;
+		this->took = this->took + Millis((now_took.Value() - this->took.Value()) / TOOK_PART);
+	}
+	this->Settle(number);
+	this->TidySpare();
+	if (waited_for) {
+		this->Finish();
+	} else if (!this->current) {
+		this->Next();
+	}
+}
+
+void PairedJournal::TidySpare()
+{
+	if (!this->behind.empty() || this->spare.Busy() || this->droppable.empty()) {
+		return;
+	}
+	std::vector<KeyedRecord> records;
+	std::ranges::transform(std::exchange(this->droppable, {}), std::back_inserter(records), [](const std::string &it) {
+		return KeyedRecord{it, std::nullopt};
+	});
+	this->spare.Append(std::move(records), [] {
+		/* Nothing waits for it: what stays there is older than what the main partition has. */
+	});
+}
+
+void PairedJournal::Finish()
+{
+	this->scheduler.Cancel(this->timer);
+	const Done done = std::move(this->current->done);
+	this->current.reset();
+	this->Next();
+	/* Last: this may be gone after it. */
+	if (done) {
+		done();
+	}
+}
--- /dev/null
+++ b/src/store/paired_journal.h
@@ -0,0 +1,112 @@
+/** @file paired_journal.h Appends of an owner to its partition, and around it to a second one while it doesn't answer.
+ */
+#ifndef PAIRED_JOURNAL_H
+#define PAIRED_JOURNAL_H
+
+#include "../event_log.h"
+#include "owner_journal.h"
+
+#include <map>
+#include <set>
+
+/** Key under which a record of the main partition stands in the spare one. */
+struct SpareKey {
+	std::string key;   ///< The key.
+	bool drop = false; ///< Whether it is dropped there once the main partition has the record.
+};
+
+/** The two partitions of an owner. */
+struct JournalPair {
+	PartitionId main;                                     ///< Where all records come to lie.
+	PartitionId spare;                                    ///< Where they lie until the main partition answers.
+	std::function<SpareKey(const std::string &)> key_for; ///< Key in the spare partition by key in the main one.
+};
+
+/**
+ * Writes the records of one ownership, a batch at a time. A batch that the main partition has not answered soon goes to
+ * the spare one as well, and is durable as soon as either has it. What follows goes to the spare one alone until the
+ * main partition answers; then all that it lacks is repeated there. Both partitions are fenced by each claim, so a
+ * later owner finds every durable record in one of the two.
+ *
+ * Without it a queue stood still while a partition was silent: 6 s of silence made 14 s of bad service.
+ */
+class PairedJournal {
+public:
+	using Done = std::function<void()>;
+
+	/**
+	 * @param scheduler Clock and timers.
+	 * @param log The log; outlives this.
+	 * @param events Lines; outlives this.
+	 * @param pair Where.
+	 * @param epoch The ownership; its claim had sequence number 0 in both partitions.
+	 */
+	PairedJournal(Scheduler &scheduler, KeyedLog &log, EventLog &events, JournalPair pair, uint64_t epoch);
+	~PairedJournal();
+	PairedJournal(const PairedJournal &) = delete;
+	PairedJournal &operator=(const PairedJournal &) = delete;
+
+	/**
+	 * Appends records.
+	 * @param records What; all or none are written.
+	 * @param done Called once they are durable; never when this ownership has ended.
+	 */
+	void Append(std::vector<KeyedRecord> records, Done done);
+
+	/** @return Whether a batch is under way. */
+	[[nodiscard]] bool Busy() const { return this->current.has_value(); }
+
+	/** @return When the last append that succeeded was sent: this ownership was the latest then. */
+	[[nodiscard]] Millis ConfirmedAt() const { return std::max(this->main.ConfirmedAt(), this->spare.ConfirmedAt()); }
+
+	/** @return Batches that the spare partition had first. */
+	[[nodiscard]] uint64_t Detours() const { return this->detours; }
+
+	std::function<void()> on_deposed; ///< A later owner has claimed the partitions. Called once.
+	std::function<void()> on_free;    ///< Records were repeated to the main partition: nothing is under way any more.
+
+private:
+	/** Records that are written together. */
+	struct Batch {
+		uint64_t number = 0;              ///< Counts the batches of this ownership.
+		std::vector<KeyedRecord> records; ///< What.
+		Done done;                        ///< Told when durable.
+	};
+
+	/** A record that only the spare partition has. */
+	struct Behind {
+		KeyedRecord record;  ///< It, under its key in the main partition.
+		uint64_t number = 0; ///< Batch that brought it.
+	};
+
+	Scheduler &scheduler;                     ///< Clock and timers.
+	EventLog &events;                         ///< Lines.
+	JournalPair pair;                         ///< Where.
+	OwnerJournal main;                        ///< Appends to the main partition.
+	OwnerJournal spare;                       ///< Appends to the spare partition.
+	std::deque<Batch> queue;                  ///< Batches that wait.
+	std::optional<Batch> current;             ///< Batch under way.
+	uint64_t last_number = 0;                 ///< Number of the last batch.
+	Millis sent_at;                           ///< When the current batch was sent.
+	Millis took = Millis(0);                  ///< Time that the main partition took, smoothed.
+	std::map<std::string, Behind> behind;     ///< What the main partition lacks, by key there.
+	std::map<std::string, uint64_t> repeated; ///< Of those, what its append under way brings.
+	std::set<std::string> droppable;          ///< Keys in the spare partition that can go later.
+	bool around = false;                      ///< Whether the main partition is being passed by.
+	bool deposed = false;                     ///< Whether on_deposed was called.
+	uint64_t detours = 0;                     ///< For Detours().
+	TimerId timer;                            ///< End of the wait for the main partition.
+
+	[[nodiscard]] Millis Patience() const;
+	void Next();
+	void ToMain();
+	void ToSpare();
+	void OnMain(uint64_t number);
+	void OnSpare(uint64_t number);
+	void Settle(uint64_t number);
+	void TidySpare();
+	void Finish();
+	void OnDeposed();
+};
+
+#endif /* PAIRED_JOURNAL_H */
--- a/src/store/partition_claim.cpp
+++ b/src/store/partition_claim.cpp
@@ -100,7 +100,7 @@
 void PartitionClaim::Load()
 {
 	this->waiting = false;
-	this->found = ClaimedPartition{0, true, Millis(0), {}};
+	this->found = ClaimedPartition{0, true, Millis(0), {}, {}};
 	this->first_end.reset();
 	this->LoadPage({});
 }
@@ -167,10 +167,79 @@
 		this->TryAgain(answer.code == ResultCode::RC_STALE_TERM ? Millis(0) : CLAIM_AGAIN);
 		return;
 	}
+	this->found.epoch = epoch;
+	this->FenceSpare();
+}
+
+void PartitionClaim::FenceSpare()
+{
+	/* The same epoch and number each time: a repeated append has its effect once. */
+	const AppendCondition condition{std::nullopt, OWNER_PRODUCER, this->found.epoch, 0};
+	const StoredOwner self{this->found.epoch, this->spec.address, false, Millis(0)};
+	this->log.Append(SpareOf(this->spec.partition), {KeyedRecord{OWNER_KEY, EncodeOwner(self)}}, condition,
+					 CLAIM_PATIENCE, [this, still = std::weak_ptr<bool>(this->alive)](const KeyedAppendAnswer &answer) {
+						 if (!still.expired()) {
+							 this->OnSpareFenced(answer);
+						 }
+					 });
+}
+
+void PartitionClaim::OnSpareFenced(const KeyedAppendAnswer &answer)
+{
+	if (answer.code == ResultCode::RC_OK) {
+		if (this->spec.read_spare) {
+			this->LoadSparePage({});
+		} else {
+			this->Finish();
+		}
+		return;
+	}
+	this->events.Write("claim_failed", {{"topic", this->spec.partition.topic},
+										{"epoch", std::to_string(this->found.epoch)},
+										{"code", SymbolOf(answer.code)},
+										{"step", "spare"}});
+	if (answer.code == ResultCode::RC_FENCED || answer.code == ResultCode::RC_STALE_TERM) {
+		this->TryAgain(Millis(0)); /* Another owner has claimed since. */
+		return;
+	}
+	this->timer = this->scheduler.After(CLAIM_AGAIN, [this] { this->FenceSpare(); });
+}
+
+void PartitionClaim::LoadSparePage(const std::string &after)
+{
+	this->log.Newest(SpareOf(this->spec.partition), after,
+					 [this, still = std::weak_ptr<bool>(this->alive)](const NewestPage &page) {
+						 if (!still.expired()) {
+							 this->OnSparePage(page);
+						 }
+					 });
+}
+
+void PartitionClaim::OnSparePage(const NewestPage &page)
+{
+	if (page.code != ResultCode::RC_OK) {
+		this->found.spare.clear();
+		this->timer = this->scheduler.After(CLAIM_AGAIN, [this] { this->LoadSparePage({}); });
+		return;
+	}
+	for (const KeyedRecord &record : page.records) {
+		if (record.key != OWNER_KEY) {
+			this->found.spare[record.key] = record.value.value_or(std::string());
+		}
+	}
+	if (page.more && !page.records.empty()) {
+		this->LoadSparePage(page.records.back().key);
+		return;
+	}
+	this->Finish();
+}
+
+void PartitionClaim::Finish()
+{
 	this->events.Write("claimed", {{"topic", this->spec.partition.topic},
-								   {"epoch", std::to_string(epoch)},
+								   {"epoch", std::to_string(this->found.epoch)},
 								   {"released", this->found.released ? "yes" : "no"},
-								   {"records", std::to_string(this->found.records.size())}});
-	this->found.epoch = epoch;
+								   {"records", std::to_string(this->found.records.size())},
+								   {"spare", std::to_string(this->found.spare.size())}});
 	this->done(this->found);
 }
--- a/src/store/partition_claim.h
+++ b/src/store/partition_claim.h
@@ -22,6 +22,7 @@
 	PartitionId partition;        ///< What to claim.
 	std::string group;            ///< Group of the nodes that may be owners.
 	std::function<bool()> wanted; ///< Whether this node is the one to claim, should the owner be gone.
+	bool read_spare = false;      ///< Whether the records of the spare partition are wanted.
 };
 
 /** What the claim has found. */
@@ -30,12 +31,20 @@
 	bool released = false;                      ///< Whether the owner before had let go by itself, or there was none.
 	Millis others_for;                          ///< Then: for so long owners before that one may prolong leases.
 	std::map<std::string, std::string> records; ///< Values by key, without the owner's record.
+	std::map<std::string, std::string> spare;   ///< The same of the spare partition, if they were wanted.
 };
 
+/** @return The partition in which an owner records while its own doesn't answer. @param partition Its own. */
+inline PartitionId SpareOf(const PartitionId &partition)
+{
+	return PartitionId{partition.topic, partition.part + 1};
+}
+
 /**
  * Waits until a partition's owner has let go or has left the group, reads the partition and takes it over: the claim is
  * an append with a higher epoch, on condition that nothing came after what was read. From then on the log refuses
- * appends of earlier owners.
+ * appends of earlier owners. Then the spare partition is fenced: only after that no earlier owner records anything, and
+ * what it has recorded can be read.
  *
  * An owner that lives keeps what it owns, whomever the group deals it to: a rolling restart of nine nodes moved each
  * shard up to 7 times in 20 s when owners followed the deal.
@@ -85,6 +94,11 @@
 	void OnPage(const NewestPage &page);
 	void Claim();
 	void OnClaimed(uint64_t epoch, const KeyedAppendAnswer &answer);
+	void FenceSpare();
+	void OnSpareFenced(const KeyedAppendAnswer &answer);
+	void LoadSparePage(const std::string &after);
+	void OnSparePage(const NewestPage &page);
+	void Finish();
 	void TryAgain(Millis delay);
 };
 
--- a/src/upkeep/fleet_owner.cpp
+++ b/src/upkeep/fleet_owner.cpp
@@ -38,32 +38,41 @@
 {
 	this->claim = std::make_unique<PartitionClaim>(
 			this->parts.scheduler, this->parts.log, this->parts.events,
-			ClaimSpec{this->parts.address, FLEET, this->parts.group, this->parts.wanted});
+			ClaimSpec{this->parts.address, FLEET, this->parts.group, this->parts.wanted, true});
 	this->claim->Start([this](const ClaimedPartition &claimed) { this->Run(claimed); });
 }
 
 void FleetOwner::Run(const ClaimedPartition &claimed)
 {
-	for (const auto &[key, value] : claimed.records) {
-		if (TurnLog::Owns(key)) {
-			this->turns.Inherit(key, value, this->parts.scheduler.Now());
-			continue;
-		}
-		const size_t slash = key.find('/');
-		const uint64_t wave = std::stoull(key);
-		if (slash == std::string::npos) {
-			this->desk.RestoreCompleted(wave);
-		} else {
-			this->desk.Restore(wave, BoxName(key.substr(slash + 1)));
-		}
-	}
+	std::ranges::for_each(claimed.records, [this](const auto &it) { this->Restore(it.first, it.second); });
+	std::ranges::for_each(claimed.spare, [this](const auto &it) { this->Restore(it.first, it.second); });
 	this->epoch = claimed.epoch;
 	this->fence = FenceToken(claimed.epoch);
-	this->journal = std::make_unique<ShardJournal>(this->parts.scheduler, this->parts.log, FLEET, claimed.epoch);
+	this->journal = std::make_unique<PairedJournal>(this->parts.scheduler, this->parts.log, this->parts.events,
+													JournalPair{FLEET, SpareOf(FLEET),
+																[](const std::string &key) {
+																	return SpareKey{key, key != OWNER_KEY};
+																}},
+													claimed.epoch);
 	this->journal->on_deposed = [this] { this->Lose(); };
 	this->Tick();
 }
 
+void FleetOwner::Restore(const std::string &key, const std::string &value)
+{
+	if (TurnLog::Owns(key)) {
+		this->turns.Inherit(key, value, this->parts.scheduler.Now());
+		return;
+	}
+	const size_t slash = key.find('/');
+	const uint64_t wave = std::stoull(key);
+	if (slash == std::string::npos) {
+		this->desk.RestoreCompleted(wave);
+	} else {
+		this->desk.Restore(wave, BoxName(key.substr(slash + 1)));
+	}
+}
+
 void FleetOwner::Lose()
 {
 	if (std::exchange(this->lost, true)) {
--- a/src/upkeep/fleet_owner.h
+++ b/src/upkeep/fleet_owner.h
@@ -72,7 +72,7 @@
 	PoolDesk movers;                                            ///< Decides on moves.
 	FleetView view;                                             ///< What is known.
 	std::unique_ptr<PartitionClaim> claim;                      ///< The claim.
-	std::unique_ptr<ShardJournal> journal;                      ///< Records, once claimed.
+	std::unique_ptr<PairedJournal> journal;                     ///< Records, once claimed.
 	FenceToken fence;                                           ///< Token of this ownership.
 	uint64_t epoch = 0;                                         ///< Of the claim.
 	TurnLog turns;                                              ///< Boxes with recent orders.
@@ -85,6 +85,7 @@
 	std::shared_ptr<bool> alive = std::make_shared<bool>(true); ///< Expires with this.
 
 	void Run(const ClaimedPartition &claimed);
+	void Restore(const std::string &key, const std::string &value);
 	void Tick();
 	void Look(const WaveActions &last);
 	void Answered();
--- a/src/upkeep/turn_log.cpp
+++ b/src/upkeep/turn_log.cpp
@@ -27,7 +27,10 @@
 	/* Without a time its holder didn't let go by itself: an order may have left just now. */
 	int64_t left = this->gap.Value();
 	std::from_chars(value.data(), value.data() + value.size(), left);
-	this->turns[BoxName(key.substr(PREFIX.size()))] = Turn{now + std::min(Millis(left), this->gap), true};
+	/* The owner's two partitions may both have one: the later end is the safe one. */
+	const Millis until = now + std::min(Millis(left), this->gap);
+	Turn &turn = this->turns.try_emplace(BoxName(key.substr(PREFIX.size())), Turn{until, true}).first->second;
+	turn.until = std::max(turn.until, until);
 }
 
 bool TurnLog::MayOrder(const BoxName &box, Millis now) const
--- a/tests/test_fleet_owner.cpp
+++ b/tests/test_fleet_owner.cpp
@@ -239,3 +239,32 @@
 	CHECK(first.Note({}, Millis(4300)) == std::vector<KeyedRecord>{KeyedRecord{log[0].key, std::nullopt}});
 	CHECK(first.Release(Millis(4400)).empty());
 }
+
+TEST_CASE("orders to machines go on while the partition in which their holder records is silent")
+{
+	FleetWorld world;
+	auto first = world.Make("a", {});
+	world.clock.RunUntil(Millis(1000));
+	world.log.faults.mute = {PartitionId{"keyed.fleet", 0}};
+	WaveOrder wave;
+	wave.number = 2;
+	wave.boxes = {BoxName("m0")};
+	wave.within = Millis(1000);
+	wave.down_max = 1;
+	first->OnWave(wave);
+	world.clock.RunUntil(Millis(2000));
+	const std::optional<Millis> ordered = world.First("a", "m0");
+	REQUIRE(ordered.has_value());
+	/* A look, and the wait for the partition. */
+	CHECK(*ordered - Millis(1000) <= Millis(700));
+
+	/* The next holder reads of it in the spare partition, and leaves the box alone. */
+	first.reset();
+	const Millis last = world.machines.orders.back().at;
+	world.log.faults.mute = {};
+	const auto second = world.Make("b", {});
+	second->OnWave(wave);
+	world.clock.RunUntil(Millis(9000));
+	REQUIRE(world.First("b", "m0").has_value());
+	CHECK(*world.First("b", "m0") - last >= GAP);
+}
--- a/tests/test_job_matrix.cpp
+++ b/tests/test_job_matrix.cpp
@@ -29,6 +29,20 @@
 	return owner == nullptr ? *world.nodes.front() : *owner;
 }
 
+/** No call to a partition of "calc" is answered, or all are again. @param part 0: where its owner records; 1: the
+ * inbox. */
+void Mute(JobWorld &world, uint32_t part, bool mute)
+{
+	EachNode(world, [part, mute](WorldNode &it) {
+		const PartitionId partition{"keyed.jobs.calc", part};
+		if (mute) {
+			it.log.faults.mute.insert(partition);
+		} else {
+			it.log.faults.mute.erase(partition);
+		}
+	});
+}
+
 BoxFaults &FirstBox(JobWorld &world)
 {
 	return world.site.faults[BoxName("calc-box0")];
@@ -52,6 +66,46 @@
 				  });
 			  },
 			  [](JobWorld &w) { EachNode(w, [](WorldNode &n) { n.log.faults.lose_every = 0; }); }},
+		Fault{"owner's partition silent", [](JobWorld &w) { Mute(w, 0, true); },
+			  [](JobWorld &w) { Mute(w, 0, false); }},
+		Fault{"inbox silent", [](JobWorld &w) { Mute(w, 1, true); }, [](JobWorld &w) { Mute(w, 1, false); }},
+		Fault{"both partitions silent",
+			  [](JobWorld &w) {
+				  Mute(w, 0, true);
+				  Mute(w, 1, true);
+			  },
+			  [](JobWorld &w) {
+				  Mute(w, 0, false);
+				  Mute(w, 1, false);
+			  }},
+		Fault{"owner's partition silent, owner killed meanwhile",
+			  [](JobWorld &w) {
+				  Mute(w, 0, true);
+				  w.clock.After(FAULT_FOR - Millis(1500), [&w] { JobWorld::Kill(OwnerOrFirst(w)); });
+			  },
+			  [](JobWorld &w) { Mute(w, 0, false); }},
+		Fault{"owner's partition silent, owner killed when it is back", [](JobWorld &w) { Mute(w, 0, true); },
+			  [](JobWorld &w) {
+				  JobWorld::Kill(OwnerOrFirst(w));
+				  Mute(w, 0, false);
+			  }},
+		Fault{"owner's partition silent, then the inbox and the owner killed", [](JobWorld &w) { Mute(w, 0, true); },
+			  [](JobWorld &w) {
+				  Mute(w, 0, false);
+				  Mute(w, 1, true);
+				  JobWorld::Kill(OwnerOrFirst(w));
+				  w.clock.After(FAULT_FOR, [&w] { Mute(w, 1, false); });
+			  }},
+		Fault{"owner's partition silent, all nodes killed",
+			  [](JobWorld &w) {
+				  Mute(w, 0, true);
+				  w.clock.After(FAULT_FOR - Millis(500), [&w] { EachNode(w, JobWorld::Kill); });
+			  },
+			  [](JobWorld &w) {
+				  for (const char *name : {"node-0", "node-1", "node-2"}) {
+					  w.Boot(name);
+				  }
+			  }},
 		Fault{"owner cut from store", [](JobWorld &w) { OwnerOrFirst(w).log.faults.silent = true; },
 			  [](JobWorld &w) { EachNode(w, [](WorldNode &n) { n.log.faults.silent = false; }); }},
 		Fault{"owner paused", [](JobWorld &w) { OwnerOrFirst(w).scheduler.paused_until = w.clock.Now() + FAULT_FOR; },
--- a/tests/test_silent_partition.cpp
+++ b/tests/test_silent_partition.cpp
@@ -17,6 +17,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 namespace {
 
 constexpr Millis SETTLED(3000);                  ///< All shards are owned by then.
@@ -57,3 +59,46 @@
 	}
 	CHECK(world.site.violations == std::vector<std::string>{});
 }
+
+TEST_CASE("what was recorded around a silent partition is known to the next owner")
+{
+	JobWorld world;
+	world.clock.RunUntil(SETTLED);
+	Mute(world, JOURNAL, true);
+	const WorldJob &done = world.Plan(Millis(0), "calc", JobWorld::Chain(2), Millis(300));
+	const WorldJob &half = world.Plan(Millis(1500), "calc", JobWorld::Chain(2), Millis(2000));
+	WorldJob &cancelled = world.Plan(Millis(500), "calc", JobWorld::Lasting(2));
+	world.PlanCancel(Millis(1500), cancelled);
+	world.clock.RunUntil(SETTLED + Millis(3000));
+	REQUIRE(world.ViewOf(done).phase == JobPhase::JP_COMPLETED);
+	REQUIRE(cancelled.cancelled);
+	const uint64_t starts = world.site.starts;
+	JobWorld::Kill(*world.OwnerOf(ServiceName("calc")));
+	Mute(world, JOURNAL, false);
+	world.clock.RunUntil(SETTLED + Millis(3000) + Millis(12000));
+	CHECK(world.ViewOf(done).phase == JobPhase::JP_COMPLETED);
+	CHECK(world.ViewOf(cancelled).phase == JobPhase::JP_CANCELLED);
+	CHECK(world.ViewOf(half).phase == JobPhase::JP_COMPLETED);
+	/* Only the last step of the job that was under way: nothing that had ended is run again. */
+	CHECK(world.site.starts == starts + 1);
+	CHECK(world.site.violations == std::vector<std::string>{});
+}
+
+TEST_CASE("nothing stays behind in the spare partition once the main one has answered")
+{
+	JobWorld world;
+	world.clock.RunUntil(SETTLED);
+	Mute(world, JOURNAL, true);
+	const WorldJob &job = world.Plan(Millis(0), "calc", JobWorld::Chain(2), Millis(300));
+	world.clock.RunUntil(SETTLED + Millis(2000));
+	const std::string key = PROGRESS_MARK + job.spec.id.Value();
+	const auto held = [&world, &key](const PartitionId &partition, const std::string &name) {
+		return std::ranges::count(world.store.Newest(partition, {}).records, name, &KeyedRecord::key);
+	};
+	CHECK(held(SpareOf(JOURNAL), key) == 1);
+	CHECK(held(JOURNAL, job.spec.id.Value()) == 0);
+	Mute(world, JOURNAL, false);
+	world.clock.RunUntil(SETTLED + Millis(5000));
+	CHECK(held(SpareOf(JOURNAL), key) == 0);
+	CHECK(held(JOURNAL, job.spec.id.Value()) == 1);
+}
