Connections that fall silent for good cost one call; an owner that is recording is asked again

Cause: kept connections are used again without a word from the other end. When all fall silent at once, each of six kept to an address cost a call its whole time limit (1 s at the store, 0.35 s at boxes), one after the other; joins are due within 1.5 s. A record handed to an owner that had said that it is recording was waited for until 0.9 s before the caller's deadline, also over a dead connection. Change: a call that runs out of time closes the connections to its address that are idle since it began. A recording owner is asked again after 0.6 s; without an answer within 0.25 s the connection is replaced. The owner's record is read in the spare partition when the main one doesn't answer. Long polls notice by their limits: 2 s for the configuration, 1 s for reports.

--- a/src/net/http_caller.cpp
+++ b/src/net/http_caller.cpp
@@ -22,6 +22,7 @@
 	void Start(const HttpCallSpec &spec)
 	{
 		this->begun = this->caller.scheduler.Now();
+		this->address = spec.address;
 		this->timer = this->caller.scheduler.After(spec.patience,
 												   [this, due = this->begun + spec.patience] { this->OnDue(due); });
 		this->call = this->caller.dialer.Start(spec.address, spec.request, *this);
@@ -51,6 +52,7 @@
 	HttpReply reply;                    ///< What came so far.
 	TimerId timer;                      ///< Time limit.
 	Millis begun;                       ///< When the call was made.
+	std::string address;                ///< Where it goes.
 	bool ended = false;                 ///< Whether the answer was told.
 
 	/* A busy process that took its own delay for lost answers sent its orders again, and was busier by that: an owner
@@ -59,11 +61,18 @@
 	{
 		const Millis late = this->caller.scheduler.Now() - due;
 		if (late <= HELD_UP) {
-			this->End(CallResult::CR_UNKNOWN);
+			this->GiveUp();
 			return;
 		}
-		this->timer = this->caller.scheduler.After(std::max(late, GRACE_LEAST),
-												   [this] { this->End(CallResult::CR_UNKNOWN); });
+		this->timer = this->caller.scheduler.After(std::max(late, GRACE_LEAST), [this] { this->GiveUp(); });
+	}
+
+	/* Connections may fall silent without a reset, all at once. Those that have carried nothing since this call began
+	 * are closed: otherwise each of six kept ones would cost the next calls their whole time limit. */
+	void GiveUp()
+	{
+		this->caller.dialer.DropIdle(this->address, this->begun);
+		this->End(CallResult::CR_UNKNOWN);
 	}
 
 	void End(CallResult result)
--- a/src/node/owner_lookup.cpp
+++ b/src/node/owner_lookup.cpp
@@ -5,10 +5,14 @@
 #include "../store/partition_claim.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace {
 
-constexpr Millis ANSWER_WAIT(250);  ///< A node that has not answered by then is asked again; two hops take a few ms.
+constexpr Millis ANSWER_WAIT(250); ///< A node that has not answered by then is asked again; two hops take a few ms.
+/** An owner that is recording is asked again after this, over the same connection: when it doesn't say so again within
+ * ANSWER_WAIT, the connection is replaced. An append around a silent partition is done within 0.4 s. */
+constexpr Millis RECORDING_WAIT(600);
 constexpr Millis ASK_AGAIN(60);     ///< Pause before another try after "not here".
 constexpr Millis OWNER_VALID(3000); ///< An owner known for longer is asked for again beside a question.
 constexpr Millis REFRESH_GAP(100);  ///< Least time between two questions for an owner.
@@ -64,22 +68,29 @@
 void OwnerLookup::Again(uint64_t number)
 {
 	Open &it = this->open.at(number);
-	const Millis answer = it.recording ? it.deadline - this->scheduler.Now() : ANSWER_WAIT;
+	const Millis answer = it.recording ? RECORDING_WAIT : ANSWER_WAIT;
 	const Millis wait = it.asked.empty() ? ASK_AGAIN : answer;
 	this->scheduler.Cancel(it.timer);
 	it.timer = this->scheduler.After(std::min(wait, it.deadline - this->scheduler.Now()), [this, number] {
 		const auto late = this->open.find(number);
-		if (late != this->open.end() && !late->second.asked.empty()) {
-			/* The node is gone or another owns the shard by now. */
-			this->clients.erase(late->second.asked);
-			late->second.asked.clear();
-			late->second.lost = late->second.lost || late->second.sent;
-			this->Refresh(late->second.shard);
+		if (late == this->open.end()) {
+			return;
+		}
+		if (!std::exchange(late->second.recording, false) && !late->second.asked.empty()) {
+			this->GiveUpNode(late->second);
 		}
 		this->Try(number);
 	});
 }
 
+void OwnerLookup::GiveUpNode(Open &question)
+{
+	/* The node is gone, another owns the shard by now, or the connection has fallen silent. */
+	this->clients.erase(std::exchange(question.asked, {}));
+	question.lost = question.lost || question.sent;
+	this->Refresh(question.shard);
+}
+
 void OwnerLookup::Refresh(const PartitionId &shard)
 {
 	const Millis now = this->scheduler.Now();
@@ -89,16 +100,26 @@
 	}
 	owner.asking = true;
 	owner.asked_at = now;
-	this->log.Newest(shard, BEFORE_OWNER,
-					 [this, shard, still = std::weak_ptr<bool>(this->alive)](const NewestPage &page) {
+	this->ReadOwner(shard, shard);
+}
+
+void OwnerLookup::ReadOwner(const PartitionId &shard, const PartitionId &from)
+{
+	this->log.Newest(from, BEFORE_OWNER,
+					 [this, shard, from, still = std::weak_ptr<bool>(this->alive)](const NewestPage &page) {
 						 if (!still.expired()) {
-							 this->OnOwner(shard, page);
+							 this->OnOwner(shard, from, page);
 						 }
 					 });
 }
 
-void OwnerLookup::OnOwner(const PartitionId &shard, const NewestPage &page)
+void OwnerLookup::OnOwner(const PartitionId &shard, const PartitionId &from, const NewestPage &page)
 {
+	if (page.code != ResultCode::RC_OK && from == shard) {
+		/* Each claim names the owner in the spare partition as well. */
+		this->ReadOwner(shard, SpareOf(shard));
+		return;
+	}
 	KnownOwner &owner = this->owners[shard];
 	owner.asking = false;
 	if (page.code != ResultCode::RC_OK) {
@@ -147,6 +168,8 @@
 	FrameClient &client = this->ClientOf(it.asked);
 	if (client.Up()) {
 		client.Send(it.make(number));
+		/* The one before may still be carried out, whatever is answered to this one. */
+		it.lost = it.lost || it.sent;
 		it.sent = true;
 	}
 	this->Again(number);
--- a/src/node/owner_lookup.h
+++ b/src/node/owner_lookup.h
@@ -51,6 +51,13 @@
 	/** @return Whether an owner is known and the connection to its node stands; seeks it otherwise. @param shard
 	 * Partition that holds the shard's progress. */
 	[[nodiscard]] bool Ready(const PartitionId &shard);
+	/** @return Address of a shard's owner, as last heard; empty when not known. @param shard Partition that holds the
+	 * shard's progress. */
+	[[nodiscard]] std::string OwnerOf(const PartitionId &shard) const
+	{
+		const auto it = this->owners.find(shard);
+		return it == this->owners.end() ? std::string() : it->second.address;
+	}
 
 private:
 	/** A question under way. */
@@ -62,7 +69,7 @@
 		Done done;              ///< Gets the answer.
 		std::string asked;      ///< Node that was asked last.
 		Millis recording_until; ///< New deadline once an owner is recording.
-		bool recording = false; ///< Whether an owner has said so.
+		bool recording = false; ///< Whether an owner has said so, and not for long.
 		bool sent = false;      ///< Whether a question is out that nobody has answered.
 		bool lost = false;      ///< Whether an earlier question got no answer: it may still be carried out.
 		TimerId timer;          ///< Next try.
@@ -86,8 +93,10 @@
 
 	void Try(uint64_t number);
 	void Again(uint64_t number);
+	void GiveUpNode(Open &question);
 	void Refresh(const PartitionId &shard);
-	void OnOwner(const PartitionId &shard, const NewestPage &page);
+	void ReadOwner(const PartitionId &shard, const PartitionId &from);
+	void OnOwner(const PartitionId &shard, const PartitionId &from, const NewestPage &page);
 	void Send(uint64_t number);
 	void OnFrame(const MessageUnion &message);
 	void Finish(uint64_t number, ResultCode code, const MessageUnion *answer);
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -23,6 +23,14 @@
 	};
 }
 
+PartitionId SoakWorld::AnyPartition()
+{
+	/* Those that owners record in: a queue's or the fleet's, main or spare. */
+	const std::array topics = {"keyed.jobs.calc", "keyed.jobs.grid", "keyed.fleet"};
+	const char *topic = topics[this->Pick(topics.size())];
+	return PartitionId{topic, this->Pick(2)};
+}
+
 void SoakWorld::ListFaults()
 {
 	const auto nothing = [] { return std::function<void()>(); };
@@ -86,6 +94,28 @@
 				 this->boxes.site.Restart(all[this->Pick(static_cast<uint32_t>(all.size()))].box);
 				 return nothing();
 			 }},
+			{"open_silent",
+			 [this, nothing] {
+				 /* All connections of all nodes, or one node's to the store, or those to one box. */
+				 const uint32_t what = this->Pick(3);
+				 if (what == 2) {
+					 this->box_ways[this->Pick(static_cast<uint32_t>(this->box_ways.size()))]->SilenceOpen();
+					 return nothing();
+				 }
+				 SoakNode &one = this->AnyNode();
+				 for (const auto &it : this->nodes) {
+					 if (what == 0 || it.get() == &one) {
+						 it->NoteHarm();
+						 it->way.SilenceOpen();
+					 }
+				 }
+				 return nothing();
+			 }},
+			{"store_partition",
+			 [this, &bad] {
+				 const PartitionId one = this->AnyPartition();
+				 return this->HarmStore([&bad, one] { bad.mute.insert(one); }, [&bad, one] { bad.mute.erase(one); });
+			 }},
 			{"store_refuses",
 			 [this, &bad] {
 				 return this->HarmStore([&bad] { bad.refusing = true; }, [&bad] { bad.refusing = false; });
--- a/tests/soak/soak_proxy.cpp
+++ b/tests/soak/soak_proxy.cpp
@@ -12,6 +12,7 @@
 struct SoakProxy::Pair {
 	QTcpSocket caller; ///< Who connected.
 	QTcpSocket server; ///< Where it goes.
+	bool mute = false; ///< Whether it says nothing any more, whatever is healed.
 };
 
 void SoakProxy::Set(ProxyFault now)
@@ -22,11 +23,20 @@
 	if (now == ProxyFault::PF_RESET || heals) {
 		const auto all = this->pairs;
 		for (const auto &it : all) {
-			this->Drop(it, true);
+			if (!it->mute) {
+				this->Drop(it, true);
+			}
 		}
 	}
 }
 
+void SoakProxy::SilenceOpen()
+{
+	for (const auto &it : this->pairs) {
+		it->mute = true;
+	}
+}
+
 void SoakProxy::incomingConnection(qintptr descriptor)
 {
 	auto pair = std::make_shared<Pair>();
@@ -59,7 +69,8 @@
 void SoakProxy::Forward(const std::shared_ptr<Pair> &pair, bool answering)
 {
 	const QByteArray data = (answering ? pair->server : pair->caller).readAll();
-	const bool held = this->fault == ProxyFault::PF_SILENT || (this->fault == ProxyFault::PF_ONE_WAY && answering);
+	const bool held =
+			pair->mute || this->fault == ProxyFault::PF_SILENT || (this->fault == ProxyFault::PF_ONE_WAY && answering);
 	if (held) {
 		return;
 	}
--- a/tests/soak/soak_proxy.h
+++ b/tests/soak/soak_proxy.h
@@ -29,6 +29,8 @@
 	bool Start() { return this->listen(QHostAddress::LocalHost, 0); }
 	/** Sets a fault. @param now What goes wrong from now on. */
 	void Set(ProxyFault now);
+	/** The connections that stand fall silent for good, without a reset; new ones work. */
+	void SilenceOpen();
 
 protected:
 	void incomingConnection(qintptr descriptor) override;
--- a/tests/soak/soak_store.cpp
+++ b/tests/soak/soak_store.cpp
@@ -60,6 +60,9 @@
 	}
 	const std::string path = PathOf(request.target);
 	const QUrlQuery query = QueryOf(request.target);
+	if (this->faults.mute.contains(PartitionOf(query))) {
+		return; /* Calls about groups name no partition. */
+	}
 	if (path == "/v1/log-append") {
 		this->Append(answer, request);
 	} else if (path == "/v1/log-read") {
--- a/tests/soak/soak_store.h
+++ b/tests/soak/soak_store.h
@@ -5,12 +5,15 @@
 #include "soak_http.h"
 #include "standin/memory/keyed_store.h"
 
+#include <set>
+
 /** What goes wrong with calls to the store. */
 struct SoakStoreFaults {
-	bool refusing = false; ///< Every call gets 503; nothing is done.
-	int lose_percent = 0;  ///< So many of 100 appends are done, and their connection is cut without an answer.
-	bool late = false;     ///< Those are done 2.5 s later instead of at once.
-	Millis slow;           ///< Answers take so much longer.
+	bool refusing = false;      ///< Every call gets 503; nothing is done.
+	int lose_percent = 0;       ///< So many of 100 appends are done, and their connection is cut without an answer.
+	bool late = false;          ///< Those are done 2.5 s later instead of at once.
+	std::set<PartitionId> mute; ///< Calls to these partitions get no answer; nothing is done.
+	Millis slow;                ///< Answers take so much longer.
 };
 
 /** The store's server. */
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -94,6 +94,7 @@
 
 	/* soak_faults.cpp */
 	void ListFaults();
+	PartitionId AnyPartition();
 	std::function<void()> HarmStore(const std::function<void()> &begin, const std::function<void()> &end);
 
 	/* soak_callers.cpp */
--- /dev/null
+++ b/tests/test_silent_connection.cpp
@@ -0,0 +1,172 @@
+/** @file test_silent_connection.cpp Open connections fall silent for good, without a reset, while new ones work. */
+#include "net/frame_link.h"
+#include "net/http_caller.h"
+#include "node/owner_lookup.h"
+#include "store/owner_record.h"
+#include "store/partition_claim.h"
+
+#include <doctest/doctest.h>
+
+#include <QEventLoop>
+#include <QTcpServer>
+#include <QTimer>
+
+#include <algorithm>
+#include <set>
+
+namespace {
+
+constexpr int LOOP_MOST = 10000; ///< ms after which a test has failed.
+
+/** Answers every call on every connection that has not been silenced. */
+class SilenceableServer {
+public:
+	SilenceableServer()
+	{
+		QObject::connect(&this->server, &QTcpServer::newConnection, &this->server, [this] { this->Accept(); });
+		this->server.listen(QHostAddress(QHostAddress::LocalHost));
+	}
+
+	/** All connections that stand say nothing any more. */
+	void Silence() { this->silent = this->accepted; }
+	/** @return IP:port. */
+	[[nodiscard]] std::string Address() const { return "127.0.0.1:" + std::to_string(this->server.serverPort()); }
+
+	size_t accepted = 0; ///< Connections so far.
+
+private:
+	QTcpServer server; ///< The listener.
+	size_t silent = 0; ///< Connections up to this number are silent.
+
+	void Accept()
+	{
+		while (QTcpSocket *socket = this->server.nextPendingConnection()) {
+			const size_t number = ++this->accepted;
+			QObject::connect(socket, &QTcpSocket::readyRead, socket, [this, socket, number] {
+				socket->readAll();
+				if (number > this->silent) {
+					socket->write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+				}
+			});
+		}
+	}
+};
+
+/** A log that knows only who owns a partition. */
+class OwnerOnlyLog : public KeyedLog {
+public:
+	OwnerOnlyLog(Scheduler &scheduler, std::string owner) : scheduler(scheduler), owner(std::move(owner)) {}
+
+	void Newest(const PartitionId &, const std::string &, std::function<void(NewestPage)> done) override
+	{
+		NewestPage page;
+		page.code = ResultCode::RC_OK;
+		page.records = {KeyedRecord{OWNER_KEY, EncodeOwner(StoredOwner{1, this->owner, false, Millis(0)})}};
+		this->scheduler.After(Millis(1), [done, page] { done(page); });
+	}
+	void Append(const PartitionId &, const std::vector<KeyedRecord> &, const AppendCondition &, Millis,
+				std::function<void(KeyedAppendAnswer)>) override
+	{
+	}
+	void Read(const PartitionId &, uint64_t, Millis, std::function<void(KeyedReadAnswer)>) override {}
+	void Join(const std::string &, const std::string &, const std::string &, Millis, uint64_t,
+			  std::function<void(GroupMembership)>) override
+	{
+	}
+	void Leave(const std::string &, const std::string &, std::function<void()>) override {}
+	void Holders(const std::string &, std::function<void(ResultCode, std::vector<PartitionHolder>)>) override {}
+
+private:
+	Scheduler &scheduler; ///< Clock.
+	std::string owner;    ///< Address of the owner's node.
+};
+
+} // namespace
+
+TEST_CASE("one call over a silent connection is lost, not one for each connection that was kept")
+{
+	constexpr size_t KEPT = 6;
+	SilenceableServer server;
+	QtScheduler scheduler;
+	HttpCaller caller(scheduler, DialLimits{Millis(1000), Millis(8000), KEPT});
+	HttpCallSpec spec{server.Address(), {}, Millis(400)};
+	spec.request.method = "GET";
+	spec.request.target = "/";
+	QEventLoop loop;
+	QTimer::singleShot(LOOP_MOST, &loop, &QEventLoop::quit);
+	size_t answered = 0;
+	for (size_t n = 0; n < KEPT; n++) {
+		caller.Call(spec, [&](const HttpReply &it) {
+			answered += it.result == CallResult::CR_ANSWERED ? 1 : 0;
+			if (answered == KEPT) {
+				loop.quit();
+			}
+		});
+	}
+	loop.exec();
+	REQUIRE(answered == KEPT);
+	REQUIRE(server.accepted == KEPT);
+	server.Silence();
+	std::vector<CallResult> results;
+	const std::function<void(const HttpReply &)> next = [&](const HttpReply &it) {
+		results.push_back(it.result);
+		if (it.result == CallResult::CR_ANSWERED || results.size() > KEPT) {
+			loop.quit();
+			return;
+		}
+		caller.Call(spec, next);
+	};
+	caller.Call(spec, next);
+	loop.exec();
+	CHECK(results == std::vector<CallResult>{CallResult::CR_UNKNOWN, CallResult::CR_ANSWERED});
+}
+
+TEST_CASE("a record handed to an owner is handed on over a new connection when the first one falls silent")
+{
+	QtScheduler scheduler;
+	NoEventLog events;
+	std::set<FrameLink *> silent;
+	std::vector<FrameLink *> asked;
+	FrameServer server(
+			[&](FrameLink &link, const MessageUnion &message) {
+				const auto *in = message.AsRecordQuestion();
+				if (in == nullptr || silent.contains(&link)) {
+					return;
+				}
+				asked.push_back(&link);
+				glade::wire::RecordAnswerT out;
+				out.number = in->number;
+				/* The owner of the first connection says that it is recording, and is not heard again. */
+				out.code = static_cast<uint32_t>(asked.size() == 1 ? ResultCode::RC_LOG_RECORDING : ResultCode::RC_OK);
+				link.Send(MakeMessage(out));
+				if (asked.size() == 1) {
+					silent.insert(&link);
+				}
+			},
+			[](FrameLink &) {});
+	REQUIRE(server.Listen(NetAddress{QHostAddress(QHostAddress::LocalHost), 0}));
+	OwnerOnlyLog log(scheduler, "127.0.0.1:" + std::to_string(server.Port()));
+	OwnerLookup lookup(scheduler, log, events);
+	QEventLoop loop;
+	QTimer::singleShot(LOOP_MOST, &loop, &QEventLoop::quit);
+	std::optional<ResultCode> told;
+	const auto make = [](uint64_t number) {
+		glade::wire::RecordQuestionT out;
+		out.number = number;
+		out.service = "calc";
+		out.key = "k";
+		return MakeMessage(std::move(out));
+	};
+	const Millis now = scheduler.Now();
+	lookup.Ask(
+			PartitionId{"keyed.jobs.calc", 0}, "k", now + Millis(2000), make,
+			[&](ResultCode code, const MessageUnion *) {
+				told = code;
+				loop.quit();
+			},
+			now + Millis(4000));
+	loop.exec();
+	REQUIRE(told.has_value());
+	CHECK(*told == ResultCode::RC_OK);
+	CHECK(asked.size() == 2);
+}
--- a/tests/test_silent_partition.cpp
+++ b/tests/test_silent_partition.cpp
@@ -102,3 +102,18 @@
 	CHECK(held(SpareOf(JOURNAL), key) == 0);
 	CHECK(held(JOURNAL, job.spec.id.Value()) == 1);
 }
+
+TEST_CASE("a node that has never heard of an owner finds it while the owner's partition is silent")
+{
+	JobWorld world;
+	world.clock.RunUntil(SETTLED);
+	const WorldJob &job = world.Plan(Millis(0), "calc", JobWorld::Chain(2), Millis(300));
+	world.clock.RunUntil(SETTLED + Millis(1000));
+	WorldNode &fresh = world.Boot("node-new");
+	fresh.log.faults.mute.insert(JOURNAL);
+	/* Frames go nowhere in this world: what counts is whom it would ask. */
+	fresh.desk.Ask(JobQuestion{ServiceName("calc"), RouteName("r-calc"), job.spec.id}, world.clock.Now() + Millis(1000),
+				   [](const JobAnswer &) {});
+	world.clock.RunUntil(world.clock.Now() + Millis(1500));
+	CHECK(fresh.lookup.OwnerOf(JOURNAL) == world.OwnerOf(ServiceName("calc"))->name);
+}
