Callers are refused soon and truly while the log refuses; what was never sent is not sent into a silent inbox

A record that the owner had taken stayed in its batch, refused each 100 ms, until the caller's deadline: 47 answers of 504, after which callers don't come again, where nothing had been done. Callers' time (3 s) counts from their first try, so none of the first 3 s of such an outage can be served. Change: a batch that both partitions have refused for 0.1 s with certainty is taken back; the jobs in it are forgotten (unless the inbox has them as well) and refused; while the log refuses, callers are refused at the door of the shard. After an append to the inbox without an answer, records that may lie there go alone; after two, others are refused at once; what waits is handed back when the append under way has used its time.

--- a/src/jobs/shard_base.h
+++ b/src/jobs/shard_base.h
@@ -76,6 +76,7 @@
 	JobPhase durable_phase = JobPhase::JP_QUEUED; ///< What is recorded: others are told only this.
 	std::vector<ShardTask> tasks;                 ///< By occurrence, step, index.
 	uint64_t revision = 0;                        ///< Of its last record.
+	bool recorded = false;                        ///< Whether the log has it: otherwise it may still be refused.
 	JobOutlook outlook;                           ///< What its waiting tasks ask for.
 	std::vector<uint32_t> step_offsets;           ///< Where each step begins within an occurrence.
 	uint32_t per_occurrence = 0;                  ///< Tasks of an occurrence.
@@ -229,8 +230,8 @@
 	void Drain(const std::set<BoxName> &drain, const std::set<BoxName> &due);
 	/** @return How the pool stands. */
 	[[nodiscard]] PoolStatus Status();
-	/** Takes a job; one that is known is ignored. @param spec The job. */
-	void Submit(const JobSpec &spec);
+	/** Takes a job; one that is known is ignored. @param spec The job. @param recorded Whether the log has it. */
+	void Submit(const JobSpec &spec, bool recorded = true);
 	/** Cancels a job, also one that comes later. @param id The job. */
 	void Cancel(const JobId &id);
 	/** Takes a submission or cancellation that is recorded with the next append, together with the placements that
@@ -249,6 +250,8 @@
 
 	/** An append that was not this shard's own has ended: what had to wait for it goes on. */
 	void OnJournalFree();
+	/** The log has refused an append for certain: callers are refused and nothing is placed for a moment. */
+	void OnJournalRefused();
 
 	/** @return What is known of a job. @param id The job. */
 	[[nodiscard]] JobView View(const JobId &id) const;
@@ -294,6 +297,7 @@
 	std::map<RouteName, double> run_times;       ///< ms that tasks of a route took, on a scale of ratios, smoothed.
 	std::map<uint64_t, IncomingRecord> incoming; ///< Records that wait for the next append, in the order of arrival.
 	uint64_t incoming_last = 0;                  ///< Number of the last of them.
+	Millis refused_at{-1000000};                 ///< When the log had last refused what was to be recorded.
 	std::vector<IncomingRecord> accepted;        ///< Those that the next append takes along.
 	std::set<JobId> dirty;                       ///< Jobs to be recorded.
 	std::vector<PendingStart> starts;            ///< Orders to send once recorded.
@@ -310,6 +314,9 @@
 	void TakeIncoming();
 	void Withdraw(uint64_t number);
 	void Commit();
+	void OnRefused(const std::vector<IncomingRecord> &taken, const std::map<JobId, JobPhase> &phases);
+	void Forget(const JobId &id);
+	void NoteRecorded(const IncomingRecord &incoming);
 	void OnCommitted(const std::vector<PendingStart> &due, const std::map<BoxLife, uint64_t> &ends,
 					 const std::map<JobId, JobPhase> &phases);
 	ShardJob MakeJob(const JobSpec &spec) const;
--- a/src/jobs/shard_jobs.cpp
+++ b/src/jobs/shard_jobs.cpp
@@ -10,6 +10,9 @@
 /** What has waited so long for an append is handed back unrecorded: its caller may try elsewhere. A slow store takes
  * 600 ms. */
 constexpr Millis WITHDRAW_AFTER(700);
+/** After the log has refused what was to be recorded, callers' records are refused at once for so long, and nothing is
+ * placed: two of its refusals. */
+constexpr Millis REFUSED_FOR(200);
 constexpr Millis LOG_AWAY(1600); ///< An owner that was confirmed longer ago takes nothing to be recorded.
 constexpr Millis TICK(500); ///< Turn without an event: lapsed leases and boxes to be tried again are noticed so late.
 
@@ -78,12 +81,14 @@
 	}
 }
 
-void Shard::Submit(const JobSpec &spec)
+void Shard::Submit(const JobSpec &spec, bool recorded)
 {
-	if (this->jobs.contains(spec.id)) {
+	if (const auto known = this->jobs.find(spec.id); known != this->jobs.end()) {
+		known->second.recorded = known->second.recorded || recorded;
 		return;
 	}
 	ShardJob job = this->MakeJob(spec);
+	job.recorded = recorded;
 	this->ApplyRoute(job);
 	if (const auto old = this->restored.find(spec.id); old != this->restored.end()) {
 		job.phase = job.durable_phase = old->second.phase;
@@ -253,7 +258,7 @@
 	this->NoteStoreAway();
 	this->EmptyBoxes();
 	/* Nothing can be recorded, and so nothing started, before the append under way has ended: OnCommitted() goes on. */
-	this->place_wanted = this->journal.Busy();
+	this->place_wanted = this->journal.Busy() || this->scheduler.Now() - this->refused_at < REFUSED_FOR;
 	if (!this->place_wanted) {
 		this->TakeIncoming();
 		this->Place();
@@ -266,7 +271,9 @@
 
 void Shard::Accept(IncomingRecord incoming)
 {
-	if (!this->begun || this->deposed || this->scheduler.Now() - this->journal.ConfirmedAt() > LOG_AWAY) {
+	const Millis now = this->scheduler.Now();
+	const bool away = now - this->journal.ConfirmedAt() > LOG_AWAY || now - this->refused_at < REFUSED_FOR;
+	if (!this->begun || this->deposed || away) {
 		incoming.done(ResultCode::RC_LOG_UNAVAILABLE);
 		return;
 	}
@@ -294,7 +301,7 @@
 		if (known) {
 			it.record.key.clear(); /* Recorded before: no append is under way. */
 		} else if (it.spec) {
-			this->Submit(*it.spec);
+			this->Submit(*it.spec, false);
 		} else {
 			this->Cancel(it.id);
 		}
@@ -335,15 +342,86 @@
 		this->OnCommitted(due, ends, phases);
 		return;
 	}
-	this->journal.Append(std::move(records), [this, due, ends, phases, tell, still = std::weak_ptr<bool>(this->alive)] {
+	/* The journal may outlive the shard, to say in the log that its owner has let go. */
+	const std::weak_ptr<bool> still(this->alive);
+	const auto committed = [this, due, ends, phases, taken, tell, still] {
+		if (!still.expired()) {
+			std::ranges::for_each(taken, [this](const IncomingRecord &it) { this->NoteRecorded(it); });
+		}
 		tell();
-		/* The journal may outlive the shard, to say in the log that its owner has let go. */
 		if (!still.expired()) {
 			this->OnCommitted(due, ends, phases);
 		}
+	};
+	const auto refused = [this, due, phases, taken, still] {
+		if (!still.expired()) {
+			std::ranges::copy(due, std::back_inserter(this->starts));
+			this->OnRefused(taken, phases);
+		}
+	};
+	this->journal.Append(std::move(records), committed, refused);
+}
+
+void Shard::NoteRecorded(const IncomingRecord &incoming)
+{
+	if (const auto it = this->jobs.find(incoming.id); it != this->jobs.end() && incoming.spec) {
+		it->second.recorded = true;
+	}
+}
+
+void Shard::OnRefused(const std::vector<IncomingRecord> &taken, const std::map<JobId, JobPhase> &phases)
+{
+	std::ranges::copy(phases | std::views::keys, std::inserter(this->dirty, this->dirty.end()));
+	std::vector<IncomingRecord> refused;
+	for (const IncomingRecord &it : taken) {
+		const auto job = this->jobs.find(it.id);
+		const bool stays = !it.spec || (job != this->jobs.end() && job->second.recorded);
+		if (stays) {
+			/* A cancellation has had its effect already; a job that came by the inbox as well is kept. */
+			this->accepted.push_back(it);
+			continue;
+		}
+		if (job != this->jobs.end()) {
+			this->Forget(it.id);
+		}
+		refused.push_back(it);
+	}
+	this->log.Write("records_refused", {{"service", this->service.Value()},
+										{"refused", std::to_string(refused.size())},
+										{"kept", std::to_string(this->accepted.size())}});
+	std::ranges::for_each(refused, [](const IncomingRecord &it) { it.done(ResultCode::RC_LOG_UNAVAILABLE); });
+	this->OnJournalRefused();
+}
+
+void Shard::OnJournalRefused()
+{
+	this->refused_at = this->scheduler.Now();
+	for (const IncomingRecord &it : std::exchange(this->incoming, {}) | std::views::values) {
+		it.done(ResultCode::RC_LOG_UNAVAILABLE);
+	}
+	this->scheduler.After(REFUSED_FOR, [this, still = std::weak_ptr<bool>(this->alive)] {
+		if (!still.expired()) {
+			this->Wake();
+		}
 	});
 }
 
+void Shard::Forget(const JobId &id)
+{
+	const ShardJob &job = this->jobs.at(id);
+	for (size_t place = 0; place < job.tasks.size(); place++) {
+		const auto box = this->boxes.find(job.tasks[place].box);
+		const TaskId task = job.TaskAt(place);
+		if (box != this->boxes.end() && box->second.placed.erase(task) > 0) {
+			box->second.used -= job.spec.steps[task.step].demand;
+		}
+	}
+	this->tickets.Forget(id);
+	this->dirty.erase(id);
+	this->live.erase(id);
+	this->jobs.erase(id);
+}
+
 void Shard::OnCommitted(const std::vector<PendingStart> &due, const std::map<BoxLife, uint64_t> &ends,
 						const std::map<JobId, JobPhase> &phases)
 {
--- a/src/jobs/shard_owner.cpp
+++ b/src/jobs/shard_owner.cpp
@@ -172,12 +172,18 @@
 	this->confirm_timer = this->parts.scheduler.After(CONFIRM_EVERY, [this] { this->KeepConfirmed(); });
 	if (!this->journal->Busy() && this->parts.scheduler.Now() - this->journal->ConfirmedAt() >= CONFIRM_EVERY) {
 		const StoredOwner self{this->epoch, this->parts.address, false, Millis(0)};
-		this->journal->Append({KeyedRecord{OWNER_KEY, EncodeOwner(self)}},
-							  [this, still = std::weak_ptr<bool>(this->alive)] {
-								  if (!still.expired() && this->shard) {
-									  this->shard->OnJournalFree();
-								  }
-							  });
+		const std::weak_ptr<bool> still(this->alive);
+		const auto recorded = [this, still] {
+			if (!still.expired() && this->shard) {
+				this->shard->OnJournalFree();
+			}
+		};
+		const auto refused = [this, still] {
+			if (!still.expired() && this->shard) {
+				this->shard->OnJournalRefused();
+			}
+		};
+		this->journal->Append({KeyedRecord{OWNER_KEY, EncodeOwner(self)}}, recorded, refused);
 	}
 }
 
--- a/src/node/inbox_writer.h
+++ b/src/node/inbox_writer.h
@@ -23,14 +23,17 @@
 	{
 	}
 
-	/** Appends a record. @param record It. @param deadline It is not sent after this. @param done Gets the outcome. */
-	void Append(const KeyedRecord &record, Millis deadline, Done done);
+	/** Appends a record. @param record It. @param deadline It is not sent after this. @param uncertain Whether it may
+	 * lie in the log already. @param done Gets the outcome. */
+	void Append(const KeyedRecord &record, Millis deadline, bool uncertain, Done done);
 
 private:
 	/** A record that waits. */
 	struct Waiting {
+		uint64_t number;    ///< Counts the records.
 		KeyedRecord record; ///< It.
 		Millis deadline;    ///< Not sent after this.
+		bool uncertain;     ///< Whether it may lie in the log already.
 		Done done;          ///< Gets the outcome.
 	};
 
@@ -38,11 +41,17 @@
 	KeyedLog &log;                                              ///< The log.
 	PartitionId partition;                                      ///< The inbox.
 	std::deque<Waiting> waiting;                                ///< Records for the next append.
+	uint64_t last_number = 0;                                   ///< Of the last record.
+	Millis lost_at{-1000000};                                   ///< When an append was last given up without an answer.
+	uint32_t lost = 0;                                          ///< Appends in a row that were.
 	bool busy = false;                                          ///< Whether an append is under way.
 	double took_ms = 0;                                         ///< Time that answered appends took, smoothed.
 	std::shared_ptr<bool> alive = std::make_shared<bool>(true); ///< Expires with this.
 
 	[[nodiscard]] Millis Patience() const;
+	[[nodiscard]] bool Silent() const;
+	void HandBack(uint64_t number);
+	void OnAnswer(ResultCode code, Millis took);
 	void Send();
 };
 
--- a/src/node/job_desk.cpp
+++ b/src/node/job_desk.cpp
@@ -111,7 +111,7 @@
 	}
 	/* A repeated record changes nothing: the first one of a key counts. So no sequence numbers are needed. */
 	const bool before = std::exchange(it->uncertain, true); /* As long as the append may be under way. */
-	inbox->Append(it->record, it->deadline - ANSWER_MARGIN,
+	inbox->Append(it->record, it->deadline - ANSWER_MARGIN, before,
 				  [this, it, before, still = std::weak_ptr<bool>(this->alive)](ResultCode code) {
 					  if (!still.expired()) {
 						  it->uncertain = before;
--- a/src/store/owner_journal.cpp
+++ b/src/store/owner_journal.cpp
@@ -32,6 +32,7 @@
 {
 	const Millis sent = this->scheduler.Now();
 	this->sendings++;
+	this->sent = true;
 	const AppendCondition condition{std::nullopt, OWNER_PRODUCER, this->epoch, this->sequence};
 	this->log.Append(this->partition, this->queue.front().records, condition, APPEND_PATIENCE,
 					 [this, sent, still = std::weak_ptr<bool>(this->alive)](const KeyedAppendAnswer &answer) {
@@ -43,8 +44,10 @@
 
 void OwnerJournal::OnAnswer(const KeyedAppendAnswer &answer, Millis sent)
 {
+	this->sent = false;
 	switch (answer.code) {
 	case ResultCode::RC_OK: {
+		this->uncertain = false;
 		this->confirmed_at = sent;
 		this->sequence++;
 		const Done done = std::move(this->queue.front().done);
@@ -64,10 +67,21 @@
 		}
 		return;
 	case ResultCode::RC_LOG_ANSWER_LOST:
+		this->uncertain = true;
 		this->timer = this->scheduler.After(LOST_PAUSE, [this] { this->Send(); });
 		return;
 	default:
 		this->timer = this->scheduler.After(REFUSED_PAUSE, [this] { this->Send(); });
+		if (this->on_refused) {
+			this->on_refused();
+		}
 		return;
 	}
 }
+
+void OwnerJournal::TakeBack()
+{
+	this->scheduler.Cancel(this->timer);
+	this->queue.clear();
+	this->busy = false;
+}
--- a/src/store/owner_journal.h
+++ b/src/store/owner_journal.h
@@ -37,6 +37,14 @@
 	/** @return Whether an append is under way. */
 	[[nodiscard]] bool Busy() const { return this->busy; }
 
+	/** @return Whether all sendings of the append under way were refused, and none is out: nothing of it was done. */
+	[[nodiscard]] bool Refused() const
+	{
+		return this->busy && !this->sent && !this->uncertain && this->queue.size() == 1;
+	}
+	/** Takes the append under way back, which Refused() allows. Its `done` is never called then. */
+	void TakeBack();
+
 	/** @return When the last append that succeeded was sent: this ownership was the latest then. */
 	[[nodiscard]] Millis ConfirmedAt() const { return this->confirmed_at; }
 
@@ -44,6 +52,7 @@
 	[[nodiscard]] uint64_t Sendings() const { return this->sendings; }
 
 	std::function<void()> on_deposed; ///< A later owner has claimed the partition.
+	std::function<void()> on_refused; ///< The log has refused a sending; it is repeated after a pause.
 
 private:
 	/** An append that waits for its turn. */
@@ -59,6 +68,8 @@
 	uint64_t sequence = 1;                                      ///< Of the append under way or the next one.
 	std::deque<Pending> queue;                                  ///< Appends; the first may be under way.
 	bool busy = false;                                          ///< Whether the first is under way.
+	bool sent = false;                                          ///< Whether a sending of it is not answered yet.
+	bool uncertain = false;                                     ///< Whether a sending of it got no answer.
 	Millis confirmed_at;                                        ///< For ConfirmedAt().
 	uint64_t sendings = 0;                                      ///< For Sendings().
 	TimerId timer;                                              ///< Next repeat.
--- a/src/store/paired_journal.cpp
+++ b/src/store/paired_journal.cpp
@@ -11,7 +11,10 @@
 constexpr Millis PATIENCE_LEAST(300);
 constexpr Millis PATIENCE_MOST(900);   ///< The same while the store is slow: below the limit of one append (1 s).
 constexpr int64_t PATIENCE_FACTOR = 3; ///< Times what the main partition took lately.
-constexpr int64_t TOOK_PART = 4;       ///< The newest append counts a fourth in the smoothed time.
+constexpr int64_t TOOK_PART = 4;       ///< The newest append counts a fourth in the smoothed time, when it is quicker.
+/** A batch that both partitions have refused for so long is handed back: what callers wait for is refused to them while
+ * they have time to come again. */
+constexpr Millis REFUSED_FOR(100);
 constexpr size_t REPEAT_MOST = 200; ///< Records repeated with one append: about 400 KB, a fifth of what a call carries.
 
 } // namespace
@@ -20,6 +23,8 @@
 		: scheduler(scheduler), events(events), pair(std::move(pair)), main(scheduler, log, this->pair.main, epoch),
 		  spare(scheduler, log, this->pair.spare, epoch)
 {
+	this->main.on_refused = [this] { this->OnRefused(); };
+	this->spare.on_refused = [this] { this->OnRefused(); };
 	this->main.on_deposed = [this] { this->OnDeposed(); };
 	this->spare.on_deposed = [this] { this->OnDeposed(); };
 }
@@ -36,9 +41,10 @@
 	}
 }
 
-void PairedJournal::Append(std::vector<KeyedRecord> records, Done done)
+void PairedJournal::Append(std::vector<KeyedRecord> records, Done done, Done refused)
 {
-	this->queue.push_back(Batch{++this->last_number, std::move(records), std::move(done)});
+	this->queue.push_back(
+			Batch{++this->last_number, std::move(records), std::move(done), std::move(refused), false, false});
 	if (!this->current) {
 		this->Next();
 	}
@@ -55,11 +61,16 @@
 		this->current = std::move(this->queue.front());
 		this->queue.pop_front();
 	} else if (!this->behind.empty() && !this->main.Busy()) {
-		this->current = Batch{++this->last_number, {}, [this] {
+		this->current = Batch{++this->last_number,
+							  {},
+							  [this] {
 								  if (this->on_free) {
 									  this->on_free();
 								  }
-							  }};
+							  },
+							  nullptr,
+							  false,
+							  false};
 	} else {
 		return;
 	}
@@ -81,8 +92,9 @@
 		this->repeated.emplace(key, it.number);
 	}
 	const uint64_t number = this->current->number;
+	this->current->in_main = true;
 	this->timer = this->scheduler.After(this->Patience(), [this, number] {
-		if (this->current && this->current->number == number) {
+		if (this->current && this->current->number == number && !this->current->in_spare) {
 			this->ToSpare();
 		}
 	});
@@ -100,6 +112,7 @@
 		this->Finish(); /* Only repeats what the spare partition has. */
 		return;
 	}
+	this->current->in_spare = true;
 	std::vector<KeyedRecord> records;
 	for (const KeyedRecord &it : this->current->records) {
 		const SpareKey there = this->pair.key_for(it.key);
@@ -142,7 +155,9 @@
 	const bool waited_for = this->current && this->current->number == number;
 	if (waited_for) {
 		const Millis now_took = this->scheduler.Now() - this->sent_at;
-		this->took = this->took + Millis((now_took.Value() - this->took.Value()) / TOOK_PART);
+		/* Up at once, down slowly: a store that turns slow would get each of its first batches twice. */
+		const Millis smoothed = this->took + Millis((now_took.Value() - this->took.Value()) / TOOK_PART);
+		this->took = std::max(now_took, smoothed);
 	}
 	this->Settle(number);
 	this->TidySpare();
@@ -167,6 +182,30 @@
 	});
 }
 
+void PairedJournal::OnRefused()
+{
+	if (!this->current || !this->current->refused) {
+		return;
+	}
+	if (!this->current->in_spare) {
+		this->ToSpare();
+		return;
+	}
+	const bool certain = this->spare.Refused() && (!this->current->in_main || this->main.Refused());
+	if (!certain || this->scheduler.Now() - this->sent_at < REFUSED_FOR) {
+		return;
+	}
+	this->spare.TakeBack();
+	if (this->current->in_main) {
+		this->main.TakeBack();
+	}
+	this->scheduler.Cancel(this->timer);
+	const Done refused = std::move(this->current->refused);
+	this->current.reset();
+	this->Next();
+	refused();
+}
+
 void PairedJournal::Finish()
 {
 	this->scheduler.Cancel(this->timer);
--- a/src/store/paired_journal.h
+++ b/src/store/paired_journal.h
@@ -50,8 +50,10 @@
 	 * Appends records.
 	 * @param records What; all or none are written.
 	 * @param done Called once they are durable; never when this ownership has ended.
+	 * @param refused Called instead when the log has refused them for a while for certain: none is written, nor will
+	 * be. Null to repeat them until they are.
 	 */
-	void Append(std::vector<KeyedRecord> records, Done done);
+	void Append(std::vector<KeyedRecord> records, Done done, Done refused = nullptr);
 
 	/** @return Whether a batch is under way. */
 	[[nodiscard]] bool Busy() const { return this->current.has_value(); }
@@ -71,6 +73,9 @@
 		uint64_t number = 0;              ///< Counts the batches of this ownership.
 		std::vector<KeyedRecord> records; ///< What.
 		Done done;                        ///< Told when durable.
+		Done refused;                     ///< Told when certainly not written; null to go on trying.
+		bool in_main = false;             ///< Whether it was handed to the main partition.
+		bool in_spare = false;            ///< Whether it was handed to the spare partition.
 	};
 
 	/** A record that only the spare partition has. */
@@ -106,6 +111,7 @@
 	void Settle(uint64_t number);
 	void TidySpare();
 	void Finish();
+	void OnRefused();
 	void OnDeposed();
 };
 
