A job's objective counts from its caller's first try, told by what is left of the caller's time

Cause: after an outage jobs that can't be on time any more go before those that can: their age counted from the acceptance, while callers had been refused for up to 3 s before. The time that a caller says it waits is what is left of the same 3 s (seen in the log: four tries, the last with 0.36 s). Change: each route's longest wait said so far is that of a first try; what a caller says less has passed before. Test: a caller who says 1.2 s after another said 3 s is taken to have asked 1.8 s before (no such field before).

--- a/src/jobs/job_codec.cpp
+++ b/src/jobs/job_codec.cpp
@@ -71,7 +71,7 @@
 	out.first_due = spec.first_due.Value();
 	out.interval = spec.interval.Value();
 	out.repeats = spec.repeats;
-	out.accepted = spec.accepted.Value();
+	out.begun = spec.begun.Value();
 	return Packed<wire::SubmissionRecord>(out);
 }
 
@@ -89,7 +89,7 @@
 	spec.first_due = Millis(in->first_due);
 	spec.interval = Millis(in->interval);
 	spec.repeats = in->repeats;
-	spec.accepted = Millis(in->accepted);
+	spec.begun = Millis(in->begun);
 	return spec;
 }
 
--- a/src/jobs/job_type.h
+++ b/src/jobs/job_type.h
@@ -78,7 +78,7 @@
 	Millis first_due;            ///< Wall time of the first occurrence, for repeated jobs.
 	Millis interval;             ///< Between two occurrences.
 	uint32_t repeats = 0;        ///< Occurrences; 0 for one at once.
-	Millis accepted;             ///< Wall time at which it was taken.
+	Millis begun;                ///< Wall time at which its caller first asked, as far as that is known.
 
 	/** @return Number of occurrences. */
 	[[nodiscard]] uint32_t Occurrences() const { return this->repeats == 0 ? 1 : this->repeats; }
--- a/src/jobs/shard_jobs.cpp
+++ b/src/jobs/shard_jobs.cpp
@@ -125,7 +125,7 @@
 	this->log.Write("job_taken", {{"job", spec.id.Value()},
 								  {"route", spec.route.Value()},
 								  {"tasks", std::to_string(kept.tasks.size())},
-								  {"age_ms", std::to_string((this->scheduler.WallNow() - spec.accepted).Value())},
+								  {"age_ms", std::to_string((this->scheduler.WallNow() - spec.begun).Value())},
 								  {"image", kept.spec.steps.empty() ? "" : kept.spec.steps.front().image},
 								  {"estimate_ms", std::to_string(kept.spec.steps.front().estimate.Value())},
 								  {"phase", NameOf(kept.phase)}});
--- a/src/jobs/shard_rank.cpp
+++ b/src/jobs/shard_rank.cpp
@@ -81,7 +81,7 @@
 	JobRank rank;
 	rank.priority = job.route.priority;
 	rank.waiting_work = outlook.waiting_work;
-	const auto age = static_cast<double>((this->scheduler.WallNow() - job.spec.accepted).Value());
+	const auto age = static_cast<double>((this->scheduler.WallNow() - job.spec.begun).Value());
 	const double objective = job.route.stretch * outlook.chain_all + static_cast<double>(job.route.headroom.Value());
 	if (outlook.lasting) {
 		rank.hope = JobHope::JH_LASTING;
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -94,7 +94,7 @@
 	JobSpec spec =
 			ParseJob(JobId("0011223344556677"), R"({"spec":"t","steps":[{"count":2,"cpu":5,"may_miss":0}]})").spec;
 	spec.route = RouteName("r");
-	spec.accepted = Millis(17);
+	spec.begun = Millis(17);
 	CHECK(DecodeSubmission(spec.id, EncodeSubmission(spec)) == spec);
 	StoredProgress progress;
 	progress.phase = JobPhase::JP_RUNNING;
@@ -223,3 +223,31 @@
 	world.clock.RunUntil(Millis(3500));
 	CHECK(after.status == 200);
 }
+
+TEST_CASE("a caller who comes again tells by what is left of its time when it first asked")
+{
+	JobWorld world(1);
+	WorldNode &node = *world.nodes.front();
+	world.clock.RunUntil(Millis(3000));
+	JobFront front(node.scheduler, node.desk, node.feed, [] { return Millis(-1000000); });
+	const auto make = [](const char *id, const char *wait) {
+		CallerRequest request;
+		request.method = "POST";
+		request.headers.Add("Host", "h");
+		request.headers.Add("X-Deadline-Ms", wait);
+		request.body = R"({"spec":"t","steps":[{"count":1,"cpu":5}]})";
+		request.target = std::string("/r-calc/") + id;
+		return request;
+	};
+	StatusSink first;
+	const auto served = front.Serve(first, make("00112233445566aa", "3000"));
+	StatusSink again;
+	const auto served_again = front.Serve(again, make("00112233445566bb", "1200"));
+	const Millis now = node.scheduler.WallNow();
+	world.clock.RunUntil(Millis(3500));
+	REQUIRE(first.status == 200);
+	REQUIRE(again.status == 200);
+	const auto &jobs = node.host.Find(ServiceName("calc"))->Running()->Jobs();
+	CHECK(jobs.at(JobId("00112233445566aa")).spec.begun == now);
+	CHECK(jobs.at(JobId("00112233445566bb")).spec.begun == now - Millis(1800));
+}
