A recording owner is probed instead of being handed the record twice

Change: a node that is recording and was not heard of for 0.6 s gets a question about no job; any answer shows that the connection works. Without one within 0.25 s the connection is replaced and the record handed on. A record that takes long no longer costs the connection. Test: an owner that answers probes and refuses after two of them: asked once, told the refusal (before: asked again at 0.6 s, outcome unknown by the code as it was).

--- a/src/node/owner_lookup.cpp
+++ b/src/node/owner_lookup.cpp
@@ -10,8 +10,8 @@
 namespace {
 
 constexpr Millis ANSWER_WAIT(250); ///< A node that has not answered by then is asked again; two hops take a few ms.
-/** An owner that is recording is asked again after this, over the same connection: when it doesn't say so again within
- * ANSWER_WAIT, the connection is replaced. An append around a silent partition is done within 0.4 s. */
+/** A node that is recording and was not heard of for so long is asked whether it is still there; without an answer
+ * within ANSWER_WAIT its connection is replaced. An append around a silent partition is done within 0.4 s. */
 constexpr Millis RECORDING_WAIT(600);
 constexpr Millis ASK_AGAIN(60);     ///< Pause before another try after "not here".
 constexpr Millis OWNER_VALID(3000); ///< An owner known for longer is asked for again beside a question.
@@ -68,7 +68,7 @@
 void OwnerLookup::Again(uint64_t number)
 {
 	Open &it = this->open.at(number);
-	const Millis answer = it.recording ? RECORDING_WAIT : ANSWER_WAIT;
+	const Millis answer = it.recording && !it.probed ? RECORDING_WAIT : ANSWER_WAIT;
 	const Millis wait = it.asked.empty() ? ASK_AGAIN : answer;
 	this->scheduler.Cancel(it.timer);
 	it.timer = this->scheduler.After(std::min(wait, it.deadline - this->scheduler.Now()), [this, number] {
@@ -76,13 +76,45 @@
 		if (late == this->open.end()) {
 			return;
 		}
-		if (!std::exchange(late->second.recording, false) && !late->second.asked.empty()) {
+		const bool over = this->scheduler.Now() >= late->second.deadline;
+		if (late->second.recording && !over) {
+			this->CheckNode(number, late->second);
+			return;
+		}
+		/* A node that records for long is alive: its connection carries other questions, too. */
+		if (!late->second.recording && !late->second.asked.empty()) {
 			this->GiveUpNode(late->second);
 		}
 		this->Try(number);
 	});
 }
 
+void OwnerLookup::CheckNode(uint64_t number, Open &question)
+{
+	const bool heard = this->heard[question.asked] >= question.checked_at;
+	if (!heard && question.probed) {
+		question.recording = question.probed = false;
+		this->GiveUpNode(question);
+		this->Try(number);
+		return;
+	}
+	question.checked_at = this->scheduler.Now();
+	question.probed = !heard;
+	if (question.probed) {
+		this->Probe(question.asked);
+	}
+	this->Again(number);
+}
+
+void OwnerLookup::Probe(const std::string &address)
+{
+	/* The record itself is not sent again while its node may be recording it: only one answer then tells what became of
+	 * it. Whatever the node answers to this shows that the connection works. */
+	glade::wire::JobQuestionT out;
+	out.number = ++this->last_number;
+	this->ClientOf(address).Send(MakeMessage(std::move(out)));
+}
+
 void OwnerLookup::GiveUpNode(Open &question)
 {
 	/* The node is gone, another owns the shard by now, or the connection has fallen silent. */
@@ -148,7 +180,10 @@
 	if (!client) {
 		const std::optional<NetAddress> to = ParseAddress(address);
 		client = std::make_unique<FrameClient>(this->scheduler, std::vector<NetAddress>{to.value_or(NetAddress{})});
-		client->on_message = [this](const MessageUnion &message) { this->OnFrame(message); };
+		client->on_message = [this, address](const MessageUnion &message) {
+			this->heard[address] = this->scheduler.Now();
+			this->OnFrame(message);
+		};
 		client->on_up = [this, address] {
 			for (auto &[number, it] : this->open) {
 				if (it.asked == address) {
@@ -195,6 +230,8 @@
 	}
 	if (code == ResultCode::RC_LOG_RECORDING) {
 		it->second.recording = true;
+		it->second.probed = false;
+		it->second.checked_at = this->scheduler.Now() + Millis(1); /* Later than this answer. */
 		it->second.deadline = std::max(it->second.deadline, it->second.recording_until);
 		this->Again(number);
 		return;
--- a/src/node/owner_lookup.h
+++ b/src/node/owner_lookup.h
@@ -69,7 +69,9 @@
 		Done done;              ///< Gets the answer.
 		std::string asked;      ///< Node that was asked last.
 		Millis recording_until; ///< New deadline once an owner is recording.
-		bool recording = false; ///< Whether an owner has said so, and not for long.
+		bool recording = false; ///< Whether an owner has said so.
+		bool probed = false;    ///< Whether its node was asked since whether it is still there.
+		Millis checked_at;      ///< When the wait for a sign of its node began.
 		bool sent = false;      ///< Whether a question is out that nobody has answered.
 		bool lost = false;      ///< Whether an earlier question got no answer: it may still be carried out.
 		TimerId timer;          ///< Next try.
@@ -87,12 +89,15 @@
 	EventLog &events;                                            ///< Lines.
 	std::map<PartitionId, KnownOwner> owners;                    ///< Owners by shard.
 	std::map<std::string, std::unique_ptr<FrameClient>> clients; ///< Connections by address.
+	std::map<std::string, Millis> heard;                         ///< When a node was last heard of, by address.
 	std::map<uint64_t, Open> open;                               ///< Questions under way.
 	uint64_t last_number = 0;                                    ///< Last question's number.
 	std::shared_ptr<bool> alive = std::make_shared<bool>(true);  ///< Expires with this.
 
 	void Try(uint64_t number);
 	void Again(uint64_t number);
+	void CheckNode(uint64_t number, Open &question);
+	void Probe(const std::string &address);
 	void GiveUpNode(Open &question);
 	void Refresh(const PartitionId &shard);
 	void ReadOwner(const PartitionId &shard, const PartitionId &from);
--- a/tests/test_silent_connection.cpp
+++ b/tests/test_silent_connection.cpp
@@ -121,52 +121,103 @@
 	CHECK(results == std::vector<CallResult>{CallResult::CR_UNKNOWN, CallResult::CR_ANSWERED});
 }
 
+namespace {
+
+/** Asks an owner, behind a real connection, to record something, until the owner has answered or time is up. */
+struct RecordAsked {
+	using Serve = std::function<void(FrameLink &, const MessageUnion &, uint64_t asked)>;
+
+	/** @param serve Serves a frame on a link; gets how often the record was asked for. @param within ms that the owner
+	 * may record. */
+	RecordAsked(const Serve &serve, int64_t within)
+	{
+		QtScheduler scheduler;
+		NoEventLog events;
+		FrameServer server(
+				[&](FrameLink &link, const MessageUnion &message) {
+					this->asked += message.AsRecordQuestion() != nullptr ? 1 : 0;
+					serve(link, message, this->asked);
+				},
+				[](FrameLink &) {});
+		REQUIRE(server.Listen(NetAddress{QHostAddress(QHostAddress::LocalHost), 0}));
+		OwnerOnlyLog log(scheduler, "127.0.0.1:" + std::to_string(server.Port()));
+		OwnerLookup lookup(scheduler, log, events);
+		QEventLoop loop;
+		QTimer::singleShot(LOOP_MOST, &loop, &QEventLoop::quit);
+		const auto make = [](uint64_t number) {
+			glade::wire::RecordQuestionT out;
+			out.number = number;
+			out.service = "calc";
+			out.key = "k";
+			return MakeMessage(std::move(out));
+		};
+		const auto done = [&](ResultCode code, const MessageUnion *) {
+			this->told = code;
+			loop.quit();
+		};
+		const Millis now = scheduler.Now();
+		lookup.Ask(PartitionId{"keyed.jobs.calc", 0}, "k", now + Millis(within / 2), make, done, now + Millis(within));
+		loop.exec();
+	}
+
+	uint64_t asked = 0;             ///< Times that the record was asked for.
+	std::optional<ResultCode> told; ///< What was told.
+};
+
+/** Answers a question about a record. */
+void AnswerRecord(FrameLink &link, const MessageUnion &message, ResultCode code)
+{
+	glade::wire::RecordAnswerT out;
+	out.number = message.AsRecordQuestion()->number;
+	out.code = static_cast<uint32_t>(code);
+	link.Send(MakeMessage(out));
+}
+
+} // namespace
+
 TEST_CASE("a record handed to an owner is handed on over a new connection when the first one falls silent")
 {
-	QtScheduler scheduler;
-	NoEventLog events;
 	std::set<FrameLink *> silent;
-	std::vector<FrameLink *> asked;
-	FrameServer server(
-			[&](FrameLink &link, const MessageUnion &message) {
-				const auto *in = message.AsRecordQuestion();
-				if (in == nullptr || silent.contains(&link)) {
+	const RecordAsked it(
+			[&silent](FrameLink &link, const MessageUnion &message, uint64_t asked) {
+				if (message.AsRecordQuestion() == nullptr || silent.contains(&link)) {
 					return;
 				}
-				asked.push_back(&link);
-				glade::wire::RecordAnswerT out;
-				out.number = in->number;
-				/* The owner of the first connection says that it is recording, and is not heard again. */
-				out.code = static_cast<uint32_t>(asked.size() == 1 ? ResultCode::RC_LOG_RECORDING : ResultCode::RC_OK);
-				link.Send(MakeMessage(out));
-				if (asked.size() == 1) {
+				/* The owner says over the first connection that it is recording, and is not heard there again. */
+				AnswerRecord(link, message, asked == 1 ? ResultCode::RC_LOG_RECORDING : ResultCode::RC_OK);
+				if (asked == 1) {
 					silent.insert(&link);
 				}
 			},
-			[](FrameLink &) {});
-	REQUIRE(server.Listen(NetAddress{QHostAddress(QHostAddress::LocalHost), 0}));
-	OwnerOnlyLog log(scheduler, "127.0.0.1:" + std::to_string(server.Port()));
-	OwnerLookup lookup(scheduler, log, events);
-	QEventLoop loop;
-	QTimer::singleShot(LOOP_MOST, &loop, &QEventLoop::quit);
-	std::optional<ResultCode> told;
-	const auto make = [](uint64_t number) {
-		glade::wire::RecordQuestionT out;
-		out.number = number;
-		out.service = "calc";
-		out.key = "k";
-		return MakeMessage(std::move(out));
-	};
-	const Millis now = scheduler.Now();
-	lookup.Ask(
-			PartitionId{"keyed.jobs.calc", 0}, "k", now + Millis(2000), make,
-			[&](ResultCode code, const MessageUnion *) {
-				told = code;
-				loop.quit();
+			4000);
+	REQUIRE(it.told.has_value());
+	CHECK(*it.told == ResultCode::RC_OK);
+	CHECK(it.asked == 2);
+}
+
+TEST_CASE("an owner that records for long, and answers, is not given the record twice: its refusal stays certain")
+{
+	std::optional<MessageUnion> record;
+	FrameLink *from = nullptr;
+	int probes = 0;
+	const RecordAsked it(
+			[&](FrameLink &link, const MessageUnion &message, uint64_t) {
+				if (message.AsRecordQuestion() != nullptr) {
+					record = message;
+					from = &link;
+					AnswerRecord(link, message, ResultCode::RC_LOG_RECORDING);
+				} else if (const auto *probe = message.AsJobQuestion(); probe != nullptr) {
+					glade::wire::JobAnswerT out;
+					out.number = probe->number;
+					out.code = static_cast<uint32_t>(ResultCode::RC_PEER_UNAVAILABLE);
+					link.Send(MakeMessage(out));
+					if (++probes == 2) {
+						AnswerRecord(*from, *record, ResultCode::RC_LOG_UNAVAILABLE);
+					}
+				}
 			},
-			now + Millis(4000));
-	loop.exec();
-	REQUIRE(told.has_value());
-	CHECK(*told == ResultCode::RC_OK);
-	CHECK(asked.size() == 2);
+			6000);
+	REQUIRE(it.told.has_value());
+	CHECK(*it.told == ResultCode::RC_LOG_UNAVAILABLE);
+	CHECK(it.asked == 1);
 }
