--- a/src/jobs/shard_base.h
+++ b/src/jobs/shard_base.h
@@ -26,14 +26,15 @@
 
 /** Counters of a shard, for metrics and tests. */
 struct ShardCounters {
-	uint64_t starts = 0;  ///< Start orders sent.
-	uint64_t stops = 0;   ///< Stop orders sent.
-	uint64_t looks = 0;   ///< Lease orders sent.
-	uint64_t done = 0;    ///< Runs that ended well.
-	uint64_t failed = 0;  ///< Runs that failed.
-	uint64_t lapsed = 0;  ///< Runs lost with their box or lease.
-	uint64_t refused = 0; ///< Starts that boxes refused.
-	uint64_t unknown = 0; ///< Starts without an answer.
+	uint64_t starts = 0;          ///< Start orders sent.
+	uint64_t stops = 0;           ///< Stop orders sent.
+	uint64_t looks = 0;           ///< Lease orders sent.
+	uint64_t done = 0;            ///< Runs that ended well.
+	uint64_t failed = 0;          ///< Runs that failed.
+	uint64_t lapsed = 0;          ///< Runs lost with their box or lease.
+	uint64_t refused = 0;         ///< Starts that boxes refused.
+	uint64_t unknown = 0;         ///< Starts without an answer.
+	uint64_t records_refused = 0; ///< Callers' records handed back since the log refused them.
 };
 
 /** What a run of a placed task is known to do. Not stored: a new owner asks the boxes. */
@@ -257,6 +258,8 @@
 	[[nodiscard]] JobView View(const JobId &id) const;
 	/** @return Jobs of a route that no task was started of. @param route The route. */
 	[[nodiscard]] uint32_t Waiting(const RouteName &route) const;
+	/** @return Batches that were recorded around the shard's partition, since it didn't answer. */
+	[[nodiscard]] uint64_t Detours() const { return this->journal.Detours(); }
 	/** @return Counters. */
 	[[nodiscard]] const ShardCounters &Counters() const { return this->counters; }
 	/** @return Boxes. */
--- a/src/jobs/shard_jobs.cpp
+++ b/src/jobs/shard_jobs.cpp
@@ -386,6 +386,7 @@
 		}
 		refused.push_back(it);
 	}
+	this->counters.records_refused += refused.size();
 	this->log.Write("records_refused", {{"service", this->service.Value()},
 										{"refused", std::to_string(refused.size())},
 										{"kept", std::to_string(this->accepted.size())}});
--- a/src/node/metrics_page.cpp
+++ b/src/node/metrics_page.cpp
@@ -24,6 +24,7 @@
 		CounterRow{"runs_lapsed", &ShardCounters::lapsed},
 		CounterRow{"starts_refused", &ShardCounters::refused},
 		CounterRow{"starts_unknown", &ShardCounters::unknown},
+		CounterRow{"records_refused", &ShardCounters::records_refused},
 };
 
 int64_t LiveJobs(const Shard &shard)
@@ -45,6 +46,7 @@
 			row["jobs"] = static_cast<qint64>(shard->Jobs().size());
 			row["live"] = static_cast<qint64>(LiveJobs(*shard));
 			row["boxes"] = static_cast<qint64>(shard->Boxes().size());
+			row["journal_detours"] = static_cast<qint64>(shard->Detours());
 			for (const CounterRow &counter : COUNTERS) {
 				row[counter.name] = static_cast<qint64>(shard->Counters().*counter.member);
 			}
@@ -67,6 +69,7 @@
 			continue;
 		}
 		text += "glade_jobs_live" + label + std::to_string(LiveJobs(*shard)) + "\n";
+		text += "glade_journal_detours" + label + std::to_string(shard->Detours()) + "\n";
 		for (const CounterRow &counter : COUNTERS) {
 			text += std::string("glade_") + counter.name + label + std::to_string(shard->Counters().*counter.member) +
 					"\n";
