Two claims of one epoch can't both succeed: each has sequence numbers of its own

Change: a claim begins at a sequence number of its own (40 bits of a hash of address, time, epoch); the other claim is refused for its sequence, and reads again.

--- a/src/jobs/shard_owner.cpp
+++ b/src/jobs/shard_owner.cpp
@@ -58,13 +58,13 @@
 
 void ShardOwner::Run(const ClaimedPartition &claimed)
 {
-	this->epoch = claimed.epoch;
+	this->epoch = claimed.number.epoch;
 	this->journal = std::make_unique<PairedJournal>(this->parts.scheduler, this->parts.log, this->parts.events,
 													JournalPair{this->progress, SpareOf(this->progress), InboxKeyOf},
-													claimed.epoch);
-	this->shard =
-			std::make_unique<Shard>(this->parts.scheduler, *this->journal, this->parts.orders, this->parts.events,
-									this->service, FenceToken(claimed.epoch), this->parts.limits, this->parts.advisor);
+													claimed.number);
+	this->shard = std::make_unique<Shard>(this->parts.scheduler, *this->journal, this->parts.orders, this->parts.events,
+										  this->service, FenceToken(claimed.number.epoch), this->parts.limits,
+										  this->parts.advisor);
 	if (claimed.released) {
 		this->shard->OtherOwnersFor(claimed.others_for);
 	}
--- a/src/store/owner_journal.cpp
+++ b/src/store/owner_journal.cpp
@@ -9,8 +9,9 @@
 
 } // namespace
 
-OwnerJournal::OwnerJournal(Scheduler &scheduler, KeyedLog &log, PartitionId partition, uint64_t epoch)
-		: scheduler(scheduler), log(log), partition(std::move(partition)), epoch(epoch), confirmed_at(scheduler.Now())
+OwnerJournal::OwnerJournal(Scheduler &scheduler, KeyedLog &log, PartitionId partition, const ClaimNumber &claim)
+		: scheduler(scheduler), log(log), partition(std::move(partition)), epoch(claim.epoch),
+		  sequence(claim.sequence + 1), confirmed_at(scheduler.Now())
 {
 }
 
--- a/src/store/owner_journal.h
+++ b/src/store/owner_journal.h
@@ -20,9 +20,9 @@
 	 * @param scheduler Clock and timers.
 	 * @param log The log; outlives this.
 	 * @param partition Where the state of what is owned lies.
-	 * @param epoch The ownership; its claim had sequence number 0.
+	 * @param claim Number of the claim; the appends follow.
 	 */
-	OwnerJournal(Scheduler &scheduler, KeyedLog &log, PartitionId partition, uint64_t epoch);
+	OwnerJournal(Scheduler &scheduler, KeyedLog &log, PartitionId partition, const ClaimNumber &claim);
 	~OwnerJournal();
 	OwnerJournal(const OwnerJournal &) = delete;
 	OwnerJournal &operator=(const OwnerJournal &) = delete;
@@ -65,7 +65,7 @@
 	KeyedLog &log;                                              ///< The log.
 	PartitionId partition;                                      ///< Where.
 	uint64_t epoch;                                             ///< The ownership.
-	uint64_t sequence = 1;                                      ///< Of the append under way or the next one.
+	uint64_t sequence;                                          ///< Of the append under way or the next one.
 	std::deque<Pending> queue;                                  ///< Appends; the first may be under way.
 	bool busy = false;                                          ///< Whether the first is under way.
 	bool sent = false;                                          ///< Whether a sending of it is not answered yet.
--- a/src/store/paired_journal.cpp
+++ b/src/store/paired_journal.cpp
@@ -19,9 +19,10 @@
 
 } // namespace
 
-PairedJournal::PairedJournal(Scheduler &scheduler, KeyedLog &log, EventLog &events, JournalPair pair, uint64_t epoch)
-		: scheduler(scheduler), events(events), pair(std::move(pair)), main(scheduler, log, this->pair.main, epoch),
-		  spare(scheduler, log, this->pair.spare, epoch)
+PairedJournal::PairedJournal(Scheduler &scheduler, KeyedLog &log, EventLog &events, JournalPair pair,
+							 const ClaimNumber &claim)
+		: scheduler(scheduler), events(events), pair(std::move(pair)), main(scheduler, log, this->pair.main, claim),
+		  spare(scheduler, log, this->pair.spare, claim)
 {
 	this->main.on_refused = [this] { this->OnRefused(); };
 	this->spare.on_refused = [this] { this->OnRefused(); };
--- a/src/store/paired_journal.h
+++ b/src/store/paired_journal.h
@@ -39,9 +39,9 @@
 	 * @param log The log; outlives this.
 	 * @param events Lines; outlives this.
 	 * @param pair Where.
-	 * @param epoch The ownership; its claim had sequence number 0 in both partitions.
+	 * @param claim Number of the claim, the same in both partitions; the appends follow.
 	 */
-	PairedJournal(Scheduler &scheduler, KeyedLog &log, EventLog &events, JournalPair pair, uint64_t epoch);
+	PairedJournal(Scheduler &scheduler, KeyedLog &log, EventLog &events, JournalPair pair, const ClaimNumber &claim);
 	~PairedJournal();
 	PairedJournal(const PairedJournal &) = delete;
 	PairedJournal &operator=(const PairedJournal &) = delete;
--- a/src/store/partition_claim.cpp
+++ b/src/store/partition_claim.cpp
@@ -6,10 +6,14 @@
 
 #include <algorithm>
 
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
 namespace {
 
 constexpr Millis CLAIM_PATIENCE(1000); ///< An answer to a claim later than this counts as lost.
 constexpr Millis CLAIM_AGAIN(150);     ///< Before the next try after the log refused or kept silent.
+constexpr int SEQUENCE_SHIFT = 24;     ///< Leaves 40 bits of a hash: far below what a number in a call may be.
 constexpr Millis LOOK_AGAIN(200); ///< While another owns the partition, it is looked at so often: two reading calls.
 
 } // namespace
@@ -100,7 +104,7 @@
 void PartitionClaim::Load()
 {
 	this->waiting = false;
-	this->found = ClaimedPartition{0, true, Millis(0), {}, {}};
+	this->found = ClaimedPartition{{}, true, Millis(0), {}, {}};
 	this->first_end.reset();
 	this->LoadPage({});
 }
@@ -147,35 +151,46 @@
 	/* An own claim whose answer was lost may still come: the next one has to be above it. */
 	const uint64_t epoch = std::max(this->epoch_found, this->epoch_tried) + 1;
 	this->epoch_tried = epoch;
-	const AppendCondition condition{this->first_end, OWNER_PRODUCER, epoch, 0};
+	const ClaimNumber number{epoch, this->OwnSequence(epoch)};
+	const AppendCondition condition{this->first_end, OWNER_PRODUCER, epoch, number.sequence};
 	const StoredOwner self{epoch, this->spec.address, false, Millis(0)};
 	this->log.Append(this->spec.partition, {KeyedRecord{OWNER_KEY, EncodeOwner(self)}}, condition, CLAIM_PATIENCE,
-					 [this, epoch, still = std::weak_ptr<bool>(this->alive)](const KeyedAppendAnswer &answer) {
+					 [this, number, still = std::weak_ptr<bool>(this->alive)](const KeyedAppendAnswer &answer) {
 						 if (!still.expired()) {
-							 this->OnClaimed(epoch, answer);
+							 this->OnClaimed(number, answer);
 						 }
 					 });
 }
 
-void PartitionClaim::OnClaimed(uint64_t epoch, const KeyedAppendAnswer &answer)
+uint64_t PartitionClaim::OwnSequence(uint64_t epoch) const
+{
+	/* Two nodes may try the same epoch at the same moment. With the same sequence number the log would take the second
+	 * claim for a repeat of the first, and both would own the partition: two runs of a task at once. */
+	const std::string text =
+			this->spec.address + "/" + std::to_string(this->scheduler.WallNow().Value()) + "/" + std::to_string(epoch);
+	return XXH3_64bits(text.data(), text.size()) >> SEQUENCE_SHIFT;
+}
+
+void PartitionClaim::OnClaimed(const ClaimNumber &number, const KeyedAppendAnswer &answer)
 {
 	if (answer.code != ResultCode::RC_OK) {
 		this->events.Write("claim_failed", {{"topic", this->spec.partition.topic},
-											{"epoch", std::to_string(epoch)},
+											{"epoch", std::to_string(number.epoch)},
 											{"code", SymbolOf(answer.code)}});
 		/* What was read is old when the log has moved on: read again at once. */
 		this->TryAgain(answer.code == ResultCode::RC_STALE_TERM ? Millis(0) : CLAIM_AGAIN);
 		return;
 	}
-	this->found.epoch = epoch;
+	this->found.number = number;
 	this->FenceSpare();
 }
 
 void PartitionClaim::FenceSpare()
 {
-	/* The same epoch and number each time: a repeated append has its effect once. */
-	const AppendCondition condition{std::nullopt, OWNER_PRODUCER, this->found.epoch, 0};
-	const StoredOwner self{this->found.epoch, this->spec.address, false, Millis(0)};
+	/* The same number each time: a repeated append has its effect once. */
+	const AppendCondition condition{std::nullopt, OWNER_PRODUCER, this->found.number.epoch,
+									this->found.number.sequence};
+	const StoredOwner self{this->found.number.epoch, this->spec.address, false, Millis(0)};
 	this->log.Append(SpareOf(this->spec.partition), {KeyedRecord{OWNER_KEY, EncodeOwner(self)}}, condition,
 					 CLAIM_PATIENCE, [this, still = std::weak_ptr<bool>(this->alive)](const KeyedAppendAnswer &answer) {
 						 if (!still.expired()) {
@@ -195,7 +210,7 @@
 		return;
 	}
 	this->events.Write("claim_failed", {{"topic", this->spec.partition.topic},
-										{"epoch", std::to_string(this->found.epoch)},
+										{"epoch", std::to_string(this->found.number.epoch)},
 										{"code", SymbolOf(answer.code)},
 										{"step", "spare"}});
 	if (answer.code == ResultCode::RC_FENCED || answer.code == ResultCode::RC_STALE_TERM) {
@@ -237,7 +252,7 @@
 void PartitionClaim::Finish()
 {
 	this->events.Write("claimed", {{"topic", this->spec.partition.topic},
-								   {"epoch", std::to_string(this->found.epoch)},
+								   {"epoch", std::to_string(this->found.number.epoch)},
 								   {"released", this->found.released ? "yes" : "no"},
 								   {"records", std::to_string(this->found.records.size())},
 								   {"spare", std::to_string(this->found.spare.size())}});
--- a/src/store/partition_claim.h
+++ b/src/store/partition_claim.h
@@ -25,9 +25,15 @@
 	bool read_spare = false;      ///< Whether the records of the spare partition are wanted.
 };
 
+/** What a claim's appends carry; those of its owner follow. */
+struct ClaimNumber {
+	uint64_t epoch = 0;    ///< Rises with each claim.
+	uint64_t sequence = 0; ///< Where this claim's sequence numbers begin: another claim's of the same epoch differ.
+};
+
 /** What the claim has found. */
 struct ClaimedPartition {
-	uint64_t epoch = 0;                         ///< Epoch of the claim.
+	ClaimNumber number;                         ///< Of the claim.
 	bool released = false;                      ///< Whether the owner before had let go by itself, or there was none.
 	Millis others_for;                          ///< Then: for so long owners before that one may prolong leases.
 	std::map<std::string, std::string> records; ///< Values by key, without the owner's record.
@@ -93,7 +99,8 @@
 	void LoadPage(const std::string &after);
 	void OnPage(const NewestPage &page);
 	void Claim();
-	void OnClaimed(uint64_t epoch, const KeyedAppendAnswer &answer);
+	[[nodiscard]] uint64_t OwnSequence(uint64_t epoch) const;
+	void OnClaimed(const ClaimNumber &number, const KeyedAppendAnswer &answer);
 	void FenceSpare();
 	void OnSpareFenced(const KeyedAppendAnswer &answer);
 	void LoadSparePage(const std::string &after);
--- a/src/upkeep/fleet_owner.cpp
+++ b/src/upkeep/fleet_owner.cpp
@@ -46,14 +46,14 @@
 {
 	std::ranges::for_each(claimed.records, [this](const auto &it) { this->Restore(it.first, it.second); });
 	std::ranges::for_each(claimed.spare, [this](const auto &it) { this->Restore(it.first, it.second); });
-	this->epoch = claimed.epoch;
-	this->fence = FenceToken(claimed.epoch);
+	this->epoch = claimed.number.epoch;
+	this->fence = FenceToken(claimed.number.epoch);
 	this->journal = std::make_unique<PairedJournal>(this->parts.scheduler, this->parts.log, this->parts.events,
 													JournalPair{FLEET, SpareOf(FLEET),
 																[](const std::string &key) {
 																	return SpareKey{key, key != OWNER_KEY};
 																}},
-													claimed.epoch);
+													claimed.number);
 	this->journal->on_deposed = [this] { this->Lose(); };
 	this->Tick();
 }
