A caller who comes again is not refused while its first try is recorded or may be

Cause (found reading the diff): the owner hands back what waited 0.7 s, and while the log refuses what comes, as certainly not taken, also when the same job is recorded already or stands in the batch under way: the answer 503 says of a job that runs that it never will. Change: what is handed back is answered by what is known of the job: recorded (200), perhaps (goes on to the inbox, 504 at the deadline), or not.

--- a/src/jobs/shard_base.h
+++ b/src/jobs/shard_base.h
@@ -179,7 +179,8 @@
 	KeyedRecord record;                   ///< What is to be recorded, under its key in the shard's partition.
 	std::optional<JobSpec> spec;          ///< The job; none for a cancellation.
 	JobId id;                             ///< The job's id.
-	std::function<void(ResultCode)> done; ///< Gets RC_OK once it is durable, RC_LOG_UNAVAILABLE when it never will be.
+	std::function<void(ResultCode)> done; ///< Gets RC_OK once it is durable, RC_LOG_UNAVAILABLE when it never will be,
+										  ///< RC_OUTCOME_UNKNOWN when an earlier one of the same may be.
 };
 
 /** Answer about a job. */
@@ -323,6 +324,9 @@
 
 	/* shard_records.cpp */
 	[[nodiscard]] bool MayRecord() const;
+	/** @return What is known of a record that is not taken: RC_OK when the log has it, RC_OUTCOME_UNKNOWN when it may.
+	 */
+	[[nodiscard]] ResultCode FateOf(const IncomingRecord &incoming) const;
 	void Withdraw(uint64_t number);
 	void TakeIncoming();
 	[[nodiscard]] StoredProgress Stored(const ShardJob &job) const;
--- a/src/jobs/shard_records.cpp
+++ b/src/jobs/shard_records.cpp
@@ -26,8 +26,8 @@
 {
 	const Millis now = this->scheduler.Now();
 	const bool away = now - this->journal.ConfirmedAt() > LOG_AWAY || now - this->refused_at < REFUSED_FOR;
-	if (!this->begun || this->deposed || away) {
-		incoming.done(ResultCode::RC_LOG_UNAVAILABLE);
+	if (!this->begun || this->deposed || away || this->FateOf(incoming) == ResultCode::RC_OK) {
+		incoming.done(this->FateOf(incoming));
 		return;
 	}
 	const uint64_t number = ++this->incoming_last;
@@ -40,10 +40,23 @@
 	this->Wake();
 }
 
+ResultCode Shard::FateOf(const IncomingRecord &incoming) const
+{
+	/* The same may have come before: its record stands, or is in a batch that the log may yet take. */
+	if (!incoming.spec) {
+		return this->cancelled.contains(incoming.id) ? ResultCode::RC_OUTCOME_UNKNOWN : ResultCode::RC_LOG_UNAVAILABLE;
+	}
+	const auto it = this->jobs.find(incoming.id);
+	if (it == this->jobs.end()) {
+		return ResultCode::RC_LOG_UNAVAILABLE;
+	}
+	return it->second.recorded ? ResultCode::RC_OK : ResultCode::RC_OUTCOME_UNKNOWN;
+}
+
 void Shard::Withdraw(uint64_t number)
 {
 	if (const auto node = this->incoming.extract(number); !node.empty()) {
-		node.mapped().done(ResultCode::RC_LOG_UNAVAILABLE);
+		node.mapped().done(this->FateOf(node.mapped()));
 	}
 }
 
@@ -212,7 +225,7 @@
 {
 	this->refused_at = this->scheduler.Now();
 	for (const IncomingRecord &it : std::exchange(this->incoming, {}) | std::views::values) {
-		it.done(ResultCode::RC_LOG_UNAVAILABLE);
+		it.done(this->FateOf(it));
 	}
 	this->scheduler.After(REFUSED_FOR, [this, still = std::weak_ptr<bool>(this->alive)] {
 		if (!still.expired()) {
--- a/src/node/owner_lookup.cpp
+++ b/src/node/owner_lookup.cpp
@@ -236,8 +236,8 @@
 		this->Again(number);
 		return;
 	}
-	const bool final =
-			code == ResultCode::RC_OK || code == ResultCode::RC_UNKNOWN_JOB || code == ResultCode::RC_LOG_UNAVAILABLE;
+	const bool final = code == ResultCode::RC_OK || code == ResultCode::RC_UNKNOWN_JOB ||
+					   code == ResultCode::RC_LOG_UNAVAILABLE || code == ResultCode::RC_OUTCOME_UNKNOWN;
 	if (final) {
 		const bool unknown = code == ResultCode::RC_LOG_UNAVAILABLE && it->second.lost;
 		this->Finish(number, unknown ? ResultCode::RC_OUTCOME_UNKNOWN : code, &message);
--- a/tests/test_refusing_store.cpp
+++ b/tests/test_refusing_store.cpp
@@ -108,3 +108,34 @@
 		CHECK(it->took <= TOLD_SOON + Millis(400));
 	}
 }
+
+TEST_CASE("a caller who comes again is not refused while its first try may be recorded, nor when it was")
+{
+	JobWorld world;
+	world.clock.RunUntil(SETTLED);
+	WorldNode &owner = *world.OwnerOf(ServiceName("calc"));
+	const WorldJob &known = world.Plan(Millis(1000000), "calc", JobWorld::Chain(1), Millis(10000));
+	Told first;
+	HandInOnce(world, owner, known, first);
+	world.clock.RunUntil(SETTLED + Millis(500));
+	REQUIRE(first.code == ResultCode::RC_OK);
+	for (const auto &it : world.nodes) {
+		it->log.faults.silent = true;
+	}
+	const WorldJob &open = world.Plan(Millis(1000000), "calc", JobWorld::Chain(1), Millis(10000));
+	Told sent;
+	HandInOnce(world, owner, open, sent);
+	world.clock.RunUntil(SETTLED + Millis(600));
+	Told again;
+	HandInOnce(world, owner, open, again);
+	Told known_again;
+	HandInOnce(world, owner, known, known_again);
+	world.clock.RunUntil(SETTLED + Millis(700));
+	CHECK(known_again.code == ResultCode::RC_OK);
+	world.clock.RunUntil(SETTLED + Millis(2500));
+	/* The log takes it now: told neither yes nor no before. */
+	CHECK_FALSE(Refused(again));
+	world.clock.RunUntil(SETTLED + Millis(5000));
+	CHECK(sent.code == ResultCode::RC_OUTCOME_UNKNOWN);
+	CHECK(again.code == ResultCode::RC_OUTCOME_UNKNOWN);
+}
