--- a/tests/test_partition_claim.cpp
+++ b/tests/test_partition_claim.cpp
@@ -1,10 +1,10 @@
 /** @file test_partition_claim.cpp Two nodes claim a partition at the same moment.
  *
- * After a loss of power of all nodes, the node that had owned a shard comes back and claims it again, while the node that
- * the group has dealt it to finds the owner missing and claims it, too. Both have read the same, so both try the next
- * epoch. The log takes the second claim for a repeat of the first one when producer, epoch and sequence number are the
- * same, and gives it the first answer, whatever its condition says. Two owners with one fence then start the same tasks
- * (two runs at once), or each waits for what the other has recorded (tasks that never run).
+ * After a loss of power of all nodes, the node that had owned a shard comes back and claims it again, while the node
+ * that the group has dealt it to finds the owner missing and claims it, too. Both have read the same, so both try the
+ * next epoch. The log takes the second claim for a repeat of the first one when producer, epoch and sequence number are
+ * the same, and gives it the first answer, whatever its condition says. Two owners with one fence then start the same
+ * tasks (two runs at once), or each waits for what the other has recorded (tasks that never run).
  */
 #include "standin/memory/keyed_store.h"
 #include "store/paired_journal.h"
