Stops for planned work are recorded before they leave; a job waits until a box has begun one of its tasks

An owner that was replaced in the log, but whose token the boxes still took, ordered five stops; the next owner's list showed those runs at full pace, since a box lists a run until it has ended (up to 900 ms there), and it stopped others: seven away where five may be. Change: such a stop is recorded with the task's progress (`leaving`) and leaves once the record stands, as placements do. A fenced owner can't send it, the next owner restores it and counts the task as absent. Stops of starts without an answer that fall under a limit go the same way. Not changed: stops for cancellation, of leaving boxes (no limit holds there).

Change: a job waits until a box has answered or listed one of its runs.

--- a/src/jobs/job_codec.cpp
+++ b/src/jobs/job_codec.cpp
@@ -108,6 +108,7 @@
 		row->run = task.run.Value();
 		row->failures = task.failures;
 		row->saved = task.saved;
+		row->leaving = task.leaving;
 		if (!task.box.Value().empty()) {
 			const auto [it, added] = places.emplace(task.box, static_cast<uint16_t>(places.size() + 1));
 			row->box = it->second;
@@ -140,6 +141,7 @@
 		task.run = RunNumber(row->run);
 		task.failures = row->failures;
 		task.saved = row->saved;
+		task.leaving = row->leaving;
 		if (row->box > 0) {
 			task.box = BoxLife(in->boxes[row->box - 1U]);
 		}
--- a/src/jobs/job_codec.h
+++ b/src/jobs/job_codec.h
@@ -11,6 +11,9 @@
 	uint32_t failures = 0;                   ///< Runs that failed.
 	BoxLife box;                             ///< Where it may run, while placed.
 	std::string saved;                       ///< Checkpoint to resume from.
+	/** The current run is to be stopped for planned work. Recorded before that stop leaves: a box lists a run at full
+	 * pace until it has ended, so the next owner would take the task for one that works. */
+	bool leaving = false;
 
 	bool operator==(const StoredTask &) const = default;
 };
--- a/src/jobs/shard_base.h
+++ b/src/jobs/shard_base.h
@@ -51,6 +51,7 @@
 	RunState run_state = RunState::RS_RECORDING; ///< Of the current run, while placed.
 	bool uncertain = false;                      ///< An order for the run got no answer: it may still be carried out.
 	bool stop_wanted = false;                    ///< The run is to be stopped.
+	bool stop_recorded = false;                  ///< `leaving` is recorded: its stop may be sent.
 	bool stop_sent = false;                      ///< A stop is under way.
 	bool stop_confirmed = false;                 ///< The box has confirmed the stop: it can't start any more.
 	Millis settled_at;                           ///< When the newest order for the run was answered.
@@ -78,11 +79,14 @@
 	std::vector<ShardTask> tasks;                 ///< By occurrence, step, index.
 	uint64_t revision = 0;                        ///< Of its last record.
 	bool recorded = false;                        ///< Whether the log has it: otherwise it may still be refused.
-	JobOutlook outlook;                           ///< What its waiting tasks ask for.
-	std::vector<uint32_t> step_offsets;           ///< Where each step begins within an occurrence.
-	uint32_t per_occurrence = 0;                  ///< Tasks of an occurrence.
-	Millis taken_at;                              ///< When this owner learned of it.
-	JobRoute route;                               ///< Its route, as last configured.
+	/** Whether a box is known to have begun a run. A job whose tasks are placed still waits while their orders do: an
+	 * owner short of processor time told 2 of 24 that had waited for 5 s. */
+	bool begun = false;
+	JobOutlook outlook;                 ///< What its waiting tasks ask for.
+	std::vector<uint32_t> step_offsets; ///< Where each step begins within an occurrence.
+	uint32_t per_occurrence = 0;        ///< Tasks of an occurrence.
+	Millis taken_at;                    ///< When this owner learned of it.
+	JobRoute route;                     ///< Its route, as last configured.
 
 	/** @return Whether nothing more is to be started. */
 	[[nodiscard]] bool Over() const { return this->phase > JobPhase::JP_RUNNING; }
@@ -277,6 +281,21 @@
 		RunNumber run; ///< Which start.
 	};
 
+	/** A stop for planned work that waits for its record. */
+	struct PendingStop {
+		TaskId task;   ///< The task.
+		RunNumber run; ///< Which start.
+	};
+
+	/** What goes on when a batch is recorded. */
+	struct Batch {
+		std::vector<PendingStart> starts;  ///< Starts to send.
+		std::vector<PendingStop> stops;    ///< Stops to send.
+		std::map<BoxLife, uint64_t> ends;  ///< Ends that boxes may forget, up to these numbers.
+		std::map<JobId, JobPhase> phases;  ///< Phases of the jobs recorded.
+		std::vector<IncomingRecord> taken; ///< Callers' records that it takes along.
+	};
+
 	Scheduler &scheduler;                        ///< Clock and timers.
 	PairedJournal &journal;                      ///< Records.
 	BoxOrders &orders;                           ///< Boxes.
@@ -305,6 +324,7 @@
 	std::vector<IncomingRecord> accepted;        ///< Those that the next append takes along.
 	std::set<JobId> dirty;                       ///< Jobs to be recorded.
 	std::vector<PendingStart> starts;            ///< Orders to send once recorded.
+	std::vector<PendingStop> stops;              ///< Stops for planned work to send once recorded.
 	std::deque<PendingStart> recorded_starts;    ///< Recorded ones that wait for their turn to be sent.
 	size_t starts_under_way = 0;                 ///< Start orders without answer.
 	TicketDesk tickets;                          ///< What policies of routes allow.
@@ -331,10 +351,10 @@
 	void TakeIncoming();
 	[[nodiscard]] StoredProgress Stored(const ShardJob &job) const;
 	void Commit();
-	void OnCommitted(const std::vector<PendingStart> &due, const std::map<BoxLife, uint64_t> &ends,
-					 const std::map<JobId, JobPhase> &phases);
+	[[nodiscard]] Batch TakeBatch(std::vector<KeyedRecord> &records);
+	void OnCommitted(const Batch &batch);
 	void NoteRecorded(const IncomingRecord &incoming);
-	void OnRefused(const std::vector<IncomingRecord> &taken, const std::map<JobId, JobPhase> &phases);
+	void OnRefused(const Batch &batch);
 	void Forget(const JobId &id);
 
 	/* shard_rank.cpp */
@@ -374,6 +394,8 @@
 	void BreakGang(ShardJob &job, const TaskId &id);
 	void FinishGang(ShardJob &job, const TaskId &id);
 	void WantStop(const TaskId &id, ShardTask &task, const char *why);
+	void WantPlannedStop(const TaskId &id, ShardTask &task, const char *why);
+	void OnStopRecorded(const PendingStop &stop);
 	void SendStop(const TaskId &id);
 	bool TakeOutcome(const BoxLife &life, Millis sent, OrderOutcome outcome);
 	void OnStopped(const TaskId &id, RunNumber run, const BoxLife &life, OrderAnswer answer);
--- a/src/jobs/shard_boxes.cpp
+++ b/src/jobs/shard_boxes.cpp
@@ -234,6 +234,7 @@
 			this->StopStranger(box, row);
 			continue;
 		}
+		this->jobs.at(row.task.job).begun = true;
 		if (task->run_state != RunState::RS_RUNNING) {
 			task->run_state = RunState::RS_RUNNING;
 			task->settled_at = sent;
--- a/src/jobs/shard_drain.cpp
+++ b/src/jobs/shard_drain.cpp
@@ -91,7 +91,7 @@
 			const bool running = task.run_state == RunState::RS_RUNNING && !task.stop_wanted;
 			const bool moves = step.lasting || (gone && step.checkpoints);
 			if (running && moves && this->MayStop(job, id)) {
-				this->WantStop(id, task, gone ? "report_gone" : "box_drained");
+				this->WantPlannedStop(id, task, gone ? "report_gone" : "box_drained");
 			}
 		}
 	}
--- a/src/jobs/shard_jobs.cpp
+++ b/src/jobs/shard_jobs.cpp
@@ -92,6 +92,7 @@
 				ShardTask task;
 				static_cast<StoredTask &>(task) = it;
 				task.run_state = RunState::RS_RESTORED;
+				task.stop_wanted = task.stop_recorded = task.leaving;
 				task.since = job.taken_at;
 				return task;
 			});
@@ -122,6 +123,11 @@
 								  {"image", kept.spec.steps.empty() ? "" : kept.spec.steps.front().image},
 								  {"estimate_ms", std::to_string(kept.spec.steps.front().estimate.Value())},
 								  {"phase", NameOf(kept.phase)}});
+	/* A run that was placed by an earlier owner has begun once its box lists it. */
+	kept.begun = std::ranges::any_of(kept.tasks, [](const ShardTask &it) {
+		return it.phase == TaskPhase::TP_DONE || it.failures > 0 ||
+			   (it.phase == TaskPhase::TP_WAITING && it.run.Value() > 0);
+	});
 	if (!kept.Over()) {
 		this->live.insert(spec.id);
 	}
@@ -195,7 +201,7 @@
 {
 	return static_cast<uint32_t>(std::ranges::count_if(this->live, [&](const JobId &id) {
 		const ShardJob &job = this->jobs.at(id);
-		return job.spec.route == route && job.phase == JobPhase::JP_QUEUED;
+		return job.spec.route == route && !job.begun;
 	}));
 }
 
--- a/src/jobs/shard_place.cpp
+++ b/src/jobs/shard_place.cpp
@@ -205,6 +205,7 @@
 	task.run_state = RunState::RS_RECORDING;
 	task.uncertain = false;
 	task.stop_wanted = task.stop_sent = task.stop_confirmed = false;
+	task.leaving = task.stop_recorded = false;
 	task.since = this->scheduler.Now();
 	box.used += job.spec.steps[id.step].demand;
 	box.placed.insert(id);
@@ -301,6 +302,7 @@
 	task->settled_at = this->scheduler.Now();
 	if (answer.outcome == OrderOutcome::OO_DONE || task->run_state == RunState::RS_RUNNING) {
 		task->run_state = RunState::RS_RUNNING; /* Told, or listed meanwhile. */
+		this->jobs.at(id.job).begun = true;
 		return;
 	}
 	this->log.Write("start_failed", {{"job", id.job.Value()},
@@ -321,7 +323,7 @@
 	task.uncertain = true;
 	const bool patient = this->scheduler.Now() - task.since < START_REPEATED_FOR;
 	if (!patient && this->MayStop(this->jobs.at(id.job), id)) {
-		this->WantStop(id, task, "start_unanswered");
+		this->WantPlannedStop(id, task, "start_unanswered");
 		return;
 	}
 	/* The same run is ordered again: a box that has it already only says so. Against 40% of orders unanswered and done
--- a/src/jobs/shard_records.cpp
+++ b/src/jobs/shard_records.cpp
@@ -87,63 +87,66 @@
 	return out;
 }
 
-void Shard::Commit()
+Shard::Batch Shard::TakeBatch(std::vector<KeyedRecord> &records)
 {
 	/* No append is under way, so all that was taken in is either recorded or among the dirty jobs. */
-	std::map<BoxLife, uint64_t> ends;
+	Batch batch;
 	for (const auto &[life, box] : this->boxes) {
 		if (box.ends_seen > box.ends_durable) {
-			ends[life] = box.ends_seen;
+			batch.ends[life] = box.ends_seen;
 		}
 	}
-	std::vector<KeyedRecord> records;
-	std::map<JobId, JobPhase> phases;
-	const std::vector<IncomingRecord> taken = std::exchange(this->accepted, {});
-	for (const IncomingRecord &it : taken) {
+	batch.taken = std::exchange(this->accepted, {});
+	for (const IncomingRecord &it : batch.taken) {
 		if (!it.record.key.empty()) {
 			records.push_back(it.record);
 		}
 	}
-	const auto tell = [taken] {
-		std::ranges::for_each(taken, [](const IncomingRecord &it) { it.done(ResultCode::RC_OK); });
-	};
-	for (const JobId &id : this->dirty) {
+	for (const JobId &id : std::exchange(this->dirty, {})) {
 		ShardJob &job = this->jobs.at(id);
 		job.revision++;
 		records.push_back(KeyedRecord{id.Value(), EncodeProgress(this->Stored(job))});
-		phases[id] = job.phase;
+		batch.phases[id] = job.phase;
 	}
-	this->dirty.clear();
-	const std::vector<PendingStart> due = std::exchange(this->starts, {});
+	batch.starts = std::exchange(this->starts, {});
+	batch.stops = std::exchange(this->stops, {});
+	return batch;
+}
+
+void Shard::Commit()
+{
+	std::vector<KeyedRecord> records;
+	const Batch batch = this->TakeBatch(records);
+	const auto tell = [taken = batch.taken] {
+		std::ranges::for_each(taken, [](const IncomingRecord &it) { it.done(ResultCode::RC_OK); });
+	};
 	if (records.empty()) {
 		tell();
-		this->OnCommitted(due, ends, phases);
+		this->OnCommitted(batch);
 		return;
 	}
 	/* The journal may outlive the shard, to say in the log that its owner has let go. */
 	const std::weak_ptr<bool> still(this->alive);
-	const auto committed = [this, due, ends, phases, taken, tell, still] {
+	const auto committed = [this, batch, tell, still] {
 		if (!still.expired()) {
-			std::ranges::for_each(taken, [this](const IncomingRecord &it) { this->NoteRecorded(it); });
+			std::ranges::for_each(batch.taken, [this](const IncomingRecord &it) { this->NoteRecorded(it); });
 		}
 		tell();
 		if (!still.expired()) {
-			this->OnCommitted(due, ends, phases);
+			this->OnCommitted(batch);
 		}
 	};
-	const auto refused = [this, due, phases, taken, still] {
+	const auto refused = [this, batch, still] {
 		if (!still.expired()) {
-			std::ranges::copy(due, std::back_inserter(this->starts));
-			this->OnRefused(taken, phases);
+			this->OnRefused(batch);
 		}
 	};
 	this->journal.Append(std::move(records), committed, refused);
 }
 
-void Shard::OnCommitted(const std::vector<PendingStart> &due, const std::map<BoxLife, uint64_t> &ends,
-						const std::map<JobId, JobPhase> &phases)
+void Shard::OnCommitted(const Batch &batch)
 {
-	for (const auto &[id, phase] : phases) {
+	for (const auto &[id, phase] : batch.phases) {
 		ShardJob &job = this->jobs.at(id);
 		if (job.durable_phase != phase) {
 			this->log.Write("job_phase", {{"job", id.Value()},
@@ -152,9 +155,10 @@
 		}
 		job.durable_phase = phase;
 	}
-	std::ranges::copy(due, std::back_inserter(this->recorded_starts));
+	std::ranges::copy(batch.starts, std::back_inserter(this->recorded_starts));
 	this->PumpStarts();
-	for (const auto &[life, number] : ends) {
+	std::ranges::for_each(batch.stops, [this](const PendingStop &it) { this->OnStopRecorded(it); });
+	for (const auto &[life, number] : batch.ends) {
 		const auto it = this->boxes.find(life);
 		if (it != this->boxes.end()) {
 			it->second.ends_durable = std::max(it->second.ends_durable, number);
@@ -173,11 +177,13 @@
 	}
 }
 
-void Shard::OnRefused(const std::vector<IncomingRecord> &taken, const std::map<JobId, JobPhase> &phases)
+void Shard::OnRefused(const Batch &batch)
 {
-	std::ranges::copy(phases | std::views::keys, std::inserter(this->dirty, this->dirty.end()));
+	std::ranges::copy(batch.starts, std::back_inserter(this->starts));
+	std::ranges::copy(batch.stops, std::back_inserter(this->stops));
+	std::ranges::copy(batch.phases | std::views::keys, std::inserter(this->dirty, this->dirty.end()));
 	std::vector<IncomingRecord> refused;
-	for (const IncomingRecord &it : taken) {
+	for (const IncomingRecord &it : batch.taken) {
 		const auto job = this->jobs.find(it.id);
 		const bool stays = !it.spec || (job != this->jobs.end() && job->second.recorded);
 		if (stays) {
--- a/src/jobs/shard_runs.cpp
+++ b/src/jobs/shard_runs.cpp
@@ -21,6 +21,7 @@
 	task.box = BoxLife();
 	task.phase = TaskPhase::TP_WAITING;
 	task.stop_wanted = task.stop_sent = task.stop_confirmed = false;
+	task.leaving = task.stop_recorded = false;
 	task.at_work = false;
 	task.pace = 100;
 	task.since = this->scheduler.Now();
@@ -44,6 +45,7 @@
 		task.saved = saved;
 	}
 	this->Release(id, task);
+	job.begun = job.begun || ending == RunEnding::RE_DONE || ending == RunEnding::RE_FAILED;
 	switch (ending) {
 	case RunEnding::RE_DONE:
 		this->counters.done++;
@@ -120,6 +122,9 @@
 void Shard::WantStop(const TaskId &id, ShardTask &task, const char *why)
 {
 	if (task.stop_wanted) {
+		if (task.leaving && !task.stop_confirmed) {
+			this->SendStop(id); /* Its job may be over by now: then the record isn't waited for. */
+		}
 		return;
 	}
 	task.stop_wanted = true;
@@ -133,6 +138,31 @@
 	}
 }
 
+void Shard::WantPlannedStop(const TaskId &id, ShardTask &task, const char *why)
+{
+	if (!this->jobs.at(id.job).spec.steps[id.step].absent_max) {
+		this->WantStop(id, task, why);
+		return;
+	}
+	if (task.stop_wanted) {
+		return;
+	}
+	/* Counted from now on, sent once recorded: see StoredTask::leaving. */
+	task.leaving = true;
+	this->WantStop(id, task, why);
+	this->stops.push_back(PendingStop{id, task.run});
+	this->Touch(id.job);
+}
+
+void Shard::OnStopRecorded(const PendingStop &stop)
+{
+	ShardTask *task = this->FindTask(stop.task);
+	if (task != nullptr && task->phase == TaskPhase::TP_PLACED && task->run == stop.run) {
+		task->stop_recorded = true;
+		this->SendStop(stop.task);
+	}
+}
+
 void Shard::SendStop(const TaskId &id)
 {
 	ShardTask *task = this->FindTask(id);
@@ -140,6 +170,9 @@
 		this->deposed) {
 		return;
 	}
+	if (task->leaving && !task->stop_recorded && !this->jobs.at(id.job).Over()) {
+		return; /* OnStopRecorded() sends it. */
+	}
 	const auto it = this->boxes.find(task->box);
 	if (it == this->boxes.end() || it->second.over || it->second.report.address.empty()) {
 		return;
--- a/src/standin/memory/box_site.cpp
+++ b/src/standin/memory/box_site.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <ranges>
+#include <utility>
 
 namespace {
 
@@ -175,6 +176,7 @@
 	this->Judge(*box, order);
 	this->starts++;
 	this->started.insert(order.task.job);
+	this->stopped_away.erase(order.task);
 	Run run{order.run, demand, TimerId()};
 	if (job != this->jobs.end() && !job->second.spec.steps.at(order.task.step).lasting) {
 		const bool fails = this->failed[order.task] < job->second.fail_first;
@@ -197,12 +199,42 @@
 	}
 	box->fence = fence;
 	box->stopped[task] = std::max(box->stopped[task], run);
-	if (const auto it = box->running.find(task); it != box->running.end() && it->second.run <= run) {
-		this->End(report.box, task, RunEnding::RE_STOPPED);
+	if (const auto it = box->running.find(task);
+		it != box->running.end() && it->second.run <= run && !std::exchange(it->second.stopping, true)) {
+		this->JudgeStop(*box, task);
+		this->clock.Cancel(it->second.timer);
+		if (this->stop_takes == Millis(0)) {
+			this->End(report.box, task, RunEnding::RE_STOPPED);
+		} else {
+			it->second.timer = this->clock.After(
+					this->stop_takes, [this, name = report.box, task, run] { this->EndStopped(name, task, run); });
+		}
 	}
 	return this->Plain(OrderOutcome::OO_DONE);
 }
 
+void BoxSite::EndStopped(const BoxName &name, const TaskId &task, RunNumber run)
+{
+	Box &box = this->boxes.at(name);
+	if (const auto it = box.running.find(task); it != box.running.end() && it->second.run <= run) {
+		this->End(name, task, RunEnding::RE_STOPPED);
+	}
+}
+
+void BoxSite::JudgeStop(const Box &box, const TaskId &task)
+{
+	const SiteJob &job = this->jobs.at(task.job);
+	const StepSpec &step = job.spec.steps[task.step];
+	const auto away = std::ranges::count_if(this->stopped_away, [&task](const TaskId &it) {
+		return it.job == task.job && it.occurrence == task.occurrence && it.step == task.step;
+	});
+	const bool limited = step.absent_max && !job.cancel_sent && !box.report.leaving;
+	if (limited && away >= int64_t{*step.absent_max}) {
+		this->Violation("stopped while others of its step were away", task);
+	}
+	this->stopped_away.insert(task);
+}
+
 LeaseAnswer BoxSite::Lease(const BoxReport &report, const LeaseOrder &order)
 {
 	LeaseAnswer answer;
--- a/src/standin/memory/box_site.h
+++ b/src/standin/memory/box_site.h
@@ -16,6 +16,7 @@
 	Millis run_time = Millis(500);      ///< Time that each of its tasks takes.
 	uint32_t fail_first = 0;            ///< Runs of each task that fail before one ends well.
 	uint32_t failures_max = 3;          ///< Runs of a task that may fail.
+	bool cancel_sent = false;           ///< Whether its cancellation was sent: no limit on absent tasks holds then.
 	std::optional<Millis> cancelled_at; ///< When its cancellation was confirmed.
 };
 
@@ -56,6 +57,7 @@
 	std::map<BoxName, BoxFaults> faults;                                     ///< Faults by box.
 	std::vector<std::string> violations;                                     ///< Rules broken, in words.
 	Millis lease_max = Millis(10000);                                        ///< Longest lease granted.
+	Millis stop_takes;                                                       ///< A stopped run is listed for so long.
 	std::function<bool(const BoxReport &, const StartOrder &)> ticket_holds; ///< Judges tickets; none are asked for
 																			 ///< without it.
 	uint64_t starts = 0;                                                     ///< Runs begun.
@@ -63,9 +65,10 @@
 private:
 	/** A run. */
 	struct Run {
-		RunNumber run;  ///< Which start.
-		Resources room; ///< What it takes.
-		TimerId timer;  ///< Its end.
+		RunNumber run;         ///< Which start.
+		Resources room;        ///< What it takes.
+		TimerId timer;         ///< Its end.
+		bool stopping = false; ///< A stop was taken.
 	};
 
 	/** A box. */
@@ -88,11 +91,14 @@
 	std::set<TaskId> done;                     ///< Tasks of which a run has ended well.
 	std::set<TaskId> done_noted;               ///< The same, noted.
 	std::map<TaskId, uint32_t> failed;         ///< Failed runs.
+	std::set<TaskId> stopped_away;             ///< Tasks that an order ended and that were not started again since.
 	uint64_t lives = 0;                        ///< Lives given out by Restart().
 
 	Box *Find(const BoxReport &report);
 	[[nodiscard]] OrderAnswer Plain(OrderOutcome outcome) const;
 	void Judge(const Box &box, const StartOrder &order);
+	void JudgeStop(const Box &box, const TaskId &task);
+	void EndStopped(const BoxName &name, const TaskId &task, RunNumber run);
 	void End(const BoxName &name, const TaskId &task, RunEnding ending);
 	void Lapse(const BoxName &name);
 	void ProlongLease(Box &box, Millis until);
--- a/tests/job_world.h
+++ b/tests/job_world.h
@@ -215,6 +215,7 @@
 				this->PlanCancel(RETRY, job);
 				return;
 			}
+			this->site.JobOf(job.spec.id).cancel_sent = true;
 			(*node)->desk.Cancel(job.spec.id, job.service, (*node)->scheduler.Now() + Millis(3000),
 								 [this, &job](ResultCode rc) {
 									 if (rc == ResultCode::RC_OK && !job.cancelled) {
