Lease orders are spread: boxes that run nothing are asked every two seconds, busy ones together

Change: an idle box may hold its answer back for 2 s (the most boxes take); the least gap grows with the boxes that run something (25 ms up to 15 of them, 100 ms from 60 on), so that an owner sends 600 a second to them at most. Whether a box counts as silent goes by the wait that it was granted. Test: ten seconds of four idle boxes cost 20 orders at most (40 before), of busy ones 36 at least.

--- a/src/jobs/shard_base.h
+++ b/src/jobs/shard_base.h
@@ -116,6 +116,7 @@
 	Millis clock_at;                ///< When `clock` was heard.
 	Millis lapse_at;                ///< From then on no lease can hold there any more, by our clock.
 	Millis asked_at;                ///< When the last lease order was sent.
+	Millis wait;                    ///< So long its answer may wait for an end.
 	Millis answered_at;             ///< When the last answer to any order came.
 	Millis listed_at;               ///< When it last listed its runs.
 	Millis avoid_until;             ///< Nothing is placed there before.
@@ -328,6 +329,7 @@
 	std::vector<PendingStop> stops;              ///< Stops for planned work to send once recorded.
 	std::deque<PendingStart> recorded_starts;    ///< Recorded ones that wait for their turn to be sent.
 	size_t starts_under_way = 0;                 ///< Start orders without answer.
+	Millis look_gap;                             ///< Least time between two lease orders to a box.
 	TicketDesk tickets;                          ///< What policies of routes allow.
 	ShardCounters counters;                      ///< Counters.
 	TimerId timer;                               ///< Next turn without an event.
@@ -420,6 +422,7 @@
 	void LoseTasks(ShardBox &box, const char *why);
 	void EndLife(ShardBox &box, const char *why);
 	void LapseBoxes();
+	void SetLookGap(size_t busy);
 	void Depose();
 
 	/* shard_drain.cpp */
--- a/src/jobs/shard_boxes.cpp
+++ b/src/jobs/shard_boxes.cpp
@@ -13,13 +13,22 @@
 /** While answers of a box get lost, it is asked to answer sooner: an end that it tells is then missed for 0.6 s, not
  * for 1.4 s. */
 constexpr Millis LOSSY_WAIT(250);
-constexpr Millis LOSSY_FOR(5000);     ///< Answers of a box are taken to get lost for so long after two were.
-constexpr Millis LOOK_GAP(25);        ///< Least time between two lease orders to a box: ends are taken in together.
+constexpr Millis LOSSY_FOR(5000); ///< Answers of a box are taken to get lost for so long after two were.
+/** Least time between two lease orders to a box: ends are taken in together. It grows with the boxes that run
+ * something, so that an owner sends LOOKS_MOST a second at most while none waits for its end longer than LOOK_GAP_MOST.
+ * A node with half a core is full at about 800 a second, starts included. */
+constexpr Millis LOOK_GAP(25);
+constexpr Millis
+		LOOK_GAP_MOST(100); ///< The same for many boxes: 50 ms a step on average, where jobs have 600 ms to spare.
+constexpr int64_t LOOKS_MOST = 600; ///< Lease orders a second to boxes that run something.
+/** A box that runs nothing of ours may hold its answer back so long (the most that boxes take): half as many lease
+ * orders to idle boxes, which were four of ten. */
+constexpr Millis IDLE_WAIT(2000);
 constexpr Millis UNRECORDED_GAP(700); ///< The same while ends can't be recorded: the box answers at once each time.
 constexpr Millis SILENT_AFTER(1500);  ///< Beyond the wait: a box that is silent for so long gets no longer lease.
 constexpr Millis FORGET_AFTER(10000); ///< A box without report, tasks and answers is forgotten after this.
 constexpr int64_t FULL_SHARE = 100;   ///< Percent of a task that is at work.
-constexpr size_t ENDS_AT_ONCE = 500;  ///< Ends that a box lists at once; a list of this size may not be whole.
+constexpr size_t ENDS_AT_ONCE = 500; ///< Ends that a box lists at once; a list of this size may not be whole.
 
 } // namespace
 
@@ -75,7 +84,7 @@
 std::optional<Millis> Shard::LeaseEnd(const ShardBox &box) const
 {
 	const Millis now = this->scheduler.Now();
-	const bool silent = now - box.answered_at > this->limits.lease_wait + SILENT_AFTER;
+	const bool silent = now - box.answered_at > std::max(box.wait, this->limits.lease_wait) + SILENT_AFTER;
 	if (!box.clock || silent || now - this->journal.ConfirmedAt() > this->limits.owner_term) {
 		return std::nullopt;
 	}
@@ -106,9 +115,13 @@
 
 Millis Shard::LeaseWait(const ShardBox &box) const
 {
-	const bool lossy = this->scheduler.Now() - box.lost_again_at < LOSSY_FOR;
-	const Millis wait = lossy ? std::min(LOSSY_WAIT, this->limits.lease_wait) : this->limits.lease_wait;
-	return box.adopted ? wait : Millis(0);
+	if (!box.adopted) {
+		return Millis(0);
+	}
+	if (this->scheduler.Now() - box.lost_again_at < LOSSY_FOR) {
+		return std::min(LOSSY_WAIT, this->limits.lease_wait);
+	}
+	return box.placed.empty() && !box.strangers ? IDLE_WAIT : this->limits.lease_wait;
 }
 
 void Shard::NoteOutcome(ShardBox &box, Millis sent, OrderOutcome outcome)
@@ -144,15 +157,15 @@
 		return;
 	}
 	const Millis now = this->scheduler.Now();
-	if (const Millis since = now - box.asked_at; box.adopted && since < LOOK_GAP) {
-		this->PumpAfter(box.report.life, LOOK_GAP - since);
+	if (const Millis since = now - box.asked_at; box.adopted && since < this->look_gap) {
+		this->PumpAfter(box.report.life, this->look_gap - since);
 		return;
 	}
 	LeaseOrder order;
 	order.fence = this->fence;
 	order.ends_noted = box.ends_durable;
 	order.lease_until = this->LeaseEnd(box);
-	order.wait = this->LeaseWait(box);
+	order.wait = box.wait = this->LeaseWait(box);
 	if (order.lease_until) {
 		this->NoteLeaseAsked(box, *order.lease_until);
 	}
@@ -333,11 +346,19 @@
 	this->Wake();
 }
 
+void Shard::SetLookGap(size_t busy)
+{
+	const Millis spread(static_cast<int64_t>(busy) * MS_PER_SECOND / LOOKS_MOST);
+	this->look_gap = std::clamp(spread, LOOK_GAP, LOOK_GAP_MOST);
+}
+
 void Shard::LapseBoxes()
 {
 	const Millis now = this->scheduler.Now();
+	size_t busy = 0;
 	std::vector<BoxLife> forget;
 	for (auto &[life, box] : this->boxes) {
+		busy += box.placed.empty() ? 0 : 1;
 		const bool lapsed = now >= box.lapse_at && now - box.answered_at > this->limits.lease_wait;
 		if (lapsed && !box.placed.empty()) {
 			this->LoseTasks(box, "lease_lapsed");
@@ -347,6 +368,7 @@
 			forget.push_back(life);
 		}
 	}
+	this->SetLookGap(busy);
 	for (const BoxLife &life : forget) {
 		this->scheduler.Cancel(this->boxes.at(life).timer);
 		this->boxes.erase(life);
--- a/tests/test_owner_work.cpp
+++ b/tests/test_owner_work.cpp
@@ -146,3 +146,23 @@
 	lease.wait = Millis(1000);
 	CHECK(LeaseBody(lease) == R"({"fencing-token":2,"last-seen":5,"wait-ms":1000})");
 }
+
+TEST_CASE("boxes that run nothing are asked half as often as others")
+{
+	JobWorld world;
+	world.clock.RunUntil(Millis(5000));
+	WorldNode *owner = world.OwnerOf(ServiceName("calc"));
+	REQUIRE(owner != nullptr);
+	const Shard *shard = std::as_const(owner->host).Find(ServiceName("calc"))->Running();
+	const uint64_t idle = shard->Counters().looks;
+	world.clock.RunUntil(Millis(15000));
+	/* Four boxes for ten seconds: 40 before, one a second each. */
+	CHECK(shard->Counters().looks - idle <= 20);
+	const WorldJob &job = world.Plan(Millis(0), "calc", JobWorld::Lasting(4));
+	world.clock.RunUntil(Millis(20000));
+	REQUIRE(world.site.Running(job.spec.id) == 4);
+	const uint64_t busy = shard->Counters().looks;
+	world.clock.RunUntil(Millis(30000));
+	CHECK(shard->Counters().looks - busy >= 36);
+	CHECK(world.site.Running(job.spec.id) == 4);
+}
