--- a/src/jobs/shard_boxes.cpp
+++ b/src/jobs/shard_boxes.cpp
@@ -28,7 +28,7 @@
 constexpr Millis SILENT_AFTER(1500);  ///< Beyond the wait: a box that is silent for so long gets no longer lease.
 constexpr Millis FORGET_AFTER(10000); ///< A box without report, tasks and answers is forgotten after this.
 constexpr int64_t FULL_SHARE = 100;   ///< Percent of a task that is at work.
-constexpr size_t ENDS_AT_ONCE = 500; ///< Ends that a box lists at once; a list of this size may not be whole.
+constexpr size_t ENDS_AT_ONCE = 500;  ///< Ends that a box lists at once; a list of this size may not be whole.
 
 } // namespace
 
