--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -150,6 +150,7 @@
 
 void SoakWorld::Cancel(SoakJob &job)
 {
+	this->boxes.site.JobOf(job.spec.id).cancel_sent = true;
 	this->Send(this->AnyNode(), "DELETE", "/" + job.service + "/" + job.spec.id.Value(), {},
 			   [this, &job](const HttpReply &reply) {
 				   if (reply.result == CallResult::CR_ANSWERED && reply.status == 200) {
