--- a/tests/test_group.cpp
+++ b/tests/test_group.cpp
@@ -199,3 +199,25 @@
 		CHECK(IsStrong(*owner));
 	}
 }
+
+TEST_CASE("strong nodes that were all gone for two seconds own the shards again")
+{
+	JobWorld world(0);
+	BootAll(world, 6, 20);
+	world.clock.RunUntil(Millis(4000));
+	std::vector<std::string> names;
+	for (const auto &node : world.nodes) {
+		if (IsStrong(*node)) {
+			names.push_back(node->name);
+			JobWorld::Kill(*node);
+		}
+	}
+	world.clock.RunUntil(Millis(6000));
+	std::ranges::for_each(names, [&world](const std::string &it) { world.Boot(it, STRONG); });
+	world.clock.RunUntil(Millis(20000));
+	for (const char *service : {"calc", "grid"}) {
+		WorldNode *owner = world.OwnerOf(ServiceName(service));
+		REQUIRE(owner != nullptr);
+		CHECK(IsStrong(*owner));
+	}
+}
