Weak nodes leave room for strong ones that come back: at most half as many take part as there are partitions

Of more than 20 members the log deals 12 something and names only these, so strong nodes that come back hold hardly any, fewer than three are seen, and weak nodes own the queues for good. Change: a node that has seen stronger ones takes part only while fewer members than half of the partitions hold some; those that joined in the same moment settle it by processor time and name. Before: test_group "strong nodes that were all gone for two seconds" red, 2 checks failed (owners of both queues weak). After: it and two new cases pass (all 20 weak ones stand by, also when they came 5 s before the strong ones and had never seen one). Unit tests: 148 of 148 before the two new cases.

--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -40,7 +40,7 @@
 NodeCore::NodeCore(Scheduler &scheduler, const NodeLinks &links, const NodeIdentity &self)
 		: scheduler(scheduler), links(links), self(self),
 		  member(scheduler, links.log, links.events,
-				 GroupSpec{NODE_GROUP, GroupPeer{self.frames, self.cpu}, NODE_TOPIC, self.silence}),
+				 GroupSpec{NODE_GROUP, GroupPeer{self.frames, self.cpu}, NODE_TOPIC, self.silence, self.partitions}),
 		  host(OwnerParts{scheduler, links.log, links.orders, links.events, self.frames, self.limits, links.advisor,
 						  NODE_GROUP},
 			   this->member, links.feed, self.partitions),
--- a/src/store/group_member.cpp
+++ b/src/store/group_member.cpp
@@ -11,6 +11,12 @@
 /** A node stands by for so many stronger ones at least: measured with one, which then has all shards and falls behind.
  */
 constexpr size_t STRONG_ENOUGH = 3;
+/** Nodes that know of stronger ones take part while fewer hold the partitions. At most half: of strong ones that come
+ * back enough are then dealt some, whatever their number. One node was killed with 20 weak and 6 strong members (test):
+ * without the limit two strong ones held any. */
+constexpr size_t WEAK_PART = 2;
+/** Weak nodes that joined in the same moment see each other within this time: three looks, and one call that fails. */
+constexpr Millis SETTLE_WITHIN(5000);
 /** A node that stands by looks so often whether it is wanted; a look costs a reading call of the store. */
 constexpr Millis LOOK_AGAIN(1000);
 /** While nobody holds anything, or a few stronger ones do, a node waits for this divided by its cores before it joins:
@@ -32,6 +38,14 @@
 	return out;
 }
 
+/** @return Members that may hold partitions before a weak node is one too many. @param parts Partitions. */
+size_t WeakMost(size_t parts)
+{
+	/* Where there are few partitions, so that enough strong ones can still hold one each. */
+	const size_t spared = parts > STRONG_ENOUGH ? parts - STRONG_ENOUGH : 1;
+	return std::max<size_t>(std::min(parts / WEAK_PART, spared), 1);
+}
+
 } // namespace
 
 std::string MemberNameOf(const GroupPeer &peer)
@@ -77,12 +91,35 @@
 	});
 }
 
+bool GroupMember::Needless(const std::vector<PartitionHolder> &rows) const
+{
+	const std::set<std::string> holders = MembersWith(0, rows);
+	const size_t most = WeakMost(this->spec.parts);
+	if (!this->joined || this->parts.empty()) {
+		return holders.size() >= most && !holders.contains(this->name);
+	}
+	if (holders.size() <= most || this->scheduler.Now() >= this->settles_until) {
+		return false;
+	}
+	/* Several came at the same moment. All of them see the same rows: the strongest stay, by name among equals. */
+	std::vector<std::string> ranked(holders.begin(), holders.end());
+	std::ranges::stable_sort(ranked, std::ranges::greater{}, [](const std::string &it) { return PeerOf(it).cpu; });
+	return std::ranges::find(ranked, this->name) >= ranked.begin() + static_cast<ptrdiff_t>(most);
+}
+
 void GroupMember::OnHolders(ResultCode code, const std::vector<PartitionHolder> &rows)
 {
 	const int64_t own = std::max<int64_t>(this->spec.self.cpu, 1);
 	const std::set<std::string> stronger = MembersWith(MUCH_STRONGER * own, rows);
+	if (!stronger.empty() && !std::exchange(this->weak, true)) {
+		this->settles_until = this->scheduler.Now() + SETTLE_WITHIN;
+	}
 	if (stronger.size() >= STRONG_ENOUGH) {
-		this->StandBy(*stronger.begin());
+		this->StandBy("stronger", rows);
+		return;
+	}
+	if (this->weak && code == ResultCode::RC_OK && this->Needless(rows)) {
+		this->StandBy("enough", rows);
 		return;
 	}
 	if (this->joined) {
@@ -106,17 +143,20 @@
 		this->events.Write("group_wanted", {{"group", this->spec.group}, {"holders", std::to_string(rows.size())}});
 	}
 	this->joined = true;
+	this->settles_until = this->scheduler.Now() + SETTLE_WITHIN;
 	this->Join();
 }
 
-void GroupMember::StandBy(const std::string &holder)
+void GroupMember::StandBy(const char *why, const std::vector<PartitionHolder> &rows)
 {
 	this->look_timer = this->scheduler.After(LOOK_AGAIN, [this] { this->LookAround(); });
 	if (std::exchange(this->standing_by, true)) {
 		return;
 	}
-	this->events.Write("group_stand_by",
-					   {{"group", this->spec.group}, {"holder", holder}, {"own", std::to_string(this->spec.self.cpu)}});
+	this->events.Write("group_stand_by", {{"group", this->spec.group},
+										  {"why", why},
+										  {"holders", std::to_string(MembersWith(0, rows).size())},
+										  {"own", std::to_string(this->spec.self.cpu)}});
 	if (!std::exchange(this->joined, false)) {
 		return;
 	}
--- a/src/store/group_member.h
+++ b/src/store/group_member.h
@@ -26,11 +26,16 @@
 	GroupPeer self;    ///< This member.
 	std::string topic; ///< Topic whose partitions stand for the shards.
 	Millis silence;    ///< A member not heard of for so long is out.
+	size_t parts = 1;  ///< Partitions of that topic.
 };
 
 /**
  * Stays in the group, or stands by while nodes with much more processor time hold its partitions. The partitions told
  * are only a hint who should own a shard: the shard's own log decides.
+ *
+ * A node that knows of stronger ones takes part only while few hold the partitions. The log names those that hold some,
+ * and no other members: if all weak nodes took part when the strong ones die, strong ones that come back would hold
+ * hardly any, nobody would see them, and the weak nodes would own the shards for good.
  */
 class GroupMember {
 public:
@@ -78,6 +83,8 @@
 	Millis started_at;                                          ///< When Start() was called.
 	bool joined = false;                                        ///< Whether this node takes part, or tries to.
 	bool standing_by = false;                                   ///< For StandsBy().
+	bool weak = false;                                          ///< Whether stronger nodes were seen in the group.
+	Millis settles_until{-1000000};                             ///< Until then it may turn out to be one too many.
 	uint64_t generation = 0;                                    ///< Last one heard.
 	std::set<uint32_t> parts;                                   ///< Partitions held.
 	Millis confirmed_at;                                        ///< For ConfirmedAt().
@@ -90,7 +97,8 @@
 
 	void LookAround();
 	void OnHolders(ResultCode code, const std::vector<PartitionHolder> &rows);
-	void StandBy(const std::string &holder);
+	[[nodiscard]] bool Needless(const std::vector<PartitionHolder> &rows) const;
+	void StandBy(const char *why, const std::vector<PartitionHolder> &rows);
 	void Join();
 	void OnJoined(const GroupMembership &answer, Millis sent);
 };
--- a/tests/job_world.h
+++ b/tests/job_world.h
@@ -70,7 +70,7 @@
 			  PlacementAdvisor *advisor)
 			: scheduler(clock), log(this->scheduler, clock, store), orders(this->scheduler, clock, site),
 			  member(this->scheduler, this->log, this->events,
-					 GroupSpec{NODE_GROUP, GroupPeer{name, cpu}, NODE_TOPIC, Millis(1500)}),
+					 GroupSpec{NODE_GROUP, GroupPeer{name, cpu}, NODE_TOPIC, Millis(1500), PARTS}),
 			  host(OwnerParts{this->scheduler, this->log, this->orders, this->events, name, ShardLimits{}, advisor,
 							  NODE_GROUP},
 				   this->member, this->feed, PARTS),
--- a/tests/test_group.cpp
+++ b/tests/test_group.cpp
@@ -221,3 +221,47 @@
 		CHECK(IsStrong(*owner));
 	}
 }
+
+TEST_CASE("weak nodes that came long before the strong ones leave the shards to them")
+{
+	JobWorld world(0);
+	BootAll(world, 0, 20);
+	world.clock.RunUntil(Millis(5000));
+	for (int n = 0; n < 6; n++) {
+		world.Boot("b-strong-" + std::to_string(n), STRONG);
+	}
+	world.clock.RunUntil(Millis(20000));
+	std::ranges::for_each(world.nodes, [](const auto &it) { CHECK(it->member.StandsBy() == !IsStrong(*it)); });
+	for (const char *service : {"calc", "grid"}) {
+		WorldNode *owner = world.OwnerOf(ServiceName(service));
+		REQUIRE(owner != nullptr);
+		CHECK(IsStrong(*owner));
+	}
+}
+
+TEST_CASE("of many weak nodes that stood by only as many take part as find room beside strong ones that come back")
+{
+	JobWorld world(0);
+	BootAll(world, 6, 20);
+	world.clock.RunUntil(Millis(4000));
+	for (const auto &node : world.nodes) {
+		if (IsStrong(*node)) {
+			JobWorld::Kill(*node);
+		}
+	}
+	world.clock.RunUntil(Millis(12000));
+	const auto taking_part = [&world] {
+		return std::ranges::count_if(world.nodes, [](const auto &it) { return it->up && !it->member.StandsBy(); });
+	};
+	CHECK(taking_part() == WorldNode::PARTS / 2);
+	/* Another one takes the place of each that dies. */
+	const auto first =
+			std::ranges::find_if(world.nodes, [](const auto &it) { return it->up && !it->member.StandsBy(); });
+	REQUIRE(first != world.nodes.end());
+	JobWorld::Kill(**first);
+	world.clock.RunUntil(Millis(20000));
+	CHECK(taking_part() == WorldNode::PARTS / 2);
+	for (const char *service : {"calc", "grid"}) {
+		CHECK(world.OwnerOf(ServiceName(service)) != nullptr);
+	}
+}
