--- a/src/jobs/shard_owner.cpp
+++ b/src/jobs/shard_owner.cpp
@@ -224,9 +224,14 @@
 
 void ShardOwner::OnReport(const BoxReport &report)
 {
-	if (report.service == this->service) {
-		this->reports[report.life] = report;
+	if (report.service != this->service) {
+		/* A life keeps its service: what names another one now was written by somebody else. */
+		if (this->reports.contains(report.life)) {
+			this->OnReportGone(report.life);
+		}
+		return;
 	}
+	this->reports[report.life] = report;
 	if (this->shard) {
 		this->shard->OnReport(report);
 	}
--- a/src/upkeep/fleet_owner.cpp
+++ b/src/upkeep/fleet_owner.cpp
@@ -4,6 +4,7 @@
 #include "../store/owner_record.h"
 
 #include <algorithm>
+#include <charconv>
 #include <ranges>
 
 namespace {
@@ -64,12 +65,15 @@
 		this->turns.Inherit(key, value, this->parts.scheduler.Now());
 		return;
 	}
-	const size_t slash = key.find('/');
-	const uint64_t wave = std::stoull(key);
-	if (slash == std::string::npos) {
+	uint64_t wave = 0;
+	const char *end = key.data() + key.size();
+	const auto [rest, ec] = std::from_chars(key.data(), end, wave);
+	if (ec != std::errc() || (rest != end && *rest != '/')) {
+		this->parts.events.Write("bad_record", {{"topic", FLEET.topic}, {"key", key}});
+	} else if (rest == end) {
 		this->desk.RestoreCompleted(wave);
 	} else {
-		this->desk.Restore(wave, BoxName(key.substr(slash + 1)));
+		this->desk.Restore(wave, BoxName(std::string(rest + 1, end)));
 	}
 }
 
