--- a/tests/test_fleet_owner.cpp
+++ b/tests/test_fleet_owner.cpp
@@ -16,10 +16,20 @@
 
 constexpr Millis GAP(3300); ///< Between the orders of two holders for one box.
 
+/** @return Names of so many boxes: m0, m1, … @param count How many. */
+std::vector<std::string> BoxNames(size_t count)
+{
+	std::vector<std::string> names;
+	for (size_t n = 0; n < count; n++) {
+		names.push_back("m" + std::to_string(n));
+	}
+	return names;
+}
+
 /** Machines, each of a pool of its own; notes who ordered what when. */
 class NotedMachines : public MachineControl {
 public:
-	explicit NotedMachines(VirtualScheduler &clock) : clock(clock) {}
+	NotedMachines(VirtualScheduler &clock, std::vector<std::string> names) : clock(clock), names(std::move(names)) {}
 
 	/** An order. */
 	struct Order {
@@ -31,9 +41,9 @@
 	void List(std::function<void(ResultCode, std::vector<MachineRow>)> done) override
 	{
 		std::vector<MachineRow> rows;
-		for (const char *name : {"m0", "m1", "m2"}) {
+		for (const std::string &name : this->names) {
 			rows.push_back(MachineRow{BoxName(name), PoolOf(name), MachineState::MS_UP, ZoneName("z"),
-									  Resources{8000, 8000, 0}, BoxLife(std::string(name) + "-1")});
+									  Resources{8000, 8000, 0}, BoxLife(name + "-1")});
 		}
 		this->clock.After(Millis(2), [done, rows] { done(ResultCode::RC_OK, rows); });
 	}
@@ -46,41 +56,50 @@
 	void Maintain(const BoxName &box, uint64_t, const ControlLease &lease, Done done) override
 	{
 		this->orders.push_back(Order{box, lease.holder, this->clock.Now()});
-		/* Never carried out, so that holders order again. */
-		this->clock.After(Millis(2), [done] { done(ControlOutcome::CO_REFUSED); });
+		this->clock.After(Millis(2), [done, outcome = this->outcome] { done(outcome); });
 	}
 
-	std::vector<Order> orders; ///< All orders.
+	std::vector<Order> orders;                           ///< All orders.
+	ControlOutcome outcome = ControlOutcome::CO_REFUSED; ///< Answer: not carried out, so that holders order again.
 
 private:
-	VirtualScheduler &clock; ///< The clock.
+	VirtualScheduler &clock;        ///< The clock.
+	std::vector<std::string> names; ///< The boxes.
 };
 
 /** Pools whose boxes are empty at once; publishes nothing. */
 class EmptyPools : public PoolOwners, public WaveReports {
 public:
+	explicit EmptyPools(std::vector<std::string> names) : names(std::move(names)) {}
+
 	void Ask(const ServiceName &service, const std::set<BoxName> &drain, const std::set<BoxName> &,
 			 std::function<void(std::optional<PoolStatus>)> done) override
 	{
 		PoolStatus out;
-		for (const char *name : {"m0", "m1", "m2"}) {
+		for (const std::string &name : this->names) {
 			if (PoolOf(name) != service) {
 				continue;
 			}
-			out.boxes.push_back(PoolBox{BoxName(name), BoxLife(std::string(name) + "-1"), 0, 0, 8000,
-										!drain.contains(BoxName(name))});
+			out.boxes.push_back(
+					PoolBox{BoxName(name), BoxLife(name + "-1"), 0, 0, 8000, !drain.contains(BoxName(name))});
 		}
 		done(out);
 	}
 	void Publish(uint64_t, bool, std::function<void(bool)> done) override { done(true); }
+
+private:
+	std::vector<std::string> names; ///< The boxes.
 };
 
 /** A fleet with up to two holders. */
 struct FleetWorld {
+	explicit FleetWorld(size_t boxes = 3) : names(BoxNames(boxes)), machines(this->clock, names), pools(names) {}
+
+	std::vector<std::string> names;                        ///< The boxes.
 	VirtualScheduler clock{Millis(1700000000000)};         ///< The clock.
 	KeyedStore store{12};                                  ///< The log.
 	KeyedStoreClient log{this->clock, this->clock, store}; ///< The way to it.
-	NotedMachines machines{clock};                         ///< Machines.
+	NotedMachines machines;                                ///< Machines.
 	EmptyPools pools;                                      ///< Pools.
 	NoEventLog events;                                     ///< Lines.
 
@@ -90,7 +109,7 @@
 															 this->pools, this->events, name, name, GAP, "nodes",
 															 [] { return true; }});
 		JobConfig config;
-		for (const char *box : {"m0", "m1", "m2"}) {
+		for (const std::string &box : this->names) {
 			config.services.push_back(JobService{PoolOf(box), true, false});
 		}
 		owner->Configure(config);
@@ -99,7 +118,7 @@
 		std::ranges::transform(boxes, std::back_inserter(wave.boxes),
 							   [](const std::string &it) { return BoxName(it); });
 		wave.within = Millis(1000); /* Late at once: nothing is put off. */
-		wave.down_max = 3;
+		wave.down_max = static_cast<uint32_t>(this->names.size());
 		owner->OnWave(wave);
 		owner->Start();
 		return owner;
@@ -268,3 +287,38 @@
 	REQUIRE(world.First("b", "m0").has_value());
 	CHECK(*world.First("b", "m0") - last >= GAP);
 }
+
+/* What users saw: a class of requests below what is owed to it, on days like the standard ones.
+ *
+ * Order of events, on a day on which a third of the nodes is cut off at a queue's peak: the fleet's new holder claims
+ * at 3.02 s, orders 37 boxes of a wave down at 3.42 s, and decides at 3.50 s to move 129 boxes to the queue. Its orders
+ * leave at 3.93 s, and the boxes take tasks from 6.1 s on, while 13 thousand cores wait.
+ *
+ * Cause: each box whose maintenance has begun is a record of its own, 11 ms each there, and the record of the moves
+ * stood behind all of them, although nothing waits for those. Evidence: the same day played with queued records written
+ * together: ordered at 3.50 s, there at 5.48 s; nothing else was changed. */
+TEST_CASE("orders to machines don't wait for the records of forty others that have begun")
+{
+	constexpr size_t MANY = 40;
+	FleetWorld world(MANY + 1);
+	world.machines.outcome = ControlOutcome::CO_DONE;
+	world.log.faults.latency = Millis(50); /* An append takes 100 ms. */
+	auto holder = world.Make("a", BoxNames(MANY));
+	const Millis limit = world.clock.Now() + Millis(3000);
+	while (world.machines.orders.size() < MANY && world.clock.Now() < limit) {
+		world.clock.RunUntil(world.clock.Now() + Millis(10));
+	}
+	REQUIRE(world.machines.orders.size() == MANY);
+	WaveOrder wave;
+	wave.number = 2;
+	wave.boxes = {BoxName("m" + std::to_string(MANY))};
+	wave.within = Millis(1000);
+	wave.down_max = 1;
+	holder->OnWave(wave);
+	const Millis asked = world.clock.Now();
+	world.clock.RunUntil(asked + Millis(6000));
+	const std::optional<Millis> ordered = world.First("a", wave.boxes.front().Value());
+	REQUIRE(ordered.has_value());
+	/* Two looks at the fleet, the append under way, and its own. */
+	CHECK(*ordered - asked <= Millis(700));
+}
