Records that wait for the owner's partition are written with one append

Cause: PairedJournal wrote one queued batch after the other; the fleet's holder queues one for each box whose maintenance has begun, and its next orders' record stood behind them (see the red test before). Class: what nobody waits for stands before what somebody waits for. Looked for elsewhere: a shard has one batch under way and collects the rest (Commit); KeepConfirmed appends only while nothing is under way; OwnerJournal's queue holds one batch of PairedJournal and repeats.

--- a/src/store/paired_journal.cpp
+++ b/src/store/paired_journal.cpp
@@ -2,6 +2,7 @@
 #include "paired_journal.h"
 
 #include <algorithm>
+#include <iterator>
 #include <ranges>
 
 namespace {
@@ -15,6 +16,9 @@
 /** A batch that both partitions have refused for so long is handed back: what callers wait for is refused to them while
  * they have time to come again. */
 constexpr Millis REFUSED_FOR(100);
+/** Batches that waited are written with one append up to so many records: the fleet's are below 100 bytes each, and a
+ * call carries 2 MB. */
+constexpr size_t TOGETHER_MOST = 1000;
 constexpr size_t REPEAT_MOST = 200; ///< Records repeated with one append: about 400 KB, a fifth of what a call carries.
 
 } // namespace
@@ -44,8 +48,12 @@
 
 void PairedJournal::Append(std::vector<KeyedRecord> records, Done done, Done refused)
 {
-	this->queue.push_back(
-			Batch{++this->last_number, std::move(records), std::move(done), std::move(refused), false, false});
+	Batch batch;
+	batch.number = ++this->last_number;
+	batch.records = std::move(records);
+	batch.done.push_back(std::move(done));
+	batch.refused = std::move(refused);
+	this->queue.push_back(std::move(batch));
 	if (!this->current) {
 		this->Next();
 	}
@@ -56,22 +64,35 @@
 	return std::clamp(Millis(this->took.Value() * PATIENCE_FACTOR), PATIENCE_LEAST, PATIENCE_MOST);
 }
 
+PairedJournal::Batch PairedJournal::TakeQueued()
+{
+	Batch batch = std::move(this->queue.front());
+	this->queue.pop_front();
+	/* One by one, the records of 37 boxes whose maintenance had begun held up orders to move 129 boxes to a queue at
+	 * its peak: 0.43 s with appends that take 11 ms (one day played, with and without). */
+	while (!batch.refused && !this->queue.empty() && !this->queue.front().refused &&
+		   batch.records.size() < TOGETHER_MOST) {
+		Batch &next = this->queue.front();
+		std::ranges::move(next.records, std::back_inserter(batch.records));
+		std::ranges::move(next.done, std::back_inserter(batch.done));
+		this->queue.pop_front();
+	}
+	return batch;
+}
+
 void PairedJournal::Next()
 {
 	if (!this->queue.empty()) {
-		this->current = std::move(this->queue.front());
-		this->queue.pop_front();
+		this->current = this->TakeQueued();
 	} else if (!this->behind.empty() && !this->main.Busy()) {
-		this->current = Batch{++this->last_number,
-							  {},
-							  [this] {
-								  if (this->on_free) {
-									  this->on_free();
-								  }
-							  },
-							  nullptr,
-							  false,
-							  false};
+		Batch repeat;
+		repeat.number = ++this->last_number;
+		repeat.done.emplace_back([this] {
+			if (this->on_free) {
+				this->on_free();
+			}
+		});
+		this->current = std::move(repeat);
 	} else {
 		return;
 	}
@@ -210,11 +231,13 @@
 void PairedJournal::Finish()
 {
 	this->scheduler.Cancel(this->timer);
-	const Done done = std::move(this->current->done);
+	const std::vector<Done> told = std::move(this->current->done);
 	this->current.reset();
 	this->Next();
 	/* Last: this may be gone after it. */
-	if (done) {
-		done();
-	}
+	std::ranges::for_each(told, [](const Done &it) {
+		if (it) {
+			it();
+		}
+	});
 }
--- a/src/store/paired_journal.h
+++ b/src/store/paired_journal.h
@@ -48,7 +48,7 @@
 	PairedJournal &operator=(const PairedJournal &) = delete;
 
 	/**
-	 * Appends records.
+	 * Appends records, in order, together with others that wait and can't be refused either.
 	 * @param records What; all or none are written.
 	 * @param done Called once they are durable; never when this ownership has ended.
 	 * @param refused Called instead when the log has refused them for a while for certain: none is written, nor will
@@ -73,7 +73,7 @@
 	struct Batch {
 		uint64_t number = 0;              ///< Counts the batches of this ownership.
 		std::vector<KeyedRecord> records; ///< What.
-		Done done;                        ///< Told when durable.
+		std::vector<Done> done;           ///< Told when durable.
 		Done refused;                     ///< Told when certainly not written; null to go on trying.
 		bool in_main = false;             ///< Whether it was handed to the main partition.
 		bool in_spare = false;            ///< Whether it was handed to the spare partition.
@@ -104,6 +104,7 @@
 	TimerId timer;                            ///< End of the wait for the main partition.
 
 	[[nodiscard]] Millis Patience() const;
+	[[nodiscard]] Batch TakeQueued();
 	void Next();
 	void ToMain();
 	void ToSpare();
