An owner lives while it records, not only while the group names it; a watcher stands beside the one that is to claim

Change: hand over when standing by for stronger nodes, not when missed; claim when the group misses the owner and its partition has stood still for longer than an owner's longest gap (0.35 s; 1 s when answers get lost); the holder of the partition half the ring further watches, too, so that it knows since when. The fleet's holder records itself like owners.

--- a/scripts/regress.sh
+++ b/scripts/regress.sh
@@ -32,7 +32,7 @@
 	printf '%-14s world %-6s %s %s\n' "$name" "${world:--}" "$row" "$short" | tee -a "$out/table" | cut -c1-230
 done
 awk '{ sum += $7; if (NR == 1 || $7 < low) low = $7; if (NR == 1 || $7 > high) high = $7
-	split($1, it, "."); day[it[1]] += $7; count[it[1]]++ }
+	split($1, name, "."); day[name[1]] += $7; count[name[1]]++ }
 	END { printf "worth: mean %.3f, %.3f to %.3f, %d runs;", sum / NR, low, high, NR
 	for (it in day) printf " %s %.3f", it, day[it] / count[it]; print "" }' "$out/table"
 echo "$bad runs with a rule broken, a floor missed or not played"
--- a/src/jobs/shard_owner.cpp
+++ b/src/jobs/shard_owner.cpp
@@ -12,7 +12,8 @@
 constexpr Millis FRESH_FOR(2500); ///< A view of the inbox older than this can't tell that a job doesn't exist.
 /** An owner that has recorded nothing for so long records itself: it learns whether it still is the owner, and the log
  * is known to be there. */
-constexpr Millis CONFIRM_EVERY(500);
+constexpr Millis CONFIRM_EVERY(250);
+constexpr Millis CONFIRM_LOOK(100); ///< It looks so often whether that is due: 0.35 s is the longest gap.
 /** @return Key in the inbox of a record of the partition of progress. Submissions and cancellations lie there as other
  * nodes would append them, and stay; progress goes when it has come to its own partition. */
 SpareKey InboxKeyOf(const std::string &key)
@@ -32,9 +33,10 @@
 	return "keyed.jobs." + service.Value();
 }
 
-ShardOwner::ShardOwner(const OwnerParts &parts, ServiceName service, std::function<bool()> wanted)
-		: parts(parts), service(std::move(service)),
-		  wanted(std::move(wanted)), progress{TopicOf(this->service), PROGRESS_PART}
+ShardOwner::ShardOwner(const OwnerParts &parts, ServiceName service, std::function<bool()> wanted,
+					   std::function<bool()> watches)
+		: parts(parts), service(std::move(service)), wanted(std::move(wanted)),
+		  watches(std::move(watches)), progress{TopicOf(this->service), PROGRESS_PART}
 {
 }
 
@@ -47,7 +49,7 @@
 {
 	this->claim = std::make_unique<PartitionClaim>(
 			this->parts.scheduler, this->parts.log, this->parts.events,
-			ClaimSpec{this->parts.address, this->progress, this->parts.group, this->wanted});
+			ClaimSpec{this->parts.address, this->progress, this->parts.group, this->wanted, false, this->watches});
 	this->claim->Start([this](const ClaimedPartition &claimed) { this->Run(claimed); });
 }
 
@@ -169,8 +171,8 @@
 
 void ShardOwner::KeepConfirmed()
 {
-	this->confirm_timer = this->parts.scheduler.After(CONFIRM_EVERY, [this] { this->KeepConfirmed(); });
-	if (!this->journal->Busy() && this->parts.scheduler.Now() - this->journal->ConfirmedAt() >= CONFIRM_EVERY) {
+	this->confirm_timer = this->parts.scheduler.After(CONFIRM_LOOK, [this] { this->KeepConfirmed(); });
+	if (this->journal->Quiet(CONFIRM_EVERY)) {
 		const StoredOwner self{this->epoch, this->parts.address, false, Millis(0)};
 		const std::weak_ptr<bool> still(this->alive);
 		const auto recorded = [this, still] {
--- a/src/jobs/shard_owner.h
+++ b/src/jobs/shard_owner.h
@@ -41,8 +41,10 @@
 	 * @param parts What it needs; outlives this.
 	 * @param service The service.
 	 * @param wanted Whether this node is the one to claim the shard when its owner is gone.
+	 * @param watches Whether it watches the shard's owner beside that one.
 	 */
-	ShardOwner(const OwnerParts &parts, ServiceName service, std::function<bool()> wanted);
+	ShardOwner(const OwnerParts &parts, ServiceName service, std::function<bool()> wanted,
+			   std::function<bool()> watches);
 	~ShardOwner();
 	ShardOwner(const ShardOwner &) = delete;
 	ShardOwner &operator=(const ShardOwner &) = delete;
@@ -82,6 +84,7 @@
 	OwnerParts parts;                                           ///< What it needs.
 	ServiceName service;                                        ///< The service.
 	std::function<bool()> wanted;                               ///< Whether this node is to claim.
+	std::function<bool()> watches;                              ///< Whether this node watches the owner.
 	PartitionId progress;                                       ///< Where progress lies.
 	uint64_t epoch = 0;                                         ///< Of the claim.
 	std::unique_ptr<PartitionClaim> claim;                      ///< The claim.
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -83,6 +83,11 @@
 	return this->member.Holds(this->self.partitions - 1);
 }
 
+bool NodeCore::FleetWatched() const
+{
+	return this->member.Holds(WatcherOf(this->self.partitions - 1, this->self.partitions));
+}
+
 void NodeCore::OnMembership()
 {
 	this->host.OnMembership();
@@ -90,17 +95,18 @@
 		return;
 	}
 	const bool dealt = this->FleetDealt();
+	const bool wanted = dealt || this->FleetWatched();
 	if (!this->fleet) {
 		/* Now and then also when it is not dealt here: an earlier process of this node may have held it. */
 		const Millis now = this->scheduler.Now();
 		const bool look = this->member.TakesPart() && now - this->fleet_looked_at >= LOOK_EVERY;
-		if (dealt || look) {
+		if (wanted || look) {
 			this->fleet_looked_at = now;
 			this->BeginFleet();
 		}
-	} else if (!dealt && this->fleet->Waiting()) {
+	} else if (!wanted && this->fleet->Waiting()) {
 		this->fleet.reset();
-	} else if (!dealt && !this->member.TakesPart()) {
+	} else if (!dealt && this->member.StandsBy()) {
 		this->ReleaseFleet();
 	}
 }
@@ -122,10 +128,10 @@
 
 void NodeCore::BeginFleet()
 {
-	this->fleet = std::make_unique<FleetOwner>(FleetParts{this->scheduler, this->links.log, this->links.machines,
-														  this->links.reports, *this, this->links.events,
-														  this->self.name, this->self.frames, this->self.turn_gap,
-														  NODE_GROUP, [this] { return this->FleetDealt(); }});
+	this->fleet = std::make_unique<FleetOwner>(
+			FleetParts{this->scheduler, this->links.log, this->links.machines, this->links.reports, *this,
+					   this->links.events, this->self.name, this->self.frames, this->self.turn_gap, NODE_GROUP,
+					   [this] { return this->FleetDealt(); }, [this] { return this->FleetWatched(); }});
 	this->fleet->on_lost = [this] {
 		/* Not from inside its own call. The record tells whether another holder came. */
 		this->scheduler.After(Millis(0), [this] {
--- a/src/node/node_core.h
+++ b/src/node/node_core.h
@@ -75,6 +75,7 @@
 	std::list<std::unique_ptr<FleetOwner>> releasing; ///< Those whose letting go is being recorded.
 
 	[[nodiscard]] bool FleetDealt() const;
+	[[nodiscard]] bool FleetWatched() const;
 	void OnMembership();
 	void BeginFleet();
 	void ReleaseFleet();
--- a/src/node/shard_host.cpp
+++ b/src/node/shard_host.cpp
@@ -34,6 +34,11 @@
 	return static_cast<uint32_t>(place * partitions / names.size());
 }
 
+uint32_t WatcherOf(uint32_t part, uint32_t partitions)
+{
+	return (part + partitions / 2) % partitions;
+}
+
 ShardHost::ShardHost(OwnerParts parts, GroupMember &member, SiteFeed &feed, uint32_t partitions)
 		: parts(std::move(parts)), member(member), feed(feed), partitions(partitions)
 {
@@ -52,6 +57,19 @@
 	return part && this->member.Holds(*part);
 }
 
+bool ShardHost::Watched(const ServiceName &service) const
+{
+	const std::optional<uint32_t> part = PartitionOf(this->config, service, this->partitions);
+	/* One that owns its fill would hand the shard over at once, to a node that has to claim it again. */
+	return part && this->member.Holds(WatcherOf(*part, this->partitions)) && this->Claimed() < this->KeepMost();
+}
+
+size_t ShardHost::Claimed() const
+{
+	return static_cast<size_t>(
+			std::ranges::count_if(this->owners | std::views::values, [](const auto &it) { return it->Claimed(); }));
+}
+
 size_t ShardHost::KeepMost() const
 {
 	const auto services = std::ranges::count(this->config.services, false, &JobService::reserve);
@@ -61,21 +79,23 @@
 
 void ShardHost::OnMembership()
 {
-	auto owned = static_cast<size_t>(
-			std::ranges::count_if(this->owners | std::views::values, [](const auto &it) { return it->Claimed(); }));
+	size_t owned = this->Claimed();
 	const Millis now = this->parts.scheduler.Now();
 	const bool look = this->member.TakesPart() && now - this->looked_at >= LOOK_EVERY;
 	this->looked_at = look && !this->config.services.empty() ? now : this->looked_at;
 	for (const JobService &service : this->config.services) {
 		const bool dealt = this->Dealt(service.name);
+		const bool wanted = dealt || this->Watched(service.name);
 		const auto it = this->owners.find(service.name);
 		if (it == this->owners.end()) {
-			if (dealt || (look && !service.reserve)) {
+			if (wanted || (look && !service.reserve)) {
 				this->Begin(service.name);
 			}
-		} else if (!dealt && it->second->Waiting()) {
+		} else if (!wanted && it->second->Waiting()) {
 			this->owners.erase(it);
-		} else if (!dealt && it->second->Claimed() && (!this->member.TakesPart() || owned > this->KeepMost())) {
+		} else if (!dealt && it->second->Claimed() && (this->member.StandsBy() || owned > this->KeepMost())) {
+			/* A member that only was missed for a moment goes on owning: who comes after it would have to claim first.
+			 */
 			this->parts.events.Write("shard_handed_over", {{"service", service.name.Value()}});
 			this->Release(service.name);
 			owned--;
@@ -92,7 +112,9 @@
 
 void ShardHost::Begin(const ServiceName &service)
 {
-	auto owner = std::make_unique<ShardOwner>(this->parts, service, [this, service] { return this->Dealt(service); });
+	auto owner = std::make_unique<ShardOwner>(
+			this->parts, service, [this, service] { return this->Dealt(service); },
+			[this, service] { return this->Watched(service); });
 	owner->on_lost = [this, service] {
 		/* Not from inside the owner's own call. The record tells whether another owner came. */
 		this->parts.scheduler.After(Millis(0), [this, service] {
--- a/src/node/shard_host.h
+++ b/src/node/shard_host.h
@@ -21,6 +21,14 @@
  */
 std::optional<uint32_t> PartitionOf(const JobConfig &config, const ServiceName &service, uint32_t partitions);
 
+/**
+ * Number of the partition whose member watches the owner of a shard: another node's, wherever there are two, since the
+ * group deals neighbours to one member.
+ * @param part The partition that stands for the shard.
+ * @param partitions Partitions of a topic.
+ */
+uint32_t WatcherOf(uint32_t part, uint32_t partitions);
+
 /** Claims shards that the group deals to this node once their owners are gone, and owns them while it is in the group.
  */
 class ShardHost {
@@ -64,6 +72,8 @@
 	std::vector<std::unique_ptr<ShardOwner>> releasing;        ///< Shards being let go.
 
 	[[nodiscard]] bool Dealt(const ServiceName &service) const;
+	[[nodiscard]] bool Watched(const ServiceName &service) const;
+	[[nodiscard]] size_t Claimed() const;
 	[[nodiscard]] size_t KeepMost() const;
 	void Begin(const ServiceName &service);
 	void Release(const ServiceName &service);
--- a/src/standin/memory/keyed_store.cpp
+++ b/src/standin/memory/keyed_store.cpp
@@ -191,7 +191,10 @@
 							Millis patience, const std::function<void(Answer)> &done)
 {
 	if (this->Silent(partition)) {
-		this->scheduler.After(std::min(patience, NO_PATIENCE), [done, failed] { done(failed); });
+		this->scheduler.After(std::min(patience, NO_PATIENCE), [this, done, failed] {
+			this->lost_at = this->scheduler.Now();
+			done(failed);
+		});
 		return;
 	}
 	if (this->faults.refusing) {
@@ -215,7 +218,10 @@
 	this->appends++;
 	if (!this->Silent(partition) && this->faults.lose_every > 0 && this->appends % this->faults.lose_every == 0) {
 		this->clock.After(this->faults.late ? LATE_BY : this->faults.latency, [work] { work(); });
-		this->scheduler.After(patience, [done, unknown] { done(unknown); });
+		this->scheduler.After(patience, [this, done, unknown] {
+			this->lost_at = this->scheduler.Now();
+			done(unknown);
+		});
 		return;
 	}
 	const KeyedAppendAnswer failed =
@@ -264,6 +270,13 @@
 void KeyedStoreClient::Join(const std::string &group, const std::string &member, const std::string &topic,
 							Millis silence, uint64_t generation, std::function<void(GroupMembership)> done)
 {
+	if (this->faults.join_lost) {
+		this->scheduler.After(NO_PATIENCE, [this, done] {
+			this->lost_at = this->scheduler.Now();
+			done(GroupMembership{});
+		});
+		return;
+	}
 	this->Call<GroupMembership>(
 			std::nullopt,
 			[this, group, member, topic, silence, generation] {
--- a/src/standin/memory/keyed_store.h
+++ b/src/standin/memory/keyed_store.h
@@ -86,6 +86,7 @@
 	bool refusing = false;      ///< Appends and joins are refused, reads fail: nothing is done.
 	uint32_t lose_every = 0;    ///< Every n-th append is done but not answered; 0 for none.
 	bool late = false;          ///< Those are done seconds later instead of at once.
+	bool join_lost = false;     ///< Joins get no answer and have no effect.
 	Millis latency = Millis(4); ///< One way.
 };
 
@@ -108,13 +109,16 @@
 	void Leave(const std::string &group, const std::string &member, std::function<void()> done) override;
 	void Holders(const std::string &group, std::function<void(ResultCode, std::vector<PartitionHolder>)> done) override;
 
+	[[nodiscard]] Millis LostAt() const override { return this->lost_at; }
+
 	StoreFaults faults; ///< Faults in force.
 
 private:
-	Scheduler &scheduler;    ///< The node's clock: answers wait while it is paused.
-	VirtualScheduler &clock; ///< The world's clock: calls arrive also then.
-	KeyedStore &store;       ///< The log.
-	uint32_t appends = 0;    ///< Appends sent.
+	Scheduler &scheduler;        ///< The node's clock: answers wait while it is paused.
+	VirtualScheduler &clock;     ///< The world's clock: calls arrive also then.
+	KeyedStore &store;           ///< The log.
+	uint32_t appends = 0;        ///< Appends sent.
+	Millis lost_at = NEVER_LOST; ///< For LostAt().
 
 	/** @return Whether calls get no answer. @param partition Where they go; none for calls about groups. */
 	[[nodiscard]] bool Silent(const std::optional<PartitionId> &partition) const
--- a/src/store/paired_journal.cpp
+++ b/src/store/paired_journal.cpp
@@ -26,7 +26,7 @@
 PairedJournal::PairedJournal(Scheduler &scheduler, KeyedLog &log, EventLog &events, JournalPair pair,
 							 const ClaimNumber &claim)
 		: scheduler(scheduler), events(events), pair(std::move(pair)), main(scheduler, log, this->pair.main, claim),
-		  spare(scheduler, log, this->pair.spare, claim)
+		  spare(scheduler, log, this->pair.spare, claim), finished_at(scheduler.Now())
 {
 	this->main.on_refused = [this] { this->OnRefused(); };
 	this->spare.on_refused = [this] { this->OnRefused(); };
@@ -231,6 +231,8 @@
 void PairedJournal::Finish()
 {
 	this->scheduler.Cancel(this->timer);
+	this->finished_at = this->scheduler.Now();
+	this->last_took = this->finished_at - this->sent_at;
 	const std::vector<Done> told = std::move(this->current->done);
 	this->current.reset();
 	this->Next();
--- a/src/store/paired_journal.h
+++ b/src/store/paired_journal.h
@@ -59,6 +59,15 @@
 	/** @return Whether a batch is under way. */
 	[[nodiscard]] bool Busy() const { return this->current.has_value(); }
 
+	/** @return Whether nothing is under way, and nothing was for a while: what its owner then records about itself
+	 * leaves half of the time to what somebody waits for. @param span The while; longer when the last batch took
+	 * longer. */
+	[[nodiscard]] bool Quiet(Millis span) const
+	{
+		const Millis pause = std::max(span, std::min(this->last_took, QUIET_MOST));
+		return !this->Busy() && this->scheduler.Now() - this->finished_at >= pause;
+	}
+
 	/** @return When the last append that succeeded was sent: this ownership was the latest then. */
 	[[nodiscard]] Millis ConfirmedAt() const { return std::max(this->main.ConfirmedAt(), this->spare.ConfirmedAt()); }
 
@@ -69,6 +78,9 @@
 	std::function<void()> on_free;    ///< Records were repeated to the main partition: nothing is under way any more.
 
 private:
+	/** Longest pause of Quiet(): a store that is slow takes so long; one that was away is back. */
+	static constexpr Millis QUIET_MOST = Millis(500);
+
 	/** Records that are written together. */
 	struct Batch {
 		uint64_t number = 0;              ///< Counts the batches of this ownership.
@@ -94,6 +106,8 @@
 	std::optional<Batch> current;             ///< Batch under way.
 	uint64_t last_number = 0;                 ///< Number of the last batch.
 	Millis sent_at;                           ///< When the current batch was sent.
+	Millis finished_at;                       ///< When the last batch was durable.
+	Millis last_took;                         ///< Time that it took.
 	Millis took = Millis(0);                  ///< Time that the main partition took, smoothed.
 	std::map<std::string, Behind> behind;     ///< What the main partition lacks, by key there.
 	std::map<std::string, uint64_t> repeated; ///< Of those, what its append under way brings.
--- a/src/store/partition_claim.cpp
+++ b/src/store/partition_claim.cpp
@@ -14,6 +14,14 @@
 constexpr Millis CLAIM_PATIENCE(1000); ///< An answer to a claim later than this counts as lost.
 constexpr Millis CLAIM_AGAIN(150);     ///< Before the next try after the log refused or kept silent.
 constexpr int SEQUENCE_SHIFT = 24;     ///< Leaves 40 bits of a hash: far below what a number in a call may be.
+/** A partition that has not moved for so long has an owner that can't record, if any: one that lives records itself
+ * within 0.35 s, and one append later. */
+constexpr Millis STILL_LEAST(450);
+/** The same while answers of the log get lost: an owner repeats an append whose answer was lost after 1 s. */
+constexpr Millis STILL_LOSSY(1150);
+constexpr Millis LOSSY_FOR(2500); ///< Answers are taken to get lost for so long after one was, here.
+constexpr int64_t STILL_TOOK =
+		4; ///< The same on top, times what the look took: a slow store is slow for the owner, too.
 constexpr Millis LOOK_AGAIN(200); ///< While another owns the partition, it is looked at so often: two reading calls.
 
 } // namespace
@@ -36,6 +44,7 @@
 
 void PartitionClaim::Look()
 {
+	this->looked_at = this->scheduler.Now();
 	this->log.Newest(this->spec.partition, BEFORE_OWNER,
 					 [this, still = std::weak_ptr<bool>(this->alive)](const NewestPage &page) {
 						 if (!still.expired()) {
@@ -47,9 +56,12 @@
 void PartitionClaim::OnOwner(const NewestPage &page)
 {
 	if (page.code != ResultCode::RC_OK) {
+		this->still_end.reset(); /* What this node can't read, the owner may not be able to write. */
 		this->TryAgain(CLAIM_AGAIN);
 		return;
 	}
+	this->NoteEnd(page.end);
+	const Millis left = this->StillLimit() - this->StillFor();
 	const auto it = std::ranges::find(page.records, OWNER_KEY, &KeyedRecord::key);
 	const std::optional<StoredOwner> owner =
 			it == page.records.end() ? std::nullopt : DecodeOwner(it->value.value_or(std::string()));
@@ -57,18 +69,39 @@
 	/* Owned by an earlier process here, or lost without another owner. */
 	const bool own = !vacant && owner->address == this->spec.address;
 	const bool wanted = this->spec.wanted();
-	if (own || (wanted && vacant)) {
+	const bool watches = wanted || (this->spec.watches && this->spec.watches());
+	if (own || (vacant && (wanted || (watches && left <= Millis(0))))) {
 		this->Load();
-	} else if (!wanted) {
-		this->Wait();
+	} else if (vacant || !watches || left > Millis(0)) {
+		this->Wait(watches && left > Millis(0) ? std::min(left, LOOK_AGAIN) : LOOK_AGAIN);
 	} else {
-		this->AskHolders(owner->address, page.end);
+		this->AskHolders(owner->address);
 	}
 }
 
-void PartitionClaim::AskHolders(const std::string &owner, uint64_t end)
+void PartitionClaim::NoteEnd(uint64_t end)
 {
-	this->log.Holders(this->spec.group, [this, owner, end, still = std::weak_ptr<bool>(this->alive)](
+	if (this->still_end != end) {
+		this->still_end = end;
+		this->still_since = this->scheduler.Now();
+	}
+}
+
+Millis PartitionClaim::StillFor() const
+{
+	return this->scheduler.Now() - this->still_since;
+}
+
+Millis PartitionClaim::StillLimit() const
+{
+	const Millis now = this->scheduler.Now();
+	const Millis least = now - this->log.LostAt() <= LOSSY_FOR ? STILL_LOSSY : STILL_LEAST;
+	return least + Millis((now - this->looked_at).Value() * STILL_TOOK);
+}
+
+void PartitionClaim::AskHolders(const std::string &owner)
+{
+	this->log.Holders(this->spec.group, [this, owner, still = std::weak_ptr<bool>(this->alive)](
 												ResultCode code, const std::vector<PartitionHolder> &rows) {
 		if (still.expired()) {
 			return;
@@ -78,22 +111,17 @@
 		if (code != ResultCode::RC_OK) {
 			this->TryAgain(CLAIM_AGAIN);
 		} else if (lives) {
-			this->absent_end.reset();
-			this->Wait();
-		} else if (this->absent_end != end) {
-			/* While all partitions are dealt anew, a member that lives may hold none for a moment; it records on. */
-			this->absent_end = end;
-			this->TryAgain(LOOK_AGAIN);
+			this->Wait(LOOK_AGAIN);
 		} else {
 			this->Load();
 		}
 	});
 }
 
-void PartitionClaim::Wait()
+void PartitionClaim::Wait(Millis delay)
 {
 	this->waiting = true;
-	this->TryAgain(LOOK_AGAIN);
+	this->TryAgain(delay);
 }
 
 void PartitionClaim::TryAgain(Millis delay)
--- a/src/store/partition_claim.h
+++ b/src/store/partition_claim.h
@@ -23,6 +23,8 @@
 	std::string group;            ///< Group of the nodes that may be owners.
 	std::function<bool()> wanted; ///< Whether this node is the one to claim, should the owner be gone.
 	bool read_spare = false;      ///< Whether the records of the spare partition are wanted.
+	/** Whether this node watches the owner beside the one that is to claim; null for never. */
+	std::function<bool()> watches = nullptr;
 };
 
 /** What a claim's appends carry; those of its owner follow. */
@@ -53,7 +55,10 @@
  * what it has recorded can be read.
  *
  * An owner that lives keeps what it owns, whomever the group deals it to: a rolling restart of nine nodes moved each
- * shard up to 7 times in 20 s when owners followed the deal.
+ * shard up to 7 times in 20 s when owners followed the deal. It lives while the group names it or while its partition
+ * moves: an owner records itself if nothing else. While a third of the log's answers got lost, members fell out of the
+ * group for moments; four queues and the fleet changed owners eight times in 6 s, one queue had none for 4 s, and its
+ * boxes could not be moved to another at its peak (one day played).
  */
 class PartitionClaim {
 public:
@@ -77,24 +82,29 @@
 	[[nodiscard]] bool Waiting() const { return this->waiting; }
 
 private:
-	Scheduler &scheduler;               ///< Clock and timers.
-	KeyedLog &log;                      ///< The log.
-	EventLog &events;                   ///< Lines.
-	ClaimSpec spec;                     ///< Who claims what.
-	bool waiting = false;               ///< For Waiting().
-	std::optional<uint64_t> absent_end; ///< End of the partition when its owner was first missed.
-	Done done;                          ///< Told once.
-	ClaimedPartition found;             ///< What was read, so far.
-	uint64_t epoch_found = 0;           ///< Epoch of the latest owner read.
-	uint64_t epoch_tried = 0;           ///< Highest epoch that this claim has tried.
-	std::optional<uint64_t> first_end;  ///< End told by the first page read.
-	TimerId timer;                      ///< Next try.
+	Scheduler &scheduler;                                       ///< Clock and timers.
+	KeyedLog &log;                                              ///< The log.
+	EventLog &events;                                           ///< Lines.
+	ClaimSpec spec;                                             ///< Who claims what.
+	bool waiting = false;                                       ///< For Waiting().
+	Millis looked_at;                                           ///< When the look under way was sent.
+	std::optional<uint64_t> still_end;                          ///< End of the partition, as told by the last look.
+	Millis still_since;                                         ///< When that end was first told.
+	Done done;                                                  ///< Told once.
+	ClaimedPartition found;                                     ///< What was read, so far.
+	uint64_t epoch_found = 0;                                   ///< Epoch of the latest owner read.
+	uint64_t epoch_tried = 0;                                   ///< Highest epoch that this claim has tried.
+	std::optional<uint64_t> first_end;                          ///< End told by the first page read.
+	TimerId timer;                                              ///< Next try.
 	std::shared_ptr<bool> alive = std::make_shared<bool>(true); ///< Expires with this.
 
 	void Look();
 	void OnOwner(const NewestPage &page);
-	void AskHolders(const std::string &owner, uint64_t end);
-	void Wait();
+	void NoteEnd(uint64_t end);
+	[[nodiscard]] Millis StillFor() const;
+	[[nodiscard]] Millis StillLimit() const;
+	void AskHolders(const std::string &owner);
+	void Wait(Millis delay);
 	void Load();
 	void LoadPage(const std::string &after);
 	void OnPage(const NewestPage &page);
--- a/src/upkeep/fleet_owner.cpp
+++ b/src/upkeep/fleet_owner.cpp
@@ -9,7 +9,9 @@
 
 namespace {
 
-constexpr Millis TICK(200);          ///< Between two looks at the fleet; a box is away for 1.5 s and more.
+constexpr Millis TICK(200); ///< Between two looks at the fleet; a box is away for 1.5 s and more.
+/** A holder that has recorded nothing for so long records itself: who watches it knows that it lives. */
+constexpr Millis CONFIRM_EVERY(150); ///< With TICK, 0.35 s is the longest gap.
 constexpr Millis CONFIRM_FOR(900);   ///< Orders leave this long after their record was sent at most; a slow store takes
 									 ///< 500 ms.
 constexpr Millis TURN_SLACK(1300);   ///< On top of the gap between two holders: CONFIRM_FOR, and calls under way.
@@ -39,7 +41,7 @@
 {
 	this->claim = std::make_unique<PartitionClaim>(
 			this->parts.scheduler, this->parts.log, this->parts.events,
-			ClaimSpec{this->parts.address, FLEET, this->parts.group, this->parts.wanted, true});
+			ClaimSpec{this->parts.address, FLEET, this->parts.group, this->parts.wanted, true, this->parts.watches});
 	this->claim->Start([this](const ClaimedPartition &claimed) { this->Run(claimed); });
 }
 
@@ -117,6 +119,18 @@
 	this->timer = this->parts.scheduler.After(TICK, [this] { this->Tick(); });
 	if (this->pending == 0) {
 		this->Look(this->actions);
+	} else {
+		this->KeepConfirmed();
+	}
+}
+
+void FleetOwner::KeepConfirmed()
+{
+	if (this->journal->Quiet(CONFIRM_EVERY)) {
+		const StoredOwner self{this->epoch, this->parts.address, false, Millis(0)};
+		this->journal->Append({KeyedRecord{OWNER_KEY, EncodeOwner(self)}}, [] {
+			/* Nothing waits for it: it shows that this holder lives, or that there is another one. */
+		});
 	}
 }
 
@@ -165,9 +179,14 @@
 
 void FleetOwner::Answered()
 {
-	if (--this->pending == 0 && !this->view.machines.empty()) {
+	if (--this->pending > 0) {
+		return;
+	}
+	if (!this->view.machines.empty()) {
 		this->Act();
 	}
+	/* Behind the orders: their record doesn't wait for this one. */
+	this->KeepConfirmed();
 }
 
 void FleetOwner::NotePools() const
--- a/src/upkeep/fleet_owner.h
+++ b/src/upkeep/fleet_owner.h
@@ -21,17 +21,18 @@
 
 /** What the fleet's owner needs of its node. */
 struct FleetParts {
-	Scheduler &scheduler;         ///< Clock and timers.
-	KeyedLog &log;                ///< The log.
-	MachineControl &machines;     ///< Machines.
-	WaveReports &reports;         ///< For operators.
-	PoolOwners &pools;            ///< Owners of pools.
-	EventLog &events;             ///< Lines.
-	std::string name;             ///< This node, as holder of orders.
-	std::string address;          ///< Where it answers others.
-	Millis turn_gap;              ///< Time between the last order of one holder and the first of the next.
-	std::string group;            ///< Group of the nodes that may give orders.
-	std::function<bool()> wanted; ///< Whether this node is the one to claim when the holder is gone.
+	Scheduler &scheduler;                    ///< Clock and timers.
+	KeyedLog &log;                           ///< The log.
+	MachineControl &machines;                ///< Machines.
+	WaveReports &reports;                    ///< For operators.
+	PoolOwners &pools;                       ///< Owners of pools.
+	EventLog &events;                        ///< Lines.
+	std::string name;                        ///< This node, as holder of orders.
+	std::string address;                     ///< Where it answers others.
+	Millis turn_gap;                         ///< Time between the last order of one holder and the first of the next.
+	std::string group;                       ///< Group of the nodes that may give orders.
+	std::function<bool()> wanted;            ///< Whether this node is the one to claim when the holder is gone.
+	std::function<bool()> watches = nullptr; ///< Whether it watches the holder beside that one; null for never.
 };
 
 /** Owns the fleet's orders, from the wish on. Destroying it lets go. */
@@ -87,6 +88,7 @@
 	void Run(const ClaimedPartition &claimed);
 	void Restore(const std::string &key, const std::string &value);
 	void Tick();
+	void KeepConfirmed();
 	void Look(const WaveActions &last);
 	void Answered();
 	void Act();
