Claims that get no answer are made again after six times what the look before took

Cause: a claim, or the fence of its second partition, without an answer was repeated after 1 s, while nobody owned the queue. Change: 0.25 to 1 s, by the look before it; at a slow store a claim is still waited for (epoch 1 with 480 ms a call). Test in memory, the fence's answer lost: over 0.5 s -> below (red before).

--- a/src/store/partition_claim.cpp
+++ b/src/store/partition_claim.cpp
@@ -11,9 +11,13 @@
 
 namespace {
 
-constexpr Millis CLAIM_PATIENCE(1000); ///< An answer to a claim later than this counts as lost.
-constexpr Millis CLAIM_AGAIN(150);     ///< Before the next try after the log refused or kept silent.
-constexpr int SEQUENCE_SHIFT = 24;     ///< Leaves 40 bits of a hash: far below what a number in a call may be.
+/** An answer to a claim later than this counts as lost: the longest wait, and the shortest. In between six times what
+ * the look before it took. While nobody owns a queue, each second of it is lost to its callers. */
+constexpr Millis CLAIM_PATIENCE(1000);
+constexpr Millis CLAIM_PATIENCE_LEAST(250);
+constexpr int64_t CLAIM_PATIENCE_FACTOR = 6;
+constexpr Millis CLAIM_AGAIN(150); ///< Before the next try after the log refused or kept silent.
+constexpr int SEQUENCE_SHIFT = 24; ///< Leaves 40 bits of a hash: far below what a number in a call may be.
 /** A partition that has not moved for so long has an owner that can't record, if any: one that lives records itself
  * within 0.35 s, and one append later. */
 constexpr Millis STILL_LEAST(450);
@@ -60,6 +64,7 @@
 		this->TryAgain(CLAIM_AGAIN);
 		return;
 	}
+	this->look_took = this->scheduler.Now() - this->looked_at;
 	this->NoteEnd(page.end);
 	const Millis left = this->StillLimit() - this->StillFor();
 	const auto it = std::ranges::find(page.records, OWNER_KEY, &KeyedRecord::key);
@@ -96,7 +101,7 @@
 {
 	const Millis now = this->scheduler.Now();
 	const Millis least = now - this->log.LostAt() <= LOSSY_FOR ? STILL_LOSSY : STILL_LEAST;
-	return least + Millis((now - this->looked_at).Value() * STILL_TOOK);
+	return least + Millis(this->look_took.Value() * STILL_TOOK);
 }
 
 void PartitionClaim::AskHolders(const std::string &owner)
@@ -174,6 +179,11 @@
 	this->Claim();
 }
 
+Millis PartitionClaim::ClaimPatience() const
+{
+	return std::clamp(Millis(this->look_took.Value() * CLAIM_PATIENCE_FACTOR), CLAIM_PATIENCE_LEAST, CLAIM_PATIENCE);
+}
+
 void PartitionClaim::Claim()
 {
 	/* An own claim whose answer was lost may still come: the next one has to be above it. */
@@ -182,7 +192,8 @@
 	const ClaimNumber number{epoch, this->OwnSequence(epoch)};
 	const AppendCondition condition{this->first_end, OWNER_PRODUCER, epoch, number.sequence};
 	const StoredOwner self{epoch, this->spec.address, false, Millis(0)};
-	this->log.Append(this->spec.partition, {KeyedRecord{OWNER_KEY, EncodeOwner(self)}}, condition, CLAIM_PATIENCE,
+	this->log.Append(this->spec.partition, {KeyedRecord{OWNER_KEY, EncodeOwner(self)}}, condition,
+					 this->ClaimPatience(),
 					 [this, number, still = std::weak_ptr<bool>(this->alive)](const KeyedAppendAnswer &answer) {
 						 if (!still.expired()) {
 							 this->OnClaimed(number, answer);
@@ -220,7 +231,8 @@
 									this->found.number.sequence};
 	const StoredOwner self{this->found.number.epoch, this->spec.address, false, Millis(0)};
 	this->log.Append(SpareOf(this->spec.partition), {KeyedRecord{OWNER_KEY, EncodeOwner(self)}}, condition,
-					 CLAIM_PATIENCE, [this, still = std::weak_ptr<bool>(this->alive)](const KeyedAppendAnswer &answer) {
+					 this->ClaimPatience(),
+					 [this, still = std::weak_ptr<bool>(this->alive)](const KeyedAppendAnswer &answer) {
 						 if (!still.expired()) {
 							 this->OnSpareFenced(answer);
 						 }
--- a/src/store/partition_claim.h
+++ b/src/store/partition_claim.h
@@ -88,6 +88,7 @@
 	ClaimSpec spec;                                             ///< Who claims what.
 	bool waiting = false;                                       ///< For Waiting().
 	Millis looked_at;                                           ///< When the look under way was sent.
+	Millis look_took;                                           ///< Time that the last look took.
 	std::optional<uint64_t> still_end;                          ///< End of the partition, as told by the last look.
 	Millis still_since;                                         ///< When that end was first told.
 	Done done;                                                  ///< Told once.
@@ -108,6 +109,7 @@
 	void Load();
 	void LoadPage(const std::string &after);
 	void OnPage(const NewestPage &page);
+	[[nodiscard]] Millis ClaimPatience() const;
 	void Claim();
 	[[nodiscard]] uint64_t OwnSequence(uint64_t epoch) const;
 	void OnClaimed(const ClaimNumber &number, const KeyedAppendAnswer &answer);
--- a/tests/test_fleet_owner.cpp
+++ b/tests/test_fleet_owner.cpp
@@ -20,6 +20,7 @@
 std::vector<std::string> BoxNames(size_t count)
 {
 	std::vector<std::string> names;
+	names.reserve(count);
 	for (size_t n = 0; n < count; n++) {
 		names.push_back("m" + std::to_string(n));
 	}
--- a/tests/test_partition_claim.cpp
+++ b/tests/test_partition_claim.cpp
@@ -42,3 +42,26 @@
 	clock.RunUntil(Millis(100));
 	CHECK(one.claimed.has_value() + two.claimed.has_value() == 1);
 }
+
+TEST_CASE("a claim whose answers get lost is made again soon, and one at a slow store is waited for")
+{
+	VirtualScheduler clock{Millis(1700000000000)};
+	KeyedStore store(12);
+	Claimer lossy(clock, store, "10.0.0.1:7060");
+	lossy.log.faults.lose_every = 2; /* Of each claim, the append that fences the second partition. */
+	while (!lossy.claimed && clock.Now() < Millis(5000)) {
+		clock.RunUntil(clock.Now() + Millis(10));
+	}
+	/* Looks, pages and appends take 8 ms each, and the pause after the lost answer 150 ms. */
+	CHECK(clock.Now() <= Millis(500));
+
+	const Millis begun = clock.Now();
+	KeyedStore slow_store(12);
+	Claimer slow(clock, slow_store, "10.0.0.2:7060");
+	slow.log.faults.latency = Millis(240);
+	while (!slow.claimed && clock.Now() - begun < Millis(9000)) {
+		clock.RunUntil(clock.Now() + Millis(10));
+	}
+	REQUIRE(slow.claimed.has_value());
+	CHECK(slow.claimed->number.epoch == 1);
+}
