Red tests: tasks that crash their boxes are started on and on; starts beyond a room that has shrunk

Stand-ins in memory get tasks that crash the box that starts them, boxes that change their room and boxes that lose orders; they judge starts after three crashes, starts beyond a room, and which jobs may be shown as failed.

--- a/src/standin/memory/box_site.cpp
+++ b/src/standin/memory/box_site.cpp
@@ -12,6 +12,10 @@
 constexpr Millis PATIENCE(350);       ///< An order without an answer has failed after this.
 constexpr Millis POLL_EVERY(5);       ///< A waiting answer looks for an end so often.
 constexpr Millis CANCEL_WITHIN(3000); ///< Nothing of a cancelled job starts later than this.
+constexpr Millis SHRUNK_COUNTS(4500); ///< A room that has shrunk binds after this: 3 s and one report.
+constexpr uint32_t CRASHES_MAX = 3;   ///< After so many crashes under a task its starts are counted,
+constexpr uint32_t BEYOND_MAX = 3;    ///< and with so many starts more a rule is broken.
+constexpr uint32_t CRASHES_CAUSE = 2; ///< A task under which so many boxes have crashed may be given up.
 
 } // namespace
 
@@ -23,8 +27,7 @@
 BoxReport BoxSite::Restart(const BoxName &name)
 {
 	Box &box = this->boxes.at(name);
-	std::ranges::for_each(box.running | std::views::values, [this](const Run &it) { this->clock.Cancel(it.timer); });
-	this->clock.Cancel(box.lease_timer);
+	this->LoseRuns(box);
 	BoxReport report = box.report;
 	report.life = BoxLife(name.Value() + "-life" + std::to_string(++this->lives));
 	box = Box{};
@@ -32,6 +35,50 @@
 	return report;
 }
 
+void BoxSite::LoseRuns(Box &box)
+{
+	for (const auto &[task, run] : box.running) {
+		this->clock.Cancel(run.timer);
+		this->crashed_under[task]++;
+	}
+	box.running.clear();
+	this->clock.Cancel(box.lease_timer);
+}
+
+void BoxSite::Crash(const BoxName &name)
+{
+	Box &box = this->boxes.at(name);
+	if (std::exchange(box.down, true)) {
+		return;
+	}
+	this->crashes++;
+	this->LoseRuns(box);
+	this->clock.After(this->back_after, [this, name] { this->Restart(name); });
+}
+
+bool BoxSite::Down(const BoxName &name) const
+{
+	const auto it = this->boxes.find(name);
+	return it != this->boxes.end() && it->second.down;
+}
+
+void BoxSite::Resize(const BoxName &name, const Resources &room)
+{
+	Box &box = this->boxes.at(name);
+	box.room_before = std::exchange(box.report.capacity, room);
+	box.resized_at = this->clock.Now();
+}
+
+bool BoxSite::MayFail(const JobId &id) const
+{
+	const SiteJob &job = this->jobs.at(id);
+	const auto reached = [&id](uint32_t most) {
+		return [&id, most](const auto &it) { return it.first.job == id && it.second >= most; };
+	};
+	return std::ranges::any_of(this->failed, reached(job.failures_max)) ||
+		   std::ranges::any_of(this->crashed_under, reached(CRASHES_CAUSE));
+}
+
 std::vector<BoxReport> BoxSite::Reports() const
 {
 	std::vector<BoxReport> out;
@@ -89,6 +136,7 @@
 	if (!step.lasting && this->failures_noted[order.task] >= job.failures_max) {
 		this->Violation("started after too many failures", order.task);
 	}
+	this->JudgeCrasher(job, order.task);
 	for (const Box &other : this->boxes | std::views::values) {
 		if (other.running.contains(order.task)) {
 			this->Violation("two runs at once", order.task);
@@ -105,6 +153,24 @@
 	}
 }
 
+void BoxSite::JudgeCrasher(const SiteJob &job, const TaskId &task)
+{
+	const bool crasher = task.step == 0 && job.crashers.contains(task.index);
+	if (crasher && this->crashed_under[task] >= CRASHES_MAX && ++this->beyond_crashes[task] == BEYOND_MAX) {
+		this->Violation("started three times more after three boxes had crashed under it", task);
+	}
+}
+
+void BoxSite::JudgeRoom(const Box &box, const TaskId &task, const Resources &demand)
+{
+	Resources taken = demand;
+	std::ranges::for_each(box.running | std::views::values, [&taken](const Run &it) { taken += it.room; });
+	const bool binds = this->clock.Now() - box.resized_at >= SHRUNK_COUNTS;
+	if (!box.report.capacity.Holds(taken) && (binds || !box.room_before.Holds(taken))) {
+		this->Violation("started beyond the room of its box", task);
+	}
+}
+
 void BoxSite::ProlongLease(Box &box, Millis until)
 {
 	const Millis end = std::min(until, this->clock.Now() + this->lease_max);
@@ -167,13 +233,14 @@
 	const Resources demand = job == this->jobs.end() ? Resources{} : job->second.spec.steps.at(order.task.step).demand;
 	Resources free = box->report.capacity;
 	std::ranges::for_each(box->running | std::views::values, [&free](const Run &it) { free -= it.room; });
-	if (!free.Holds(demand)) {
+	if (this->guarded && !free.Holds(demand)) {
 		return this->Plain(OrderOutcome::OO_NO_ROOM);
 	}
 	if (this->ticket_holds && !this->ticket_holds(report, order)) {
 		return this->Plain(OrderOutcome::OO_NO_TICKET);
 	}
 	this->Judge(*box, order);
+	this->JudgeRoom(*box, order.task, demand);
 	this->starts++;
 	this->started.insert(order.task.job);
 	this->stopped_away.erase(order.task);
@@ -184,6 +251,10 @@
 			this->End(name, task, fails ? RunEnding::RE_FAILED : RunEnding::RE_DONE);
 		});
 	}
+	if (job != this->jobs.end() && order.task.step == 0 && job->second.crashers.contains(order.task.index)) {
+		this->clock.Cancel(run.timer);
+		run.timer = this->clock.After(job->second.crash_after, [this, name = report.box] { this->Crash(name); });
+	}
 	box->running[order.task] = run;
 	return this->Plain(OrderOutcome::OO_DONE);
 }
@@ -275,7 +346,7 @@
 	const BoxFaults faults = this->site.faults[box.box];
 	const auto unknown = [done] { done(OrderAnswer{OrderOutcome::OO_UNKNOWN, std::nullopt}); };
 	this->orders++;
-	if (faults.dark) {
+	if (faults.dark || faults.deaf || this->site.Down(box.box)) {
 		this->scheduler.After(PATIENCE, [done] { done(OrderAnswer{OrderOutcome::OO_UNKNOWN, std::nullopt}); });
 		return;
 	}
@@ -312,7 +383,7 @@
 					  const std::function<void(LeaseAnswer)> &done)
 {
 	const LeaseAnswer answer = this->site.Lease(box, order);
-	const bool dark = this->site.faults[box.box].dark;
+	const bool dark = this->site.faults[box.box].dark || this->site.Down(box.box);
 	const bool nothing =
 			answer.order.outcome == OrderOutcome::OO_DONE && answer.ended.empty() && this->clock.Now() < until;
 	if (dark) {
@@ -328,7 +399,7 @@
 
 void SiteOrders::Lease(const BoxReport &box, const LeaseOrder &order, std::function<void(LeaseAnswer)> done)
 {
-	if (this->site.faults[box.box].dark) {
+	if (this->site.faults[box.box].dark || this->site.Down(box.box)) {
 		this->scheduler.After(order.wait + PATIENCE, [done] { done(LeaseAnswer{}); });
 		return;
 	}
--- a/src/standin/memory/box_site.h
+++ b/src/standin/memory/box_site.h
@@ -18,6 +18,8 @@
 	uint32_t failures_max = 3;          ///< Runs of a task that may fail.
 	bool cancel_sent = false;           ///< Whether its cancellation was sent: no limit on absent tasks holds then.
 	std::optional<Millis> cancelled_at; ///< When its cancellation was confirmed.
+	std::set<uint32_t> crashers;        ///< Tasks of its first step that crash each box that starts them.
+	Millis crash_after = Millis(10);    ///< Time from the start of such a task to the crash.
 };
 
 /** Faults of the way from the nodes to one box. */
@@ -25,9 +27,12 @@
 	bool dark = false;       ///< Nothing gets through; what runs goes on.
 	uint32_t lose_every = 0; ///< Every n-th order is done without an answer; 0 for none.
 	bool late = false;       ///< Those are done seconds later.
+	bool deaf = false;       ///< Starts and stops get lost on their way; lease orders are answered.
 	uint32_t lose_lists = 0; ///< Every n-th lease order is done without an answer; 0 for none.
 };
 
+class SiteOrders;
+
 /** All boxes. Violations of the rules are collected as they happen. */
 class BoxSite {
 public:
@@ -38,6 +43,14 @@
 	void Add(const BoxReport &report);
 	/** A box loses all that runs and comes back under another life. @param box Which. @return Its new report. */
 	BoxReport Restart(const BoxName &box);
+	/** A box loses all that runs, answers nothing for `back_after`, then comes back under another life. Its report
+	 * stands meanwhile. @param box Which. */
+	void Crash(const BoxName &box);
+	/** A box's room changes while it runs. @param box Which. @param room Its new room. */
+	void Resize(const BoxName &box, const Resources &room);
+	/** @return Whether a job may be shown as failed: one of its tasks has failed too often, or two boxes have crashed
+	 * under it. @param id The job. */
+	[[nodiscard]] bool MayFail(const JobId &id) const;
 	/** Tells of a job. @param job It. */
 	void Know(const SiteJob &job) { this->jobs[job.spec.id] = job; }
 	/** @return A job. @param id Which. */
@@ -61,8 +74,13 @@
 	std::function<bool(const BoxReport &, const StartOrder &)> ticket_holds; ///< Judges tickets; none are asked for
 																			 ///< without it.
 	uint64_t starts = 0;                                                     ///< Runs begun.
+	uint64_t crashes = 0;                                                    ///< Crashes of boxes.
+	Millis back_after = Millis(3000);                                        ///< A crashed box is back after this.
+	bool guarded = true; ///< Whether boxes refuse what doesn't fit; otherwise they start all that they are told.
 
 private:
+	friend class SiteOrders;
+
 	/** A run. */
 	struct Run {
 		RunNumber run;         ///< Which start.
@@ -81,6 +99,9 @@
 		std::map<TaskId, RunNumber> stopped; ///< Runs up to this one can't start any more.
 		std::vector<EndedRow> ended;         ///< Ends not noted.
 		uint64_t last_end = 0;               ///< Number of the last end.
+		bool down = false;                   ///< It has crashed and isn't back yet.
+		Resources room_before;               ///< Its room before the last change.
+		Millis resized_at{-1000000};         ///< When its room changed last.
 	};
 
 	Scheduler &clock;                          ///< The world's clock.
@@ -91,12 +112,19 @@
 	std::set<TaskId> done;                     ///< Tasks of which a run has ended well.
 	std::set<TaskId> done_noted;               ///< The same, noted.
 	std::map<TaskId, uint32_t> failed;         ///< Failed runs.
+	std::map<TaskId, uint32_t> crashed_under;  ///< Boxes that crashed while they ran a task.
+	std::map<TaskId, uint32_t> beyond_crashes; ///< Starts of a task after the third such crash.
 	std::set<TaskId> stopped_away;             ///< Tasks that an order ended and that were not started again since.
 	uint64_t lives = 0;                        ///< Lives given out by Restart().
 
 	Box *Find(const BoxReport &report);
 	[[nodiscard]] OrderAnswer Plain(OrderOutcome outcome) const;
+	/** @return Whether a box has crashed and isn't back. @param box Which. */
+	[[nodiscard]] bool Down(const BoxName &box) const;
 	void Judge(const Box &box, const StartOrder &order);
+	void JudgeCrasher(const SiteJob &job, const TaskId &task);
+	void JudgeRoom(const Box &box, const TaskId &task, const Resources &demand);
+	void LoseRuns(Box &box);
 	void JudgeStop(const Box &box, const TaskId &task);
 	void EndStopped(const BoxName &name, const TaskId &task, RunNumber run);
 	void End(const BoxName &name, const TaskId &task, RunEnding ending);
--- a/tests/test_job_matrix.cpp
+++ b/tests/test_job_matrix.cpp
@@ -322,7 +322,7 @@
 {
 	JobWorld world;
 	for (const BoxReport &it : world.site.Reports()) {
-		world.site.faults[it.box] = BoxFaults{false, 2, true, 0};
+		world.site.faults[it.box] = BoxFaults{.lose_every = 2, .late = true};
 	}
 	const WorldJob &job = world.Plan(Millis(1000), "calc", JobWorld::Lasting(3));
 	world.clock.RunUntil(Millis(2500));
