A start is sent only into the room that its box has by then

Cause: room was looked at when a task was placed; a record, a queue of starts or repeats for seconds lie between that and the order, and a box without a guard starts what it is told. Change: what a box has been given is held against its room, as last reported, before each order; a box that runs something unknown gets none. Read only: a pool's room in upkeep/ is what reports say (PoolBox::cpu), so it shrinks with them.

--- a/src/jobs/shard_place.cpp
+++ b/src/jobs/shard_place.cpp
@@ -259,6 +259,12 @@
 		this->GiveUpStart(start.task, *task, RunEnding::RE_STOPPED, "not_ordered");
 		return;
 	}
+	/* Room is looked at again: a box may have shrunk since the task was placed, while its record was under way or the
+	 * order was repeated, and one without a guard starts what it is told. */
+	if (!it->second.report.capacity.Holds(it->second.used) || it->second.strangers) {
+		this->GiveUpStart(start.task, *task, RunEnding::RE_STOPPED, "no_room_left");
+		return;
+	}
 	const ShardJob &job = this->jobs.at(start.task.job);
 	StartOrder order;
 	order.task = start.task;
