Processes go by a clock that counts the time for which their machine was suspended

Cause: the steady clock stands still while a machine sleeps, so an owner woke with the right and the leases of before. Change: Qt's scheduler, its event loop and so all timers, terms and time limits go by CLOCK_BOOTTIME, behind one interface. Timers themselves wake up to one wait of the loop later (0.5 s at most, while nothing else happens); nothing is decided meanwhile. Found on the way: connections of the stand-ins outlived what they use (a crash in any test that ran an event loop after them); mended. Callers of the tests are kept away from nodes that sleep.

--- a/src/net/epoll_dispatcher.cpp
+++ b/src/net/epoll_dispatcher.cpp
@@ -1,6 +1,8 @@
 /** @file epoll_dispatcher.cpp Qt's event loop over epoll. */
 #include "epoll_dispatcher.h"
 
+#include "monotonic_clock.h"
+
 #include <QCoreApplication>
 #include <QThread>
 #include <QTimerEvent>
@@ -8,7 +10,6 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
-#include <chrono>
 #include <fcntl.h>
 #include <limits>
 #include <sys/epoll.h>
@@ -21,8 +22,7 @@
 
 qint64 NowMs()
 {
-	const auto since = std::chrono::steady_clock::now().time_since_epoch();
-	return std::chrono::duration_cast<std::chrono::milliseconds>(since).count();
+	return SystemClock().Now().Value();
 }
 
 } // namespace
--- a/src/net/epoll_dispatcher.h
+++ b/src/net/epoll_dispatcher.h
@@ -36,7 +36,7 @@
 	/** A timer that repeats until it is taken away. */
 	struct Timer {
 		qint64 interval = 0; ///< ms.
-		qint64 due = 0;      ///< ms of the steady clock.
+		qint64 due = 0;      ///< ms of SystemClock().
 		Qt::TimerType type;  ///< As asked for; all are precise to the ms.
 		QObject *object;     ///< Gets the event.
 	};
--- a/src/net/qt_scheduler.cpp
+++ b/src/net/qt_scheduler.cpp
@@ -5,7 +5,6 @@
 #include <QMetaObject>
 
 #include <algorithm>
-#include <chrono>
 
 namespace {
 
@@ -13,7 +12,7 @@
 
 } // namespace
 
-QtScheduler::QtScheduler()
+QtScheduler::QtScheduler(const MonotonicClock &clock) : clock(clock)
 {
 	this->timer.setSingleShot(true);
 	this->timer.setTimerType(Qt::PreciseTimer);
@@ -22,8 +21,7 @@
 
 Millis QtScheduler::Now() const
 {
-	const auto since = std::chrono::steady_clock::now().time_since_epoch();
-	return Millis(std::chrono::duration_cast<std::chrono::milliseconds>(since).count());
+	return this->clock.Now();
 }
 
 Millis QtScheduler::WallNow() const
--- a/src/net/qt_scheduler.h
+++ b/src/net/qt_scheduler.h
@@ -3,6 +3,7 @@
 #define QT_SCHEDULER_H
 
 #include "../scheduler_type.h"
+#include "monotonic_clock.h"
 
 #include <QElapsedTimer>
 #include <QObject>
@@ -11,7 +12,8 @@
 /** Scheduler of the thread that makes it. One Qt timer serves all of ours. */
 class QtScheduler : public Scheduler {
 public:
-	QtScheduler();
+	/** @param clock What it goes by; outlives this. */
+	explicit QtScheduler(const MonotonicClock &clock = SystemClock());
 
 	[[nodiscard]] Millis Now() const override;
 	[[nodiscard]] Millis WallNow() const override;
@@ -37,6 +39,7 @@
 		auto operator<=>(const Due &) const = default;
 	};
 
+	const MonotonicClock &clock;                 ///< What it goes by.
 	QObject context;                             ///< Lives on the thread.
 	QTimer timer;                                ///< Rings for the earliest of ours.
 	uint64_t last_id = 0;                        ///< Last timer handed out.
--- a/src/standin/endpoint/endpoint_standin.cpp
+++ b/src/standin/endpoint/endpoint_standin.cpp
@@ -131,7 +131,7 @@
 
 EndpointStandin::EndpointStandin(const Settings &settings)
 		: settings(settings), listener([this](qintptr descriptor) {
-			  new CallerLink(this->scheduler, *this, this->limits, this->open, descriptor);
+			  (new CallerLink(this->scheduler, *this, this->limits, this->open, descriptor))->setParent(&this->links);
 		  })
 {
 }
--- a/src/standin/endpoint/endpoint_standin.h
+++ b/src/standin/endpoint/endpoint_standin.h
@@ -48,6 +48,7 @@
 	int64_t peak = 0;                             ///< Most that ever ran side by side.
 	int64_t refused = 0;                          ///< Refused as not run.
 	std::map<std::string, int> runs;              ///< Runs by key, or by method, target and body.
+	QObject links;                                ///< Parent of connections: they end before what they use.
 
 	void ServeControl(CallerSink &sink, const CallerRequest &request);
 	[[nodiscard]] EndpointFault NextFault();
--- a/src/standin/memory/box_site.cpp
+++ b/src/standin/memory/box_site.cpp
@@ -360,12 +360,19 @@
 	return answer;
 }
 
+bool SiteOrders::Reaches(const BoxReport &box) const
+{
+	const auto faults = this->site.faults.find(box.box);
+	const bool dark = faults != this->site.faults.end() && faults->second.dark;
+	return !dark && !this->site.Down(box.box) && !this->cut_off.contains(box.box);
+}
+
 void SiteOrders::Send(const BoxReport &box, std::function<OrderAnswer()> work, Done done)
 {
 	const BoxFaults faults = this->site.faults[box.box];
 	const auto unknown = [done] { done(OrderAnswer{OrderOutcome::OO_UNKNOWN, std::nullopt}); };
 	this->orders++;
-	if (faults.dark || faults.deaf || this->site.Down(box.box)) {
+	if (faults.deaf || !this->Reaches(box)) {
 		this->scheduler.After(PATIENCE, [done] { done(OrderAnswer{OrderOutcome::OO_UNKNOWN, std::nullopt}); });
 		return;
 	}
@@ -402,7 +409,7 @@
 					  const std::function<void(LeaseAnswer)> &done)
 {
 	const LeaseAnswer answer = this->site.Lease(box, order);
-	const bool dark = this->site.faults[box.box].dark || this->site.Down(box.box);
+	const bool dark = !this->Reaches(box);
 	const bool nothing =
 			answer.order.outcome == OrderOutcome::OO_DONE && answer.ended.empty() && this->clock.Now() < until;
 	if (dark) {
@@ -418,7 +425,7 @@
 
 void SiteOrders::Lease(const BoxReport &box, const LeaseOrder &order, std::function<void(LeaseAnswer)> done)
 {
-	if (this->site.faults[box.box].dark || this->site.Down(box.box)) {
+	if (!this->Reaches(box)) {
 		this->scheduler.After(order.wait + PATIENCE, [done] { done(LeaseAnswer{}); });
 		return;
 	}
--- a/src/standin/memory/box_site.h
+++ b/src/standin/memory/box_site.h
@@ -149,6 +149,8 @@
 	void Pace(const BoxReport &box, const TaskId &task, RunNumber run, int64_t percent, FenceToken fence,
 			  Done done) override;
 
+	std::set<BoxName> cut_off; ///< Boxes that this node alone can't reach.
+
 private:
 	Scheduler &scheduler;              ///< The node's clock.
 	VirtualScheduler &clock;           ///< The world's clock.
@@ -156,6 +158,7 @@
 	uint32_t orders = 0;               ///< Starts and stops sent.
 	std::map<BoxName, uint32_t> lists; ///< Lease orders sent, by box.
 
+	[[nodiscard]] bool Reaches(const BoxReport &box) const;
 	void Send(const BoxReport &box, std::function<OrderAnswer()> work, Done done);
 	void Poll(const BoxReport &box, const LeaseOrder &order, Millis until,
 			  const std::function<void(LeaseAnswer)> &done);
--- a/src/standin/memory/node_scheduler.h
+++ b/src/standin/memory/node_scheduler.h
@@ -1,10 +1,13 @@
-/** @file node_scheduler.h Clock of one process in memory: it can be killed, or paused as by a stopped machine. */
+/** @file node_scheduler.h Clock of one process in memory: it can be killed, paused as by a stopped process, or
+ * suspended with its machine. */
 #ifndef NODE_SCHEDULER_H
 #define NODE_SCHEDULER_H
 
 #include "../../scheduler_type.h"
 
+#include <algorithm>
 #include <memory>
+#include <utility>
 
 /** Runs on the world's clock while its process lives. */
 class NodeScheduler : public Scheduler {
@@ -14,7 +17,10 @@
 	NodeScheduler(const NodeScheduler &) = delete;
 	NodeScheduler &operator=(const NodeScheduler &) = delete;
 
-	[[nodiscard]] Millis Now() const override { return this->clock.Now(); }
+	[[nodiscard]] Millis Now() const override
+	{
+		return this->counts_sleep ? this->clock.Now() : this->clock.Now() - this->slept;
+	}
 	[[nodiscard]] Millis WallNow() const override { return this->clock.WallNow(); }
 	void Cancel(TimerId id) override { this->timers.erase(id); }
 	void Post(std::function<void()> run) override { this->After(Millis(0), std::move(run)); }
@@ -22,18 +28,34 @@
 	TimerId After(Millis delay, std::function<void()> run) override
 	{
 		const TimerId id(++this->last_id);
-		this->timers.emplace(id, std::move(run));
+		this->timers.emplace(id, Timer{std::move(run), this->slept});
 		this->Arm(id, delay);
 		return id;
 	}
 
+	/** The machine is suspended: nothing runs, and the time does not count for timers that are set; when it wakes, the
+	 * clock has jumped ahead of them. @param span For how long. */
+	void Suspend(Millis span)
+	{
+		this->paused_until = this->clock.Now() + span;
+		this->slept = this->slept + span;
+	}
+
 	std::shared_ptr<bool> alive = std::make_shared<bool>(true); ///< False once killed.
 	Millis paused_until;                                        ///< Everything waits until then.
+	bool counts_sleep = true; ///< Whether Now() counts the time for which the machine was suspended.
 
 private:
-	VirtualScheduler &clock;                         ///< The world's clock.
-	uint64_t last_id = 0;                            ///< Last timer handed out.
-	std::map<TimerId, std::function<void()>> timers; ///< Timers that are set, also those that wait for a pause to end.
+	/** A timer that is set. */
+	struct Timer {
+		std::function<void()> run; ///< What it runs.
+		Millis slept;              ///< Time suspended before it was set.
+	};
+
+	VirtualScheduler &clock;         ///< The world's clock.
+	uint64_t last_id = 0;            ///< Last timer handed out.
+	std::map<TimerId, Timer> timers; ///< Timers that are set, also those that wait for a pause to end.
+	Millis slept;                    ///< Time for which the machine was suspended so far.
 
 	void Arm(TimerId id, Millis delay)
 	{
@@ -46,13 +68,17 @@
 
 	void Fire(TimerId id)
 	{
-		if (this->clock.Now() < this->paused_until) {
-			this->Arm(id, this->paused_until - this->clock.Now());
+		const auto it = this->timers.find(id);
+		if (it == this->timers.end()) {
 			return;
 		}
-		if (const auto node = this->timers.extract(id); !node.empty()) {
-			node.mapped()();
+		const Millis missed = this->slept - std::exchange(it->second.slept, this->slept);
+		const Millis paused = this->paused_until - this->clock.Now();
+		if (missed > Millis(0) || paused > Millis(0)) {
+			this->Arm(id, std::max(missed, paused));
+			return;
 		}
+		this->timers.extract(it).mapped().run();
 	}
 };
 
--- a/src/standin/platform/platform_standin.cpp
+++ b/src/standin/platform/platform_standin.cpp
@@ -90,7 +90,7 @@
 
 PlatformStandin::PlatformStandin(const Settings &settings)
 		: settings(settings), listener([this](qintptr descriptor) {
-			  new CallerLink(this->scheduler, *this, this->limits, this->open, descriptor);
+			  (new CallerLink(this->scheduler, *this, this->limits, this->open, descriptor))->setParent(&this->links);
 		  }),
 		  store(LimitsOf(settings))
 {
--- a/src/standin/platform/platform_standin.h
+++ b/src/standin/platform/platform_standin.h
@@ -57,6 +57,7 @@
 	std::map<BoxName, StandinBox> boxes;         ///< The boxes.
 	std::map<JobName, StandinJob> jobs;          ///< The newest attempt at each job.
 	std::list<std::weak_ptr<WaitingRead>> reads; ///< Reads that wait.
+	QObject links;                               ///< Parent of connections: they end before what they use.
 
 	void ServeNow(CallerSink &sink, const CallerRequest &request, const QUrlQuery &query, const std::string &path);
 	std::shared_ptr<ServedRequest> ServeRead(CallerSink &sink, const QUrlQuery &query);
--- a/tests/job_world.h
+++ b/tests/job_world.h
@@ -210,7 +210,10 @@
 	void PlanCancel(Millis at, WorldJob &job)
 	{
 		this->clock.After(at, [this, &job] {
-			const auto node = std::ranges::find_if(this->nodes, [](const auto &it) { return it->up; });
+			/* Callers are kept away from nodes that don't answer. */
+			const auto node = std::ranges::find_if(this->nodes, [this](const auto &it) {
+				return it->up && it->scheduler.paused_until <= this->clock.Now();
+			});
 			if (node == this->nodes.end()) {
 				this->PlanCancel(RETRY, job);
 				return;
--- a/tests/test_job_matrix.cpp
+++ b/tests/test_job_matrix.cpp
@@ -110,6 +110,8 @@
 			  [](JobWorld &w) { EachNode(w, [](WorldNode &n) { n.log.faults.silent = false; }); }},
 		Fault{"owner paused", [](JobWorld &w) { OwnerOrFirst(w).scheduler.paused_until = w.clock.Now() + FAULT_FOR; },
 			  [](JobWorld &) {}},
+		Fault{"owner's machine suspended", [](JobWorld &w) { OwnerOrFirst(w).scheduler.Suspend(FAULT_FOR); },
+			  [](JobWorld &) {}},
 		Fault{"owner killed", [](JobWorld &w) { JobWorld::Kill(OwnerOrFirst(w)); }, [](JobWorld &) {}},
 		Fault{"owner killed, back at once",
 			  [](JobWorld &w) {
