Soak: tasks that crash their boxes, and rooms that shrink and grow under way

One job of 17 crashes the boxes that start it and must be told as failed; boxes change their room every 0.7 s and start whatever they are told. Judged as in memory (starts after three crashes, starts beyond a room; a job is told as failed only with a cause).

--- a/src/standin/memory/box_site.h
+++ b/src/standin/memory/box_site.h
@@ -31,8 +31,6 @@
 	uint32_t lose_lists = 0; ///< Every n-th lease order is done without an answer; 0 for none.
 };
 
-class SiteOrders;
-
 /** All boxes. Violations of the rules are collected as they happen. */
 class BoxSite {
 public:
@@ -46,6 +44,8 @@
 	/** A box loses all that runs, answers nothing for `back_after`, then comes back under another life. Its report
 	 * stands meanwhile. @param box Which. */
 	void Crash(const BoxName &box);
+	/** @return Whether a box has crashed and isn't back. @param box Which. */
+	[[nodiscard]] bool Down(const BoxName &box) const;
 	/** A box's room changes while it runs. @param box Which. @param room Its new room. */
 	void Resize(const BoxName &box, const Resources &room);
 	/** @return Whether a job may be shown as failed: one of its tasks has failed too often, or two boxes have crashed
@@ -79,8 +79,6 @@
 	bool guarded = true; ///< Whether boxes refuse what doesn't fit; otherwise they start all that they are told.
 
 private:
-	friend class SiteOrders;
-
 	/** A run. */
 	struct Run {
 		RunNumber run;         ///< Which start.
@@ -119,8 +117,6 @@
 
 	Box *Find(const BoxReport &report);
 	[[nodiscard]] OrderAnswer Plain(OrderOutcome outcome) const;
-	/** @return Whether a box has crashed and isn't back. @param box Which. */
-	[[nodiscard]] bool Down(const BoxName &box) const;
 	void Judge(const Box &box, const StartOrder &order);
 	void JudgeCrasher(const SiteJob &job, const TaskId &task);
 	void JudgeRoom(const Box &box, const TaskId &task, const Resources &demand);
--- a/tests/soak/soak_boxes.cpp
+++ b/tests/soak/soak_boxes.cpp
@@ -69,6 +69,10 @@
 void SoakBoxes::ServeAgent(const Answering &answer, const CallerRequest &request)
 {
 	const std::optional<BoxReport> box = this->BoxOf(request);
+	if (box && this->site.Down(box->box)) {
+		answer->Cut();
+		return;
+	}
 	if (!box) {
 		answer->Answer(421, std::string("{}"));
 		return;
@@ -119,6 +123,10 @@
 	if (!answer->Waits()) {
 		return;
 	}
+	if (this->site.Down(box.box)) {
+		answer->Cut();
+		return;
+	}
 	const LeaseAnswer seen = this->site.Lease(box, order);
 	const bool nothing = seen.order.outcome == OrderOutcome::OO_DONE && seen.ended.empty();
 	if (nothing && this->scheduler.Now() < until) {
--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -12,6 +12,7 @@
 constexpr int TRIES = 8;               ///< Times that a caller hands a job in.
 constexpr uint32_t LASTING_OF = 8;     ///< One job of so many lasts.
 constexpr uint32_t HOPELESS_OF = 20;   ///< One job of so many can't be done.
+constexpr size_t CRASHING_OF = 17;     ///< One job of so many, unless it lasts, crashes the boxes that start it.
 constexpr uint32_t CANCEL_OF = 10;     ///< One job of so many is cancelled.
 
 QJsonObject StepJson(const StepSpec &step)
@@ -74,6 +75,10 @@
 			known.fail_first = known.failures_max;
 			job->expected = "failed";
 		}
+		if (this->jobs.size() % CRASHING_OF == CRASHING_OF - 1) {
+			known.crashers = {0};
+			job->expected = "failed";
+		}
 	}
 	QJsonArray steps;
 	for (const StepSpec &it : job->spec.steps) {
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -10,6 +10,8 @@
 
 constexpr uint32_t PARTITIONS = 12;   ///< Of a topic.
 constexpr Millis REPORT_EVERY(500);   ///< Boxes report so often.
+constexpr Millis ROOM_EVERY(700);     ///< A box's room changes so often.
+constexpr Millis BACK_AFTER(1200);    ///< A box that a task has crashed is back after this.
 constexpr Millis WARM_UP(3000);       ///< Nodes start and claim.
 constexpr Millis FAULT_MIN(300);      ///< Shortest fault.
 constexpr Millis FAULT_MAX(4500);     ///< Longest fault.
@@ -21,10 +23,13 @@
 constexpr const char *WEAK = "0.2";   ///< Cores of the others.
 constexpr int STRONG_NODES = 3;       ///< See STRONG.
 
+const Resources WHOLE_ROOM{8000, 8000, 0};  ///< Room of a box.
+const Resources LITTLE_ROOM{2000, 8000, 0}; ///< The same after it has shrunk.
+
 } // namespace
 
 SoakWorld::SoakWorld(const SoakPlan &plan)
-		: plan(plan), random(plan.seed), store(this->scheduler, PARTITIONS, plan.seed),
+		: plan(plan), random(plan.seed), rooms(plan.seed), store(this->scheduler, PARTITIONS, plan.seed),
 		  boxes(this->scheduler, plan.seed), caller(this->scheduler, DialLimits{Millis(500), Millis(60000), 8})
 {
 }
@@ -45,6 +50,8 @@
 	if (!this->store.Start() || !this->boxes.Start()) {
 		return false;
 	}
+	this->boxes.site.guarded = false;
+	this->boxes.site.back_after = BACK_AFTER;
 	this->boxes.on_restart = [this] { this->PublishReports(); };
 	this->AddBoxes();
 	this->PublishConfig(true);
@@ -61,6 +68,7 @@
 		this->NextJob();
 		if (!this->plan.calm) {
 			this->NextFault();
+			this->NextRoom();
 		}
 		this->scheduler.After(this->plan.faults_for, [this] { this->Heal(); });
 	});
@@ -79,7 +87,7 @@
 			report.service = ServiceName(service);
 			report.address = "127.0.0.1:" + std::to_string(this->box_ways.back()->serverPort());
 			report.zone = ZoneName("z" + std::to_string(n % 2));
-			report.capacity = Resources{8000, 8000, 0};
+			report.capacity = WHOLE_ROOM;
 			report.labels = {"a", "rack" + std::to_string(n / 2)};
 			this->boxes.site.Add(report);
 		}
@@ -166,15 +174,33 @@
 	});
 }
 
+bool SoakWorld::Right(const SoakJob &job) const
+{
+	/* A cancellation may come after the end; two boxes that crash under a task are cause enough to give it up. */
+	return job.state == job.expected || (job.cancelled && job.state == "cancelled") ||
+		   (job.state == "failed" && this->boxes.site.MayFail(job.spec.id));
+}
+
+void SoakWorld::NextRoom()
+{
+	if (this->calm) {
+		std::ranges::for_each(this->boxes.site.Reports(),
+							  [this](const BoxReport &it) { this->boxes.site.Resize(it.box, WHOLE_ROOM); });
+		return;
+	}
+	const std::vector<BoxReport> all = this->boxes.site.Reports();
+	const BoxReport &box = all[this->rooms() % all.size()];
+	this->boxes.site.Resize(box.box, box.capacity == WHOLE_ROOM ? LITTLE_ROOM : WHOLE_ROOM);
+	this->scheduler.After(ROOM_EVERY, [this] { this->NextRoom(); });
+}
+
 bool SoakWorld::AllSettled()
 {
 	return std::ranges::all_of(this->jobs, [this](const auto &job) {
 		if (!job->accepted_at) {
 			return true;
 		}
-		const std::string expected = job->cancelled ? "cancelled" : job->expected;
-		/* A cancellation may come after the end. */
-		const bool right = job->state == expected || (job->cancelled && job->state == job->expected);
+		const bool right = this->Right(*job);
 		const bool lasts = right && job->state == "running";
 		const size_t runs = this->boxes.site.Running(job->spec.id);
 		return right && runs == (lasts ? job->spec.steps.front().count : 0);
@@ -207,11 +233,10 @@
 			continue;
 		}
 		const size_t runs = this->boxes.site.Running(job->spec.id);
-		const std::string expected = job->cancelled ? "cancelled" : job->expected;
-		if (job->state != expected && !(job->cancelled && job->state == job->expected)) {
+		if (!this->Right(*job)) {
 			std::string text = "job " + id;
 			text += " is told as '" + job->state;
-			text += "', expected " + expected;
+			text += "', expected " + (job->cancelled ? "cancelled" : job->expected);
 			this->broken.push_back(std::move(text));
 		} else if (runs != (job->state == "running" ? job->spec.steps.front().count : 0)) {
 			std::string text = "job " + id;
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -59,6 +59,7 @@
 	SoakPlan plan;                                    ///< What it is to be.
 	QtScheduler scheduler;                            ///< Clock.
 	std::mt19937 random;                              ///< Chooses everything.
+	std::minstd_rand rooms;                           ///< Chooses boxes whose room changes.
 	SoakStore store;                                  ///< The store.
 	SoakBoxes boxes;                                  ///< The boxes.
 	std::vector<std::unique_ptr<SoakProxy>> box_ways; ///< Ways to the boxes' agents.
@@ -87,6 +88,8 @@
 	void NextFault();
 	void Heal();
 	void Settle();
+	void NextRoom();
+	[[nodiscard]] bool Right(const SoakJob &job) const;
 	bool AllSettled();
 	void CheckRemovedRoute();
 	void StopAll();
