Boxes that crash by themselves in rows cost no lasting job; a box is asked 0.3 s after a start on trial

Cause: a look at a box may be answered seconds later, so a box that crashed by itself 0.46 s and then 0.32 s after a lasting task's starts looked twice as if it had crashed at once; its job was given up and its other tasks, at work, were stopped. Change: 0.3 s after a start on trial its box is asked once more; a run that works for 2 s clears its task; what we took down or what has said that it leaves counts nothing at all; a first start without an answer makes a suspect, counted from the next on; four crashes of any kind end it. A lasting task is only not started any more: its job goes on with the others.

--- a/src/jobs/shard_base.h
+++ b/src/jobs/shard_base.h
@@ -238,16 +238,21 @@
 	[[nodiscard]] std::optional<Millis> LeaseEnd(const ShardBox &box) const;
 	[[nodiscard]] Millis FirstLapse() const;
 	void NoteLeaseAsked(ShardBox &box, Millis until);
-	void LoseTasks(ShardBox &box, const char *why, bool crashed);
+	void LoseTasks(ShardBox &box, const char *why, CrashEvidence evidence);
 	void EndLife(ShardBox &box, const char *why);
 	void LapseBoxes();
 	void SetLookGap(size_t busy);
 	void Depose();
 
 	/* shard_crashes.cpp */
-	[[nodiscard]] bool HasCrashed(const ShardBox &box) const;
-	bool NoteCrash(const ShardBox &box, const TaskId &id, ShardTask &task, bool certain);
-	[[nodiscard]] static bool CrashesBoxes(const ShardTask &task, bool last_start);
+	[[nodiscard]] CrashEvidence EvidenceOf(const ShardBox &box) const;
+	bool NoteCrash(const ShardBox &box, const TaskId &id, CrashEvidence evidence);
+	[[nodiscard]] static bool CrashesBoxes(const StoredTask &task);
+	[[nodiscard]] static bool Startable(const ShardTask &task);
+	void NoteProven(const ShardBox &box, const TaskId &id, ShardTask &task);
+	[[nodiscard]] static bool GivesUp(const ShardJob &job, const TaskId &id, bool last_start);
+	void LookAfterTrial(const TaskId &id, RunNumber run);
+	void AskAfterTrial(const TaskId &id, RunNumber run);
 	[[nodiscard]] static bool JustBegan(const ShardBox &box, const ShardTask &task);
 	[[nodiscard]] bool OthersJustBegan(const ShardBox &box, const JobId &job);
 	[[nodiscard]] bool TriedAlone(const ShardTask &task) const;
--- a/src/jobs/shard_boxes.cpp
+++ b/src/jobs/shard_boxes.cpp
@@ -118,8 +118,7 @@
 	if (!box.adopted) {
 		return Millis(0);
 	}
-	/* A box on trial takes nothing else until it has answered after it. */
-	if (this->scheduler.Now() - box.lost_again_at < LOSSY_FOR || this->TrialOn(box)) {
+	if (this->scheduler.Now() - box.lost_again_at < LOSSY_FOR) {
 		return std::min(LOSSY_WAIT, this->limits.lease_wait);
 	}
 	return box.placed.empty() && !box.strangers ? IDLE_WAIT : this->limits.lease_wait;
@@ -266,6 +265,7 @@
 			task->saved = row.saved;
 		}
 		task->at_work = row.share == FULL_SHARE;
+		this->NoteProven(box, row.task, *task);
 		if (task->stop_wanted && !task->stop_confirmed) {
 			this->SendStop(row.task);
 		}
@@ -329,12 +329,12 @@
 	}
 }
 
-void Shard::LoseTasks(ShardBox &box, const char *why, bool crashed)
+void Shard::LoseTasks(ShardBox &box, const char *why, CrashEvidence evidence)
 {
 	/* All are judged before any of them is taken off the box. */
 	std::set<JobId> guilty;
 	for (const TaskId &id : box.placed) {
-		if (this->NoteCrash(box, id, *this->FindTask(id), crashed)) {
+		if (this->NoteCrash(box, id, evidence)) {
 			guilty.insert(id.job);
 		}
 	}
@@ -357,7 +357,7 @@
 	box.over = true;
 	this->scheduler.Cancel(box.timer);
 	this->log.Write("box_over", {{"life", box.report.life.Value()}, {"why", why}});
-	this->LoseTasks(box, why, this->HasCrashed(box));
+	this->LoseTasks(box, why, this->EvidenceOf(box));
 	this->Wake();
 }
 
@@ -376,7 +376,7 @@
 		busy += box.placed.empty() ? 0 : 1;
 		const bool lapsed = now >= box.lapse_at && now - box.answered_at > this->limits.lease_wait;
 		if (lapsed && !box.placed.empty()) {
-			this->LoseTasks(box, "lease_lapsed", false);
+			this->LoseTasks(box, "lease_lapsed", CrashEvidence::CE_POSSIBLE);
 		}
 		const bool useless = !box.listed && box.placed.empty() && !box.asking;
 		if (useless && (box.over || now - box.answered_at > FORGET_AFTER)) {
--- a/src/jobs/shard_crashes.cpp
+++ b/src/jobs/shard_crashes.cpp
@@ -3,10 +3,11 @@
  * A box that crashes takes up to some twenty runs with it, and mostly none of them is to blame. What is known of each
  * is how long its box has lived on after it began. So only runs that had just begun count a crash, the last ones are
  * started again on boxes that take nothing else until they have answered after it, and a job fails when two boxes have
- * crashed under one of its tasks and it was the last start of the second, or when four have.
+ * crashed under one of its tasks and it was the last start of the second, or when four have. A lasting task is only not
+ * started any more after four: the others of its job may be at work, and to stop them would take them away, too.
  *
  * Sixteen days in memory (24 ordinary jobs on four boxes; none, one, four or eight such tasks; owners killed, boxes
- * that crash by themselves, both, neither): 153 boxes crashed, all such tasks were given up and no ordinary job failed;
+ * that crash by themselves, both, neither): 158 boxes crashed, all such tasks were given up and no ordinary job failed;
  * with lost runs not counted 269 boxes crashed and 76 of 384 ordinary jobs were never done. Giving up at two crashes of
  * any kind: 122 and 32. By the same evidence, but without boxes kept free of other starts: 150 and 15.
  */
@@ -14,6 +15,7 @@
 
 #include <algorithm>
 #include <ranges>
+#include <utility>
 
 namespace {
 
@@ -25,26 +27,30 @@
 constexpr Millis TRIAL_FOR(300);
 /** With so many crashes a task is given up that was the last start: the least that the platform's page allows. */
 constexpr uint32_t CRASHES_CERTAIN = 2;
-constexpr uint32_t CRASHES_MOST = 4; ///< With so many crashes, also possible ones, any task is given up.
-/** With so many, mostly possible ones, it is given up without two certain ones: after three crashes a task may be
- * started twice more (the platform's rules). */
-constexpr uint32_t CRASHES_POSSIBLE_MOST = 5;
+/** With so many, also possible ones, any task is given up: after three crashes it may be started twice more (the
+ * platform's rules), and one crash of each may have gone uncounted. */
+constexpr uint32_t CRASHES_MOST = 4;
 /** One box of so many may be on trial at a time. With one of three, ordinary jobs of the days above were done later
  * while boxes crashed by themselves. */
 constexpr size_t BOXES_A_TRIAL = 2;
 /** A task that only one box may have crashed under waits so long for a trial, then starts like others: a job whose
  * turn has come is to run within 3 s (the platform's rules). */
 constexpr Millis TRIAL_WAIT(1500);
+constexpr int64_t FULL_PACE = 100;  ///< Percent.
 constexpr Millis SURE_AFTER(10000); ///< What reports say is sure when the store was away last before this.
 
 } // namespace
 
-bool Shard::HasCrashed(const ShardBox &box) const
+CrashEvidence Shard::EvidenceOf(const ShardBox &box) const
 {
-	/* Whoever leaves says so or takes its report away; what we move or maintain was asked for before. While the store
-	 * is away neither is heard. */
+	/* What we move or maintain was asked for before, and who leaves says so, or takes its report away without a word. A
+	 * report that has gone may also have lapsed since the crash; while the store is away nothing of this is heard. */
 	const Millis now = this->scheduler.Now();
-	return box.listed && !box.report.leaving && now >= box.planned_until && now - this->store_away_at >= SURE_AFTER;
+	if (box.report.leaving || now < box.planned_until) {
+		return CrashEvidence::CE_NONE;
+	}
+	return box.listed && now - this->store_away_at >= SURE_AFTER ? CrashEvidence::CE_CERTAIN
+																 : CrashEvidence::CE_POSSIBLE;
 }
 
 bool Shard::JustBegan(const ShardBox &box, const ShardTask &task)
@@ -58,39 +64,70 @@
 							   [&](const TaskId &it) { return it.job != job && JustBegan(box, *this->FindTask(it)); });
 }
 
-bool Shard::CrashesBoxes(const ShardTask &task, bool last_start)
+bool Shard::CrashesBoxes(const StoredTask &task)
+{
+	return task.crashes + task.crashes_possible >= CRASHES_MOST;
+}
+
+bool Shard::Startable(const ShardTask &task)
+{
+	return task.phase == TaskPhase::TP_WAITING && !CrashesBoxes(task);
+}
+
+bool Shard::GivesUp(const ShardJob &job, const TaskId &id, bool last_start)
 {
-	const uint32_t all = task.crashes + task.crashes_possible;
-	return (task.crashes >= CRASHES_CERTAIN && (last_start || all >= CRASHES_MOST)) || all >= CRASHES_POSSIBLE_MOST;
+	const ShardTask &task = job.tasks[job.IndexOf(id)];
+	if (job.spec.steps[id.step].lasting) {
+		return std::ranges::all_of(job.tasks, [](const ShardTask &it) { return CrashesBoxes(it); });
+	}
+	return CrashesBoxes(task) || (task.crashes >= CRASHES_CERTAIN && last_start);
 }
 
-bool Shard::NoteCrash(const ShardBox &box, const TaskId &id, ShardTask &task, bool certain)
+bool Shard::NoteCrash(const ShardBox &box, const TaskId &id, CrashEvidence evidence)
 {
-	const bool sent = task.run_state != RunState::RS_RECORDING;
+	ShardJob &job = this->jobs.at(id.job);
+	ShardTask &task = job.tasks[job.IndexOf(id)];
 	const bool began = task.run_state == RunState::RS_RUNNING;
+	const bool restored = task.run_state == RunState::RS_RESTORED;
 	const Millis lived = box.answered_at - task.ordered_at;
-	if (!sent || (began && lived >= PROVEN_AFTER)) {
+	const bool nothing = evidence == CrashEvidence::CE_NONE || task.run_state == RunState::RS_RECORDING;
+	if (nothing || (began && lived >= PROVEN_AFTER)) {
 		return false;
 	}
 	const bool others = this->OthersJustBegan(box, id.job);
-	task.suspect = task.suspect || JustBegan(box, task) || task.crashes > 0;
-	if (!certain || !began) {
-		/* A start without an answer mostly came to a box that another one had crashed. */
-		task.crashes_possible += !certain || task.suspect || !others ? 1 : 0;
-		return CrashesBoxes(task, false);
+	const bool fresh = (!began && !restored) || JustBegan(box, task);
+	const bool was_suspect = std::exchange(task.suspect, task.suspect || fresh || task.crashes > 0);
+	if (evidence == CrashEvidence::CE_POSSIBLE || !began) {
+		/* A first start without an answer mostly came to a box that another one had crashed, and that of an owner
+		 * before may never have been sent: not counted. */
+		const bool explained = !began && (others || restored) && !was_suspect;
+		task.crashes_possible += explained ? 0 : 1;
+		return GivesUp(job, id, false);
 	}
 	task.crashes++;
 	this->counters.crashed++;
 	const bool last_start = JustBegan(box, task) && !others;
 	this->log.Write("crashed_under", {{"job", id.job.Value()},
-									  {"task", std::to_string(this->jobs.at(id.job).IndexOf(id))},
+									  {"task", std::to_string(job.IndexOf(id))},
 									  {"run", std::to_string(task.run.Value())},
 									  {"life", box.report.life.Value()},
 									  {"lived_ms", std::to_string(lived.Value())},
 									  {"last_start", last_start ? "yes" : "no"},
 									  {"crashes", std::to_string(task.crashes)},
 									  {"possible", std::to_string(task.crashes_possible)}});
-	return CrashesBoxes(task, last_start);
+	return GivesUp(job, id, last_start);
+}
+
+void Shard::NoteProven(const ShardBox &box, const TaskId &id, ShardTask &task)
+{
+	const bool counted = task.suspect || task.crashes + task.crashes_possible > 0;
+	if (!counted || box.answered_at - task.ordered_at < PROVEN_AFTER) {
+		return;
+	}
+	/* The boxes that it lost have crashed by themselves. */
+	task.suspect = false;
+	task.crashes = task.crashes_possible = 0;
+	this->Touch(id.job);
 }
 
 bool Shard::TriedAlone(const ShardTask &task) const
@@ -104,6 +141,34 @@
 	return task.suspect && (task.run_state != RunState::RS_RUNNING || box.answered_at - task.ordered_at < TRIAL_FOR);
 }
 
+void Shard::LookAfterTrial(const TaskId &id, RunNumber run)
+{
+	this->scheduler.After(TRIAL_FOR, [this, id, run, still = std::weak_ptr<bool>(this->alive)] {
+		if (!still.expired()) {
+			this->AskAfterTrial(id, run);
+		}
+	});
+}
+
+void Shard::AskAfterTrial(const TaskId &id, RunNumber run)
+{
+	const ShardTask *task = this->FindTask(id);
+	const bool there = task != nullptr && task->phase == TaskPhase::TP_PLACED && task->run == run;
+	const auto box = there ? this->boxes.find(task->box) : this->boxes.end();
+	if (box == this->boxes.end() || box->second.over || task->stop_wanted) {
+		return;
+	}
+	/* The look at the box that is under way may be answered seconds later: then nobody knows whether a box that crashes
+	 * by itself did so 10 ms or 2 s after the start. A pace that the run has already changes nothing. */
+	this->orders.Pace(box->second.report, id, run, FULL_PACE, this->fence,
+					  [this, life = task->box, sent = this->scheduler.Now(),
+					   still = std::weak_ptr<bool>(this->alive)](const OrderAnswer &answer) {
+						  if (!still.expired() && this->TakeOutcome(life, sent, answer.outcome)) {
+							  this->Wake();
+						  }
+					  });
+}
+
 std::optional<JobId> Shard::TrialOn(const ShardBox &box) const
 {
 	const auto it =
--- a/src/jobs/shard_place.cpp
+++ b/src/jobs/shard_place.cpp
@@ -134,7 +134,7 @@
 	for (TaskId id = first; const uint32_t index : std::views::iota(0U, spec.count)) {
 		id.index = index;
 		const ShardTask &task = job.tasks[job.IndexOf(id)];
-		if (task.phase != TaskPhase::TP_WAITING) {
+		if (!Startable(task)) {
 			continue;
 		}
 		const bool suspect = this->TriedAlone(task);
@@ -182,7 +182,7 @@
 	const StepSpec &spec = job.spec.steps[step];
 	const TaskId first{job.spec.id, occurrence, step, 0};
 	const auto members = job.tasks | std::views::drop(job.IndexOf(first)) | std::views::take(spec.count);
-	if (!std::ranges::all_of(members, [](const ShardTask &it) { return it.phase == TaskPhase::TP_WAITING; })) {
+	if (!std::ranges::all_of(members, Startable)) {
 		return;
 	}
 	const uint32_t last_run =
@@ -330,6 +330,9 @@
 	if (answer.outcome == OrderOutcome::OO_DONE || task->run_state == RunState::RS_RUNNING) {
 		task->run_state = RunState::RS_RUNNING; /* Told, or listed meanwhile. */
 		this->jobs.at(id.job).begun = true;
+		if (task->suspect) {
+			this->LookAfterTrial(id, run);
+		}
 		return;
 	}
 	this->log.Write("start_failed", {{"job", id.job.Value()},
--- a/src/jobs/shard_rank.cpp
+++ b/src/jobs/shard_rank.cpp
@@ -46,7 +46,7 @@
 		const auto tasks = job.tasks | std::views::drop(first) | std::views::take(step.count);
 		const auto open =
 				std::ranges::count_if(tasks, [](const ShardTask &it) { return it.phase != TaskPhase::TP_DONE; });
-		const auto waiting = std::ranges::count(tasks, TaskPhase::TP_WAITING, &ShardTask::phase);
+		const auto waiting = std::ranges::count_if(tasks, Startable);
 		out.lasting = out.lasting || step.lasting;
 		for (const uint32_t before : step.after) {
 			chain_all[n] = std::max(chain_all[n], chain_all[before]);
@@ -123,7 +123,7 @@
 		for (uint32_t step = 0; step < job.spec.steps.size() && this->Due(job, occurrence); step++) {
 			const size_t first = job.IndexOf(TaskId{job.spec.id, occurrence, step, 0});
 			const auto tasks = job.tasks | std::views::drop(first) | std::views::take(job.spec.steps[step].count);
-			const auto waiting = std::ranges::count(tasks, TaskPhase::TP_WAITING, &ShardTask::phase);
+			const auto waiting = std::ranges::count_if(tasks, Startable);
 			if (waiting > 0 && this->StepReady(job, occurrence, step)) {
 				sum += waiting * job.spec.steps[step].demand.cpu;
 			}
--- a/src/jobs/shard_type.h
+++ b/src/jobs/shard_type.h
@@ -154,6 +154,13 @@
 	auto operator<=>(const JobRank &) const = default;
 };
 
+/** What tells that a box has crashed under its runs, rather than left, been taken down, or been cut off. */
+enum class CrashEvidence : uint8_t {
+	CE_NONE = 0,     ///< It has left or was taken down.
+	CE_POSSIBLE = 1, ///< It may have crashed.
+	CE_CERTAIN = 2,  ///< It has crashed.
+};
+
 /** A box that takes tasks in this round of placing. */
 struct OpenBox {
 	ShardBox *box = nullptr;    ///< The box.
--- a/src/standin/memory/box_site.cpp
+++ b/src/standin/memory/box_site.cpp
@@ -325,6 +325,19 @@
 	this->stopped_away.insert(task);
 }
 
+OrderAnswer BoxSite::Pace(const BoxReport &report, FenceToken fence)
+{
+	Box *box = this->Find(report);
+	if (box == nullptr) {
+		return this->Plain(OrderOutcome::OO_OTHER_LIFE);
+	}
+	if (fence < box->fence) {
+		return this->Plain(OrderOutcome::OO_FENCED);
+	}
+	box->fence = fence;
+	return this->Plain(OrderOutcome::OO_DONE);
+}
+
 LeaseAnswer BoxSite::Lease(const BoxReport &report, const LeaseOrder &order)
 {
 	LeaseAnswer answer;
@@ -400,9 +413,10 @@
 			std::move(done));
 }
 
-void SiteOrders::Pace(const BoxReport &, const TaskId &, RunNumber, int64_t, FenceToken, Done done)
+void SiteOrders::Pace(const BoxReport &box, const TaskId &, RunNumber, int64_t, FenceToken fence, Done done)
 {
-	this->scheduler.After(ONE_WAY, [done] { done(OrderAnswer{OrderOutcome::OO_DONE, std::nullopt}); });
+	this->Send(
+			box, [&site = this->site, box, fence] { return site.Pace(box, fence); }, std::move(done));
 }
 
 void SiteOrders::Poll(const BoxReport &box, const LeaseOrder &order, Millis until,
--- a/src/standin/memory/box_site.h
+++ b/src/standin/memory/box_site.h
@@ -65,6 +65,7 @@
 	/* Orders, as they arrive. */
 	OrderAnswer Start(const BoxReport &box, const StartOrder &order);
 	OrderAnswer Stop(const BoxReport &box, const TaskId &task, RunNumber run, FenceToken fence);
+	OrderAnswer Pace(const BoxReport &box, FenceToken fence);
 	LeaseAnswer Lease(const BoxReport &box, const LeaseOrder &order);
 
 	std::map<BoxName, BoxFaults> faults;                                     ///< Faults by box.
