A start without an answer isn't stopped because its box has shrunk meanwhile

Cause: read in the diff: what may be at work unseen was stopped when its repeated order found no room, against the limit on absent tasks of its step. Change: the repeat waits, as after any start without an answer. Test: 3 lasting tasks at work unseen, boxes shrink: 0 of 3 run on and the limit is broken before, 3 of 3 and none after.

--- a/src/jobs/shard_base.h
+++ b/src/jobs/shard_base.h
@@ -205,6 +205,7 @@
 	void SendStart(const PendingStart &start);
 	void OnStarted(const TaskId &id, RunNumber run, const BoxLife &life, OrderAnswer answer);
 	void OnStartUnknown(const TaskId &id, ShardTask &task);
+	void RepeatStart(const TaskId &id, ShardTask &task);
 	void OnStartRefused(const TaskId &id, ShardTask &task, OrderOutcome outcome);
 	void GiveUpStart(const TaskId &id, ShardTask &task, RunEnding ending, const char *why);
 
--- a/src/jobs/shard_place.cpp
+++ b/src/jobs/shard_place.cpp
@@ -262,7 +262,11 @@
 	/* Room is looked at again: a box may have shrunk since the task was placed, while its record was under way or the
 	 * order was repeated, and one without a guard starts what it is told. */
 	if (!it->second.report.capacity.Holds(it->second.used) || it->second.strangers) {
-		this->GiveUpStart(start.task, *task, RunEnding::RE_STOPPED, "no_room_left");
+		if (task->uncertain) {
+			this->RepeatStart(start.task, *task); /* It may be at work there unseen: see below. */
+		} else {
+			this->GiveUpStart(start.task, *task, RunEnding::RE_STOPPED, "no_room_left");
+		}
 		return;
 	}
 	const ShardJob &job = this->jobs.at(start.task.job);
@@ -351,6 +355,11 @@
 	this->counters.unknown++;
 	task.run_state = RunState::RS_UNKNOWN;
 	task.uncertain = true;
+	this->RepeatStart(id, task);
+}
+
+void Shard::RepeatStart(const TaskId &id, ShardTask &task)
+{
 	const bool patient = this->scheduler.Now() - task.since < START_REPEATED_FOR;
 	if (!patient && this->MayStop(this->jobs.at(id.job), id)) {
 		this->WantPlannedStop(id, task, "start_unanswered");
--- a/tests/test_room.cpp
+++ b/tests/test_room.cpp
@@ -26,6 +26,14 @@
 	}
 }
 
+/** Answers to lease orders get lost, or come again. @param world The world. @param heard Whether they come. */
+void SetListsHeard(JobWorld &world, bool heard)
+{
+	for (const BoxReport &it : world.site.Reports()) {
+		world.site.faults[it.box].lose_lists = heard ? 0 : 1;
+	}
+}
+
 } // namespace
 
 TEST_CASE("a start that is repeated doesn't go beyond the room that its box has by then")
@@ -69,3 +77,24 @@
 	CHECK(world.ViewOf(later).phase == JobPhase::JP_COMPLETED);
 	CHECK(world.site.violations == std::vector<std::string>{});
 }
+
+TEST_CASE("a run that came to work unseen is not stopped since its box has shrunk meanwhile")
+{
+	JobWorld world;
+	world.site.guarded = false;
+	for (const BoxReport &it : world.site.Reports()) {
+		world.site.faults[it.box] = BoxFaults{.lose_every = 1};
+	}
+	const WorldJob &job = world.Plan(Millis(1000), "calc", JobWorld::Lasting(3));
+	world.clock.RunUntil(Millis(1005));
+	SetListsHeard(world, false);
+	ResizeAll(world, LITTLE_ROOM);
+	world.clock.RunUntil(Millis(3500));
+	SetListsHeard(world, true);
+	for (const BoxReport &it : world.site.Reports()) {
+		world.site.faults[it.box] = BoxFaults{};
+	}
+	world.clock.RunUntil(Millis(6000));
+	CHECK(world.site.Running(job.spec.id) == 3);
+	CHECK(world.site.violations == std::vector<std::string>{});
+}
