Crashes of boxes that were to be taken down, and weren't, count as possible ones

Traced: moves of two boxes were ordered and rejected; for 10 s no crash of them was counted. Change: nothing is counted only while a box is being emptied, for 10 s after that a crash is a possible one.

--- a/src/jobs/shard_crashes.cpp
+++ b/src/jobs/shard_crashes.cpp
@@ -43,14 +43,15 @@
 
 CrashEvidence Shard::EvidenceOf(const ShardBox &box) const
 {
-	/* What we move or maintain was asked for before, and who leaves says so, or takes its report away without a word. A
-	 * report that has gone may also have lapsed since the crash; while the store is away nothing of this is heard. */
+	/* What we move or maintain is kept empty before, and who leaves says so, or takes its report away without a word. A
+	 * report that has gone may also have lapsed since the crash, an order to take the box down may be done seconds
+	 * late or never, and while the store is away nothing of this is heard. */
 	const Millis now = this->scheduler.Now();
-	if (box.report.leaving || now < box.planned_until) {
+	if (box.report.leaving || now < box.drain_until) {
 		return CrashEvidence::CE_NONE;
 	}
-	return box.listed && now - this->store_away_at >= SURE_AFTER ? CrashEvidence::CE_CERTAIN
-																 : CrashEvidence::CE_POSSIBLE;
+	const bool sure = box.listed && now >= box.planned_until && now - this->store_away_at >= SURE_AFTER;
+	return sure ? CrashEvidence::CE_CERTAIN : CrashEvidence::CE_POSSIBLE;
 }
 
 bool Shard::JustBegan(const ShardBox &box, const ShardTask &task)
--- a/src/jobs/shard_type.h
+++ b/src/jobs/shard_type.h
@@ -128,7 +128,7 @@
 	uint64_t ends_seen = 0;         ///< Ends up to this number are taken in.
 	uint64_t ends_durable = 0;      ///< Ends up to this number are recorded.
 	uint64_t ends_told = 0;         ///< Ends up to this number, the box has heard, are recorded.
-	Millis planned_until;           ///< An end of this life before then may be our own doing.
+	Millis planned_until;           ///< Until then its end may be our own order, done late.
 	Millis drain_until;             ///< Until then it is being emptied for planned work.
 	bool due = false;               ///< It will be emptied before long.
 	bool strangers = false;         ///< It runs something that this shard has not placed.
--- a/tests/test_crashing_tasks.cpp
+++ b/tests/test_crashing_tasks.cpp
@@ -209,6 +209,22 @@
 	CHECK(world.site.violations == std::vector<std::string>{});
 }
 
+TEST_CASE("crashes of boxes that were to be taken down, and weren't, count")
+{
+	/* Found by the soak: moves were ordered and rejected, and for ten seconds no crash of these boxes was counted. */
+	CrashingDay day(1);
+	day.world.site.back_after = Millis(1200);
+	day.world.clock.RunUntil(Millis(1400));
+	WorldNode *owner = day.world.OwnerOf(CALC);
+	REQUIRE(owner != nullptr);
+	std::set<BoxName> all;
+	std::ranges::for_each(day.world.site.Reports(), [&all](const BoxReport &it) { all.insert(it.box); });
+	owner->host.Find(CALC)->Running()->Drain(all, {});
+	day.world.clock.RunUntil(Millis(1450));
+	owner->host.Find(CALC)->Running()->Drain({}, {});
+	day.Run();
+}
+
 TEST_CASE("a box that ends by planned work, or after its report has gone, has not crashed")
 {
 	JobWorld world;
