--- a/src/jobs/shard_crashes.cpp
+++ b/src/jobs/shard_crashes.cpp
@@ -102,9 +102,9 @@
 	const bool fresh = (!began && !restored) || JustBegan(box, task);
 	const bool was_suspect = std::exchange(task.suspect, task.suspect || fresh || task.crashes > 0);
 	if (evidence == CrashEvidence::CE_POSSIBLE || !began) {
-		/* A first start without an answer mostly came to a box that another one had crashed, and that of an owner
-		 * before may never have been sent: not counted. */
-		const bool explained = !began && (others || restored) && !was_suspect;
+		/* A first start without an answer mostly came to a box that another one had crashed: not counted. One that an
+		 * owner before has recorded is, or nodes killed in rows would hide as many crashes. */
+		const bool explained = !began && !restored && others && !was_suspect;
 		task.crashes_possible += explained ? 0 : 1;
 		return GivesUp(job, id, false);
 	}
--- a/tests/test_crashing_tasks.cpp
+++ b/tests/test_crashing_tasks.cpp
@@ -112,6 +112,27 @@
 	}
 }
 
+TEST_CASE("crashes that no owner has seen are counted by the next one")
+{
+	/* Found by the soak: each of two owners was killed just after a start, and neither start was counted. */
+	CrashingDay day(1);
+	day.world.site.back_after = Millis(1200);
+	uint64_t crashes = 0;
+	while (crashes < 5 && day.world.clock.Now() < Millis(30000)) {
+		REQUIRE(day.world.clock.RunOne());
+		if (day.world.site.crashes == crashes) {
+			continue;
+		}
+		crashes++;
+		if (WorldNode *owner = day.world.OwnerOf(CALC); owner != nullptr) {
+			const std::string name = owner->name;
+			JobWorld::Kill(*owner);
+			day.world.Boot(name);
+		}
+	}
+	day.Run();
+}
+
 TEST_CASE("a task is given up also when its boxes are back only after its lease has lapsed")
 {
 	CrashingDay day(1);
