--- a/src/jobs/shard_base.h
+++ b/src/jobs/shard_base.h
@@ -250,6 +250,7 @@
 	bool NoteCrash(const ShardBox &box, const TaskId &id, CrashEvidence evidence);
 	[[nodiscard]] static bool CrashesBoxes(const StoredTask &task);
 	[[nodiscard]] static bool Startable(const ShardTask &task);
+	void LogCrash(const ShardBox &box, const TaskId &id, bool last_start);
 	void NoteProven(const ShardBox &box, const TaskId &id, ShardTask &task);
 	[[nodiscard]] static bool GivesUp(const ShardJob &job, const TaskId &id, bool last_start);
 	void LookAfterTrial(const TaskId &id, RunNumber run);
--- a/src/jobs/shard_boxes.cpp
+++ b/src/jobs/shard_boxes.cpp
@@ -27,7 +27,6 @@
 		UNRECORDED_GAP(700); ///< Next lease order while ends can't be recorded: the box answers at once each time.
 constexpr Millis SILENT_AFTER(1500);  ///< Beyond the wait: a box that is silent for so long gets no longer lease.
 constexpr Millis FORGET_AFTER(10000); ///< A box without report, tasks and answers is forgotten after this.
-constexpr int64_t FULL_SHARE = 100;   ///< Percent of a task that is at work.
 constexpr size_t ENDS_AT_ONCE = 500;  ///< Ends that a box lists at once; a list of this size may not be whole.
 
 } // namespace
@@ -264,7 +263,7 @@
 		if (!row.saved.empty()) {
 			task->saved = row.saved;
 		}
-		task->at_work = row.share == FULL_SHARE;
+		task->at_work = row.share == FULL_PACE;
 		this->NoteProven(box, row.task, *task);
 		if (task->stop_wanted && !task->stop_confirmed) {
 			this->SendStop(row.task);
--- a/src/jobs/shard_crashes.cpp
+++ b/src/jobs/shard_crashes.cpp
@@ -37,7 +37,6 @@
 /** A task that only one box may have crashed under waits so long for a trial, then starts like others: a job whose
  * turn has come is to run within 3 s (the platform's rules). */
 constexpr Millis TRIAL_WAIT(1500);
-constexpr int64_t FULL_PACE = 100;  ///< Percent.
 constexpr Millis SURE_AFTER(10000); ///< What reports say is sure when the store was away last before this.
 
 } // namespace
@@ -111,15 +110,22 @@
 	task.crashes++;
 	this->counters.crashed++;
 	const bool last_start = JustBegan(box, task) && !others;
+	this->LogCrash(box, id, last_start);
+	return GivesUp(job, id, last_start);
+}
+
+void Shard::LogCrash(const ShardBox &box, const TaskId &id, bool last_start)
+{
+	const ShardJob &job = this->jobs.at(id.job);
+	const ShardTask &task = job.tasks[job.IndexOf(id)];
 	this->log.Write("crashed_under", {{"job", id.job.Value()},
 									  {"task", std::to_string(job.IndexOf(id))},
 									  {"run", std::to_string(task.run.Value())},
 									  {"life", box.report.life.Value()},
-									  {"lived_ms", std::to_string(lived.Value())},
+									  {"lived_ms", std::to_string((box.answered_at - task.ordered_at).Value())},
 									  {"last_start", last_start ? "yes" : "no"},
 									  {"crashes", std::to_string(task.crashes)},
 									  {"possible", std::to_string(task.crashes_possible)}});
-	return GivesUp(job, id, last_start);
 }
 
 void Shard::NoteProven(const ShardBox &box, const TaskId &id, ShardTask &task)
--- a/src/jobs/shard_runs.cpp
+++ b/src/jobs/shard_runs.cpp
@@ -23,7 +23,7 @@
 	task.stop_wanted = task.stop_sent = task.stop_confirmed = false;
 	task.leaving = task.stop_recorded = false;
 	task.at_work = false;
-	task.pace = 100;
+	task.pace = FULL_PACE;
 	task.since = this->scheduler.Now();
 	this->Touch(id.job);
 }
--- a/src/jobs/shard_type.h
+++ b/src/jobs/shard_type.h
@@ -48,6 +48,8 @@
 	RS_UNKNOWN = 4,   ///< The order got no answer.
 };
 
+inline constexpr int64_t FULL_PACE = 100; ///< Percent at which a run works and disturbs others unless told otherwise.
+
 /** A task with what is known of its run. */
 struct ShardTask : public StoredTask {
 	RunState run_state = RunState::RS_RECORDING; ///< Of the current run, while placed.
@@ -59,7 +61,7 @@
 	Millis settled_at;                           ///< When the newest order for the run was answered.
 	Millis since;                                ///< When it was placed, or began to wait.
 	bool at_work = false;                        ///< The box lists it at full pace.
-	int64_t pace = 100;                          ///< Percent of full pace last ordered.
+	int64_t pace = FULL_PACE;                    ///< Percent of full pace last ordered.
 	Millis ordered_at;                           ///< When the first order for the run was sent.
 	/** A box crashed just after it had begun the task. Not stored: a new owner goes by `crashes`. */
 	bool suspect = false;
