--- a/src/jobs/shard_base.h
+++ b/src/jobs/shard_base.h
@@ -86,6 +86,11 @@
 	[[nodiscard]] uint64_t Detours() const { return this->journal.Detours(); }
 	/** @return Counters. */
 	[[nodiscard]] const ShardCounters &Counters() const { return this->counters; }
+	/** @return What waits. */
+	[[nodiscard]] ShardBacklog Backlog() const
+	{
+		return ShardBacklog{this->recorded_starts.size(), this->starts_under_way, this->incoming.size()};
+	}
 	/** @return Boxes. */
 	[[nodiscard]] const std::map<BoxLife, ShardBox> &Boxes() const { return this->boxes; }
 	/** @return Jobs. */
--- a/src/jobs/shard_boxes.cpp
+++ b/src/jobs/shard_boxes.cpp
@@ -309,6 +309,7 @@
 
 void Shard::TakeMissing(ShardBox &box, const std::set<std::pair<TaskId, RunNumber>> &listed, Millis sent)
 {
+	this->counters.tasks_walked += box.placed.size();
 	for (const TaskId &id : std::set<TaskId>(box.placed)) {
 		ShardTask *task = this->FindTask(id);
 		if (task == nullptr || task->phase != TaskPhase::TP_PLACED || listed.contains({id, task->run})) {
@@ -370,6 +371,7 @@
 {
 	const Millis now = this->scheduler.Now();
 	size_t busy = 0;
+	this->counters.boxes_walked += this->boxes.size();
 	std::vector<BoxLife> forget;
 	for (auto &[life, box] : this->boxes) {
 		busy += box.placed.empty() ? 0 : 1;
--- a/src/jobs/shard_drain.cpp
+++ b/src/jobs/shard_drain.cpp
@@ -84,6 +84,7 @@
 void Shard::EmptyBoxes()
 {
 	const Millis now = this->scheduler.Now();
+	this->counters.boxes_walked += this->boxes.size();
 	for (ShardBox &box : this->boxes | std::views::values) {
 		const bool gone = this->Gone(box);
 		if (box.drain_until <= now && !gone) {
--- a/src/jobs/shard_owner.cpp
+++ b/src/jobs/shard_owner.cpp
@@ -14,6 +14,7 @@
  * is known to be there. */
 constexpr Millis CONFIRM_EVERY(250);
 constexpr Millis CONFIRM_LOOK(100); ///< It looks so often whether that is due: 0.35 s is the longest gap.
+constexpr Millis LOAD_EVERY(1000);  ///< An owner tells how busy it is so often.
 /** @return Key in the inbox of a record of the partition of progress. Submissions and cancellations lie there as other
  * nodes would append them, and stay; progress goes when it has come to its own partition. */
 SpareKey InboxKeyOf(const std::string &key)
@@ -70,6 +71,7 @@
 	if (claimed.released) {
 		this->shard->OtherOwnersFor(claimed.others_for);
 	}
+	this->confirm_due = this->load_at = this->parts.scheduler.Now();
 	this->KeepConfirmed();
 	const auto let_go = [this, still = std::weak_ptr<bool>(this->alive)] {
 		this->parts.scheduler.After(Millis(0), [this, still] {
@@ -169,8 +171,37 @@
 	this->shard->Accept(std::move(incoming));
 }
 
+void ShardOwner::NoteLoad()
+{
+	const Millis now = this->parts.scheduler.Now();
+	this->latest = std::max(this->latest, now - this->confirm_due);
+	this->confirm_due = now + CONFIRM_LOOK;
+	if (now - this->load_at < LOAD_EVERY || !this->running) {
+		return;
+	}
+	const ShardCounters &last = this->load_from;
+	const ShardCounters counters = this->shard->Counters();
+	const ShardBacklog backlog = this->shard->Backlog();
+	this->parts.events.Write("owner_load", {{"service", this->service.Value()},
+											{"late_ms", std::to_string(this->latest.Value())},
+											{"starts_waiting", std::to_string(backlog.starts_waiting)},
+											{"starts_under_way", std::to_string(backlog.starts_under_way)},
+											{"callers_waiting", std::to_string(backlog.callers_waiting)},
+											{"starts", std::to_string(counters.starts - last.starts)},
+											{"runs_done", std::to_string(counters.done - last.done)},
+											{"looks", std::to_string(counters.looks - last.looks)},
+											{"rounds", std::to_string(counters.rounds - last.rounds)},
+											{"boxes_walked", std::to_string(counters.boxes_walked - last.boxes_walked)},
+											{"tasks_walked", std::to_string(counters.tasks_walked - last.tasks_walked)},
+											{"span_ms", std::to_string((now - this->load_at).Value())}});
+	this->load_from = counters;
+	this->load_at = now;
+	this->latest = Millis(0);
+}
+
 void ShardOwner::KeepConfirmed()
 {
+	this->NoteLoad();
 	this->confirm_timer = this->parts.scheduler.After(CONFIRM_LOOK, [this] { this->KeepConfirmed(); });
 	if (this->journal->Quiet(CONFIRM_EVERY)) {
 		const StoredOwner self{this->epoch, this->parts.address, false, Millis(0)};
--- a/src/jobs/shard_owner.h
+++ b/src/jobs/shard_owner.h
@@ -97,6 +97,10 @@
 	std::vector<KeyedRecord> loading;                           ///< Submissions and cancellations read until then.
 	bool running = false;                                       ///< Whether the inbox is loaded.
 	TimerId confirm_timer;                                      ///< Next KeepConfirmed().
+	Millis confirm_due;                                         ///< When that is due.
+	Millis latest;                                              ///< How late it came at most since the last line.
+	Millis load_at;                                             ///< When NoteLoad() wrote its last line.
+	ShardCounters load_from;                                    ///< The shard's counters at that time.
 	std::shared_ptr<bool> alive = std::make_shared<bool>(true); ///< Expires with this.
 
 	void Run(const ClaimedPartition &claimed);
@@ -106,6 +110,7 @@
 	void RestoreProgress(const std::string &key, const JobId &id, const std::string &bytes);
 	void LetGo();
 	void KeepConfirmed();
+	void NoteLoad();
 };
 
 #endif /* SHARD_OWNER_H */
--- a/src/jobs/shard_place.cpp
+++ b/src/jobs/shard_place.cpp
@@ -28,10 +28,13 @@
 PlaceRound Shard::BeginRound()
 {
 	PlaceRound round;
+	this->counters.rounds++;
+	this->counters.boxes_walked += this->boxes.size();
 	for (ShardBox &box : this->boxes | std::views::values) {
 		if (this->Placing(box)) {
 			Resources free = box.report.capacity;
 			free -= box.used;
+			this->counters.tasks_walked += box.placed.size();
 			round.open.push_back(OpenBox{&box, this->TrialOn(box), free});
 		}
 	}
--- a/src/jobs/shard_records.cpp
+++ b/src/jobs/shard_records.cpp
@@ -91,6 +91,7 @@
 {
 	/* No append is under way, so all that was taken in is either recorded or among the dirty jobs. */
 	Batch batch;
+	this->counters.boxes_walked += this->boxes.size();
 	for (const auto &[life, box] : this->boxes) {
 		if (box.ends_seen > box.ends_durable) {
 			batch.ends[life] = box.ends_seen;
--- a/src/jobs/shard_type.h
+++ b/src/jobs/shard_type.h
@@ -37,6 +37,16 @@
 	uint64_t crashed = 0;         ///< Runs under which a box has crashed for certain.
 	uint64_t given_up = 0;        ///< Jobs that failed since a task of theirs crashes boxes.
 	uint64_t records_refused = 0; ///< Callers' records handed back since the log refused them.
+	uint64_t rounds = 0;          ///< Rounds of placing.
+	uint64_t boxes_walked = 0;    ///< Boxes gone through one by one, in turns and at the begin of rounds.
+	uint64_t tasks_walked = 0;    ///< Tasks on boxes gone through one by one.
+};
+
+/** What waits at an owner: it grows when the node has too little processor time. */
+struct ShardBacklog {
+	size_t starts_waiting = 0;   ///< Recorded starts whose order has not left.
+	size_t starts_under_way = 0; ///< Start orders without answer.
+	size_t callers_waiting = 0;  ///< Callers' records that wait for an append.
 };
 
 /** What a run of a placed task is known to do. Not stored: a new owner asks the boxes. */
--- a/src/net/epoll_dispatcher.cpp
+++ b/src/net/epoll_dispatcher.cpp
@@ -17,6 +17,8 @@
 
 namespace {
 
+using Clock = std::chrono::steady_clock;
+
 constexpr int EVENTS_AT_ONCE = 64; ///< Descriptors told by one call; more come with the next one.
 constexpr int FOREVER = -1;        ///< Wait without limit.
 
@@ -222,7 +224,9 @@
 int EpollDispatcher::ActivateSockets(int wait)
 {
 	std::array<epoll_event, EVENTS_AT_ONCE> events{};
+	const auto begun = wait == 0 ? Clock::time_point() : Clock::now();
 	const int count = ::epoll_wait(this->epoll, events.data(), EVENTS_AT_ONCE, wait);
+	this->waited += wait == 0 ? Clock::duration(0) : Clock::now() - begun;
 	int n = 0;
 	for (int i = 0; i < count; i++) {
 		const epoll_event &event = events[static_cast<size_t>(i)];
--- a/src/net/epoll_dispatcher.h
+++ b/src/net/epoll_dispatcher.h
@@ -6,6 +6,7 @@
 #include <QSocketNotifier>
 
 #include <atomic>
+#include <chrono>
 #include <map>
 #include <set>
 #include <unordered_map>
@@ -32,6 +33,9 @@
 	void wakeUp() override;
 	void interrupt() override;
 
+	/** @return Time spent waiting for something to do, so far: what is left of a second is the loop's work. */
+	[[nodiscard]] std::chrono::nanoseconds Waited() const { return this->waited; }
+
 private:
 	/** A timer that repeats until it is taken away. */
 	struct Timer {
@@ -61,6 +65,7 @@
 	std::set<int> changed;                  ///< Descriptors whose wanted events may differ from those that epoll knows.
 	std::map<int, Timer> timers;            ///< By id.
 	std::set<std::pair<qint64, int>> order; ///< Due times and ids.
+	std::chrono::nanoseconds waited{0};     ///< For Waited().
 
 	void TellChanges();
 	void Tell(int fd, Watch &watch, uint32_t wanted) const;
--- a/src/node/metrics_page.cpp
+++ b/src/node/metrics_page.cpp
@@ -27,6 +27,9 @@
 		CounterRow{"starts_refused", &ShardCounters::refused},
 		CounterRow{"starts_unknown", &ShardCounters::unknown},
 		CounterRow{"records_refused", &ShardCounters::records_refused},
+		CounterRow{"rounds", &ShardCounters::rounds},
+		CounterRow{"boxes_walked", &ShardCounters::boxes_walked},
+		CounterRow{"tasks_walked", &ShardCounters::tasks_walked},
 };
 
 int64_t LiveJobs(const Shard &shard)
--- a/src/standin/memory/node_scheduler.h
+++ b/src/standin/memory/node_scheduler.h
@@ -1,11 +1,12 @@
-/** @file node_scheduler.h Clock of one process in memory: it can be killed, paused as by a stopped process, or
- * suspended with its machine. */
+/** @file node_scheduler.h Clock of one process in memory: it can be killed, paused as by a stopped process, suspended
+ * with its machine, or be short of processor time. */
 #ifndef NODE_SCHEDULER_H
 #define NODE_SCHEDULER_H
 
 #include "../../scheduler_type.h"
 
 #include <algorithm>
+#include <deque>
 #include <memory>
 #include <utility>
 
@@ -41,11 +42,16 @@
 		this->slept = this->slept + span;
 	}
 
+	/** What a callback has cost in microseconds of processor time at the node's share of a core, told after each one;
+	 * null when work takes no time. The node stands still for so long. */
+	std::function<double()> take_cost;
 	std::shared_ptr<bool> alive = std::make_shared<bool>(true); ///< False once killed.
 	Millis paused_until;                                        ///< Everything waits until then.
 	bool counts_sleep = true; ///< Whether Now() counts the time for which the machine was suspended.
 
 private:
+	static constexpr double US_PER_MS = 1000; ///< Microseconds in a millisecond.
+
 	/** A timer that is set. */
 	struct Timer {
 		std::function<void()> run; ///< What it runs.
@@ -56,6 +62,8 @@
 	uint64_t last_id = 0;            ///< Last timer handed out.
 	std::map<TimerId, Timer> timers; ///< Timers that are set, also those that wait for a pause to end.
 	Millis slept;                    ///< Time for which the machine was suspended so far.
+	double owed_us = 0;              ///< Time for which the node has yet to stand still.
+	std::deque<TimerId> held;        ///< Timers that came due while it did, in order.
 
 	void Arm(TimerId id, Millis delay)
 	{
@@ -72,13 +80,55 @@
 		if (it == this->timers.end()) {
 			return;
 		}
+		if (this->owed_us >= US_PER_MS || !this->held.empty()) {
+			this->Hold(id);
+			return;
+		}
 		const Millis missed = this->slept - std::exchange(it->second.slept, this->slept);
 		const Millis paused = this->paused_until - this->clock.Now();
 		if (missed > Millis(0) || paused > Millis(0)) {
 			this->Arm(id, std::max(missed, paused));
 			return;
 		}
+		this->Run(it);
+	}
+
+	void Run(std::map<TimerId, Timer>::iterator it)
+	{
 		this->timers.extract(it).mapped().run();
+		if (this->take_cost) {
+			this->owed_us += this->take_cost();
+		}
+	}
+
+	/* One timer of the world serves all that wait: a node that is behind has thousands. */
+	void Hold(TimerId id)
+	{
+		this->held.push_back(id);
+		if (this->held.size() == 1) {
+			this->ServeHeld();
+		}
+	}
+
+	void ServeHeld()
+	{
+		while (!this->held.empty() && this->owed_us < US_PER_MS) {
+			const auto it = this->timers.find(this->held.front());
+			this->held.pop_front();
+			if (it != this->timers.end()) {
+				this->Run(it);
+			}
+		}
+		if (this->held.empty()) {
+			return;
+		}
+		const Millis owed(static_cast<int64_t>(this->owed_us / US_PER_MS));
+		this->owed_us -= static_cast<double>(owed.Value()) * US_PER_MS;
+		this->clock.After(std::max(owed, this->paused_until - this->clock.Now()), [this, still = this->alive] {
+			if (*still) {
+				this->ServeHeld();
+			}
+		});
 	}
 };
 
