--- a/src/net/http_caller.cpp
+++ b/src/net/http_caller.cpp
@@ -12,7 +12,7 @@
 
 } // namespace
 
-class HttpCaller::Pending : public CallEvents {
+class HttpCaller::Pending : public HttpLineEvents {
 public:
 	Pending(HttpCaller &caller, Done done) : done(std::move(done)), caller(caller) {}
 	~Pending() override { this->caller.scheduler.Cancel(this->timer); }
@@ -25,36 +25,31 @@
 		this->address = spec.address;
 		this->timer = this->caller.scheduler.After(spec.patience,
 												   [this, due = this->begun + spec.patience] { this->OnDue(due); });
-		this->call = this->caller.dialer.Start(spec.address, spec.request, *this);
+		this->line = this->caller.lines.Take(spec.address);
+		if (this->line) {
+			this->line->Call(WriteRequest(spec.request, spec.address), *this);
+		}
 	}
 
-	void OnAnswerHead(AnswerHead head) override { this->reply.status = head.status; }
-	void OnAnswerBody(std::string_view data) override { this->reply.body += data; }
-	void OnAnswerEnd() override { this->End(CallResult::CR_ANSWERED); }
-
-	void OnCallFailed(CallFailure failure) override
+	void OnAnswer(int status, std::string body) override
 	{
-		this->End(failure == CallFailure::CF_NOT_CONNECTED ? CallResult::CR_NOT_SENT : CallResult::CR_UNKNOWN);
+		this->reply.status = status;
+		this->reply.body = std::move(body);
+		this->End(CallResult::CR_ANSWERED);
 	}
 
-	/** Cuts the connection, unless the answer is whole. */
-	void Drop()
-	{
-		this->caller.scheduler.Cancel(this->timer);
-		this->call.reset();
-	}
+	void OnFailed(bool sent) override { this->End(sent ? CallResult::CR_UNKNOWN : CallResult::CR_NOT_SENT); }
 
 	Done done;                                        ///< Gets the answer.
 	std::list<std::unique_ptr<Pending>>::iterator at; ///< Its place among those under way.
 
 private:
-	HttpCaller &caller;                 ///< Owns this.
-	std::unique_ptr<EndpointCall> call; ///< The call.
-	HttpReply reply;                    ///< What came so far.
-	TimerId timer;                      ///< Time limit.
-	Millis begun;                       ///< When the call was made.
-	std::string address;                ///< Where it goes.
-	bool ended = false;                 ///< Whether the answer was told.
+	HttpCaller &caller;             ///< Owns this.
+	std::unique_ptr<HttpLine> line; ///< The connection.
+	HttpReply reply;                ///< What came.
+	TimerId timer;                  ///< Time limit.
+	Millis begun;                   ///< When the call was made.
+	std::string address;            ///< Where it goes.
 
 	/* A busy process that took its own delay for lost answers sent its orders again, and was busier by that: an owner
 	 * of 150 boxes then never recovered from a peak. */
@@ -72,25 +67,26 @@
 	 * are closed: otherwise each of six kept ones would cost the next calls their whole time limit. */
 	void GiveUp()
 	{
-		this->caller.dialer.DropIdle(this->address, this->begun);
-		this->End(CallResult::CR_UNKNOWN);
+		this->caller.lines.DropIdle(this->address, this->begun);
+		if (this->line) {
+			this->line->Drop();
+		}
+		this->End(this->line ? CallResult::CR_UNKNOWN : CallResult::CR_NOT_SENT);
 	}
 
 	void End(CallResult result)
 	{
-		/* Answer and time limit may fall due in the same turn of the event loop: the first one counts. */
-		if (std::exchange(this->ended, true)) {
-			return;
-		}
 		this->caller.scheduler.Cancel(this->timer);
-		this->call->Abandon();
+		if (this->line) {
+			this->caller.lines.Keep(this->address, std::move(this->line));
+		}
 		this->reply.result = result;
 		this->reply.took = this->caller.scheduler.Now() - this->begun;
 		this->caller.Finish(this, this->reply);
 	}
 };
 
-HttpCaller::HttpCaller(QtScheduler &scheduler, DialLimits limits) : scheduler(scheduler), dialer(scheduler, limits) {}
+HttpCaller::HttpCaller(QtScheduler &scheduler, DialLimits limits) : scheduler(scheduler), lines(scheduler, limits) {}
 
 HttpCaller::~HttpCaller() = default;
 
@@ -103,14 +99,8 @@
 
 void HttpCaller::Finish(Pending *it, const HttpReply &reply)
 {
-	/* The events of its socket are still on the stack. */
-	this->over.push_back(std::move(*it->at));
+	/* It lives until its caller was told. */
+	const std::unique_ptr<Pending> over = std::move(*it->at);
 	this->open.erase(it->at);
-	if (this->over.size() == 1) {
-		this->scheduler.Post([this] {
-			std::ranges::for_each(this->over, [](const auto &late) { late->Drop(); });
-			this->over.clear();
-		});
-	}
-	it->done(reply);
+	over->done(reply);
 }
--- a/src/net/http_caller.h
+++ b/src/net/http_caller.h
@@ -2,7 +2,7 @@
 #ifndef HTTP_CALLER_H
 #define HTTP_CALLER_H
 
-#include "endpoint_link.h"
+#include "http_line.h"
 
 #include <list>
 
@@ -56,10 +56,9 @@
 	/** A call under way. */
 	class Pending;
 
-	QtScheduler &scheduler;                     ///< Clock and timers.
-	QtDialer dialer;                            ///< Connections.
-	std::list<std::unique_ptr<Pending>> open;   ///< Calls under way.
-	std::vector<std::unique_ptr<Pending>> over; ///< Calls that ended: freed once their sockets' events are over.
+	QtScheduler &scheduler;                   ///< Clock and timers.
+	HttpLines lines;                          ///< Connections.
+	std::list<std::unique_ptr<Pending>> open; ///< Calls under way.
 
 	void Finish(Pending *it, const HttpReply &reply);
 };
--- a/src/net/http_codec.cpp
+++ b/src/net/http_codec.cpp
@@ -16,6 +16,7 @@
 constexpr int STATUS_NO_CONTENT = 204;             ///< No body follows.
 constexpr int STATUS_NOT_MODIFIED = 304;           ///< No body follows.
 constexpr int STATUS_FIRST_FINAL = 200;            ///< Statuses below are interim.
+constexpr size_t HEAD_BYTES = 256;                 ///< Room for a usual request's head.
 constexpr unsigned HTTP_1_1 = 11;                  ///< Version as Beast counts it.
 
 /** Whether a line of a head ends in LF without CR. */
@@ -174,9 +175,15 @@
 /** Beast's response parser with the body passed through. */
 struct AnswerReader::Parser {
 	http::response_parser<http::buffer_body> beast; ///< The parser.
-	std::array<char, BODY_PART> part; ///< Takes body bytes; not cleared, that would cost more than parsing.
 };
 
+namespace {
+
+/** Takes a part of a body until it is passed on: one for all readers of a thread. */
+thread_local std::array<char, BODY_PART> _body_part;
+
+} // namespace
+
 AnswerReader::AnswerReader(bool head_request) : head_request(head_request), parser(std::make_unique<Parser>())
 {
 	this->parser->beast.body_limit(ANY_LENGTH);
@@ -233,16 +240,16 @@
 	auto &beast = this->parser->beast;
 	boost::system::error_code ec;
 	auto &body = beast.get().body();
-	body.data = this->parser->part.data();
-	body.size = this->parser->part.size();
+	body.data = _body_part.data();
+	body.size = _body_part.size();
 	body.more = true;
 	const size_t n = beast.put(boost::asio::buffer(this->buf), ec);
 	this->buf.erase(0, n);
 	if (ec && ec != http::error::need_more && ec != http::error::need_buffer) {
 		return false;
 	}
-	if (const size_t got = this->parser->part.size() - body.size; got > 0) {
-		parts.OnBody(std::string_view(this->parser->part.data(), got));
+	if (const size_t got = _body_part.size() - body.size; got > 0) {
+		parts.OnBody(std::string_view(_body_part.data(), got));
 	}
 	return true;
 }
@@ -283,24 +290,22 @@
 
 std::string WriteRequest(const CallerRequest &request, const std::string &host)
 {
-	http::request<http::string_body> message;
-	message.version(HTTP_1_1);
-	message.method_string(request.method);
-	message.target(request.target);
+	/* Written by hand: a serializer took an owner longer than its socket did. */
+	const bool has_body =
+			!request.body.empty() || request.method == "POST" || request.method == "PUT" || request.method == "PATCH";
+	std::string out;
+	out.reserve(HEAD_BYTES + request.body.size());
+	out.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
 	for (const HeaderField &field : request.headers.fields) {
-		message.insert(field.name, field.value);
+		out.append(field.name).append(": ").append(field.value).append("\r\n");
 	}
-	if (message.count(http::field::host) == 0) {
-		message.set(http::field::host, host);
+	if (request.headers.Find("Host") == nullptr) {
+		out.append("Host: ").append(host).append("\r\n");
 	}
-	message.body() = request.body;
-	const bool has_body =
-			!request.body.empty() || request.method == "POST" || request.method == "PUT" || request.method == "PATCH";
 	if (has_body) {
-		message.content_length(request.body.size());
+		out.append("Content-Length: ").append(std::to_string(request.body.size())).append("\r\n");
 	}
-	http::request_serializer<http::string_body> serializer(message);
-	return Serialize(serializer, false);
+	return out.append("\r\n").append(request.body);
 }
 
 std::string WriteAnswerHead(const AnswerHead &head, BodyFraming framing, bool keep_alive)
