--- a/src/jobs/shard_owner.cpp
+++ b/src/jobs/shard_owner.cpp
@@ -29,10 +29,15 @@
 
 } // namespace
 
-ShardOwner::ShardOwner(const OwnerParts &parts, ShardName name, std::function<bool()> wanted,
+std::string TopicOf(const ServiceName &service)
+{
+	return "keyed.jobs." + service.Value();
+}
+
+ShardOwner::ShardOwner(const OwnerParts &parts, ServiceName service, std::function<bool()> wanted,
 					   std::function<bool()> watches)
-		: parts(parts), name(std::move(name)), wanted(std::move(wanted)), watches(std::move(watches)),
-		  progress(ProgressOf(this->name))
+		: parts(parts), service(std::move(service)), wanted(std::move(wanted)),
+		  watches(std::move(watches)), progress{TopicOf(this->service), PROGRESS_PART}
 {
 }
 
@@ -61,7 +66,7 @@
 													JournalPair{this->progress, SpareOf(this->progress), InboxKeyOf},
 													claimed.number);
 	this->shard = std::make_unique<Shard>(this->parts.scheduler, *this->journal, this->parts.orders, this->parts.events,
-										  this->name.service, FenceToken(claimed.number.epoch), this->parts.limits,
+										  this->service, FenceToken(claimed.number.epoch), this->parts.limits,
 										  this->parts.advisor);
 	if (claimed.released) {
 		this->shard->OtherOwnersFor(claimed.others_for);
@@ -89,8 +94,8 @@
 	std::ranges::for_each(this->reports | std::views::values,
 						  [this](const BoxReport &it) { this->shard->OnReport(it); });
 	std::ranges::for_each(this->gone, [this](const BoxReport &it) { this->shard->KnowGone(it); });
-	this->inbox =
-			std::make_unique<KeyedFollower>(this->parts.scheduler, this->parts.log, InboxOf(this->name), INBOX_PACE);
+	this->inbox = std::make_unique<KeyedFollower>(this->parts.scheduler, this->parts.log,
+												  PartitionId{this->progress.topic, INBOX_PART}, INBOX_PACE);
 	this->inbox->on_record = [this](const KeyedRecord &it) { this->OnInbox(it); };
 	this->inbox->on_loaded = [this] { this->OnLoaded(); };
 	this->inbox->Start();
@@ -177,7 +182,7 @@
 	const ShardCounters &last = this->load_from;
 	const ShardCounters counters = this->shard->Counters();
 	const ShardBacklog backlog = this->shard->Backlog();
-	this->parts.events.Write("owner_load", {{"shard", this->name.Text()},
+	this->parts.events.Write("owner_load", {{"service", this->service.Value()},
 											{"late_ms", std::to_string(this->latest.Value())},
 											{"starts_waiting", std::to_string(backlog.starts_waiting)},
 											{"starts_under_way", std::to_string(backlog.starts_under_way)},
@@ -217,7 +222,7 @@
 
 void ShardOwner::LetGo()
 {
-	this->parts.events.Write("let_go", {{"shard", this->name.Text()}});
+	this->parts.events.Write("let_go", {{"service", this->service.Value()}});
 	this->running = false;
 	/* Claiming again on the old word of the group would fight the new owner: the next join decides. */
 	if (this->on_lost) {
@@ -250,14 +255,9 @@
 	}
 }
 
-bool ShardOwner::Ours(const BoxReport &report) const
-{
-	return report.service == this->name.service && CellOf(report.box, this->parts.cells) == this->name.cell;
-}
-
 void ShardOwner::OnReport(const BoxReport &report)
 {
-	if (!this->Ours(report)) {
+	if (report.service != this->service) {
 		/* A life keeps its service: what names another one now was written by somebody else. */
 		if (this->reports.contains(report.life)) {
 			this->OnReportGone(report.life);
--- a/src/jobs/shard_owner.h
+++ b/src/jobs/shard_owner.h
@@ -4,9 +4,12 @@
 
 #include "../store/keyed_follower.h"
 #include "../store/partition_claim.h"
-#include "cell_func.h"
 #include "shard_base.h"
 
+/** Partition of a service's topic in which the owner records progress. */
+inline constexpr uint32_t PROGRESS_PART = 0;
+/** Partition of a service's topic in which any node records submissions and cancellations. */
+inline constexpr uint32_t INBOX_PART = 1;
 /** Before the id of a job in the key of its cancellation. */
 inline constexpr char CANCEL_MARK = 'x';
 
@@ -16,6 +19,9 @@
  * progress doesn't answer. Behind all digits of ids. */
 inline constexpr char PROGRESS_MARK = 'p';
 
+/** @return Topic of a service. @param service The service. */
+std::string TopicOf(const ServiceName &service);
+
 /** What an owner needs of its node. */
 struct OwnerParts {
 	Scheduler &scheduler;                ///< Clock and timers.
@@ -26,7 +32,6 @@
 	ShardLimits limits;                  ///< Figures.
 	PlacementAdvisor *advisor = nullptr; ///< Knows the policies of routes; null when there is none.
 	std::string group;                   ///< Group of the nodes that may be owners.
-	uint32_t cells = 1;                  ///< Cells that each service has.
 };
 
 /** Ownership of one shard, from the wish to own it on. Destroying it lets go. */
@@ -34,11 +39,12 @@
 public:
 	/**
 	 * @param parts What it needs; outlives this.
-	 * @param name The shard.
+	 * @param service The service.
 	 * @param wanted Whether this node is the one to claim the shard when its owner is gone.
 	 * @param watches Whether it watches the shard's owner beside that one.
 	 */
-	ShardOwner(const OwnerParts &parts, ShardName name, std::function<bool()> wanted, std::function<bool()> watches);
+	ShardOwner(const OwnerParts &parts, ServiceName service, std::function<bool()> wanted,
+			   std::function<bool()> watches);
 	~ShardOwner();
 	ShardOwner(const ShardOwner &) = delete;
 	ShardOwner &operator=(const ShardOwner &) = delete;
@@ -76,7 +82,7 @@
 
 private:
 	OwnerParts parts;                                           ///< What it needs.
-	ShardName name;                                             ///< The shard.
+	ServiceName service;                                        ///< The service.
 	std::function<bool()> wanted;                               ///< Whether this node is to claim.
 	std::function<bool()> watches;                              ///< Whether this node watches the owner.
 	PartitionId progress;                                       ///< Where progress lies.
@@ -105,7 +111,6 @@
 	void LetGo();
 	void KeepConfirmed();
 	void NoteLoad();
-	[[nodiscard]] bool Ours(const BoxReport &report) const;
 };
 
 #endif /* SHARD_OWNER_H */
--- a/src/node/job_desk.cpp
+++ b/src/node/job_desk.cpp
@@ -2,7 +2,6 @@
 #include "job_desk.h"
 
 #include <algorithm>
-#include <ranges>
 
 namespace {
 
@@ -31,22 +30,15 @@
 	}
 }
 
-ShardName JobDesk::ShardOf(const ServiceName &service, const JobId &job) const
-{
-	return ShardName(service, CellOf(job, this->host.Cells()));
-}
-
 void JobDesk::Submit(const JobSpec &spec, const ServiceName &service, Millis deadline, Done done)
 {
-	this->Record(std::make_shared<Pending>(Pending{this->ShardOf(service, spec.id),
-												   KeyedRecord{spec.id.Value(), EncodeSubmission(spec)},
+	this->Record(std::make_shared<Pending>(Pending{service, KeyedRecord{spec.id.Value(), EncodeSubmission(spec)},
 												   this->scheduler.Now(), deadline, false, std::move(done)}));
 }
 
 void JobDesk::Cancel(const JobId &id, const ServiceName &service, Millis deadline, Done done)
 {
-	this->Record(std::make_shared<Pending>(Pending{this->ShardOf(service, id),
-												   KeyedRecord{CANCEL_MARK + id.Value(), std::string("1")},
+	this->Record(std::make_shared<Pending>(Pending{service, KeyedRecord{CANCEL_MARK + id.Value(), std::string("1")},
 												   this->scheduler.Now(), deadline, false, std::move(done)}));
 }
 
@@ -60,7 +52,7 @@
 																 : ResultCode::RC_LOG_UNAVAILABLE);
 							  }
 						  });
-	ShardOwner *owner = this->host.Find(it->shard);
+	ShardOwner *owner = this->host.Find(it->service);
 	if (owner != nullptr && owner->Running() != nullptr) {
 		it->uncertain = true;
 		owner->Accept(it->record, [this, it, still = std::weak_ptr<bool>(this->alive)](ResultCode code) {
@@ -68,7 +60,7 @@
 				this->OnOwner(it, code);
 			}
 		});
-	} else if (this->lookup.Ready(ProgressOf(it->shard))) {
+	} else if (this->lookup.Ready(PartitionId{TopicOf(it->service), PROGRESS_PART})) {
 		this->AskOwner(it);
 	} else {
 		this->TryInbox(it);
@@ -80,15 +72,14 @@
 	const auto make = [it](uint64_t number) {
 		glade::wire::RecordQuestionT out;
 		out.number = number;
-		out.service = it->shard.service.Value();
-		out.cell = it->shard.cell;
+		out.service = it->service.Value();
 		out.key = it->record.key;
 		out.value.assign(it->record.value->begin(), it->record.value->end());
 		return MakeMessage(std::move(out));
 	};
 	it->uncertain = true;
 	this->lookup.Ask(
-			ProgressOf(it->shard), it->record.key, this->scheduler.Now() + OWNER_WAIT, make,
+			PartitionId{TopicOf(it->service), PROGRESS_PART}, it->record.key, this->scheduler.Now() + OWNER_WAIT, make,
 			[this, it, still = std::weak_ptr<bool>(this->alive)](ResultCode code, const MessageUnion *) {
 				if (!still.expired()) {
 					this->OnOwner(it, code);
@@ -113,9 +104,10 @@
 	if (!it->done) {
 		return;
 	}
-	auto &inbox = this->inboxes[it->shard];
+	auto &inbox = this->inboxes[it->service];
 	if (!inbox) {
-		inbox = std::make_unique<InboxWriter>(this->scheduler, this->log, InboxOf(it->shard));
+		inbox = std::make_unique<InboxWriter>(this->scheduler, this->log,
+											  PartitionId{TopicOf(it->service), INBOX_PART});
 	}
 	/* A repeated record changes nothing: the first one of a key counts. So no sequence numbers are needed. */
 	const bool before = std::exchange(it->uncertain, true); /* As long as the append may be under way. */
@@ -154,7 +146,7 @@
 	}
 	this->open--;
 	this->events.Write("recorded", {{"key", it->record.key},
-									{"shard", it->shard.Text()},
+									{"service", it->service.Value()},
 									{"config", std::to_string(this->config.version)},
 									{"code", SymbolOf(code)},
 									{"took_ms", std::to_string((this->scheduler.Now() - it->begun).Value())}});
@@ -163,7 +155,7 @@
 
 JobAnswer JobDesk::AnswerHere(const JobQuestion &question) const
 {
-	const ShardOwner *owner = this->host.Find(ShardName(question.service, question.cell));
+	const ShardOwner *owner = this->host.Find(question.service);
 	const Shard *shard = owner == nullptr ? nullptr : owner->Running();
 	if (shard == nullptr) {
 		return JobAnswer{};
@@ -184,38 +176,6 @@
 }
 
 void JobDesk::Ask(const JobQuestion &question, Millis deadline, std::function<void(const JobAnswer &)> done)
-{
-	if (question.job.Empty()) {
-		this->AskAllCells(question, deadline, std::move(done));
-		return;
-	}
-	JobQuestion asked = question;
-	asked.cell = CellOf(question.job, this->host.Cells());
-	this->AskShard(asked, deadline, std::move(done));
-}
-
-void JobDesk::AskAllCells(const JobQuestion &question, Millis deadline, std::function<void(const JobAnswer &)> done)
-{
-	/* A count is told when all cells have told theirs: one that misses some would be untrue. */
-	struct Sum {
-		uint32_t open;    ///< Cells that have not answered.
-		JobAnswer answer; ///< So far.
-	};
-	const auto sum = std::make_shared<Sum>(Sum{this->host.Cells(), JobAnswer{ResultCode::RC_OK}});
-	for (const uint32_t cell : std::views::iota(0U, this->host.Cells())) {
-		JobQuestion asked = question;
-		asked.cell = cell;
-		this->AskShard(asked, deadline, [sum, done](const JobAnswer &it) {
-			sum->answer.code = it.code == ResultCode::RC_OK ? sum->answer.code : it.code;
-			sum->answer.waiting += it.waiting;
-			if (--sum->open == 0) {
-				done(sum->answer);
-			}
-		});
-	}
-}
-
-void JobDesk::AskShard(const JobQuestion &question, Millis deadline, std::function<void(const JobAnswer &)> done)
 {
 	const JobAnswer here = this->AnswerHere(question);
 	if (here.code != ResultCode::RC_PEER_UNAVAILABLE) {
@@ -228,12 +188,11 @@
 		out.service = question.service.Value();
 		out.route = question.route.Value();
 		out.job = question.job.Value();
-		out.cell = question.cell;
 		return MakeMessage(std::move(out));
 	};
 	const std::string what = question.job.Empty() ? question.route.Value() : question.job.Value();
 	this->lookup.Ask(
-			ProgressOf(ShardName(question.service, question.cell)), what, deadline - ANSWER_MARGIN, make,
+			PartitionId{TopicOf(question.service), PROGRESS_PART}, what, deadline - ANSWER_MARGIN, make,
 			[done = std::move(done)](ResultCode code, const MessageUnion *message) {
 				const auto *in = message == nullptr ? nullptr : message->AsJobAnswer();
 				done(in == nullptr ? JobAnswer{} : JobAnswer{code, static_cast<JobPhase>(in->phase), in->waiting});
--- a/src/node/job_desk.h
+++ b/src/node/job_desk.h
@@ -48,7 +48,7 @@
 private:
 	/** A record until its outcome is known or nobody waits any more. */
 	struct Pending {
-		ShardName shard;        ///< Shard that it is for.
+		ServiceName service;    ///< Service whose shard it is for.
 		KeyedRecord record;     ///< What, as it lies in the inbox.
 		Millis begun;           ///< When the caller asked.
 		Millis deadline;        ///< When the caller stops waiting.
@@ -56,19 +56,16 @@
 		Done done;              ///< Gets the result; null once told.
 	};
 
-	Scheduler &scheduler;                                       ///< Clock and timers.
-	KeyedLog &log;                                              ///< The log.
-	ShardHost &host;                                            ///< Shards of this node.
-	OwnerLookup &lookup;                                        ///< Owners elsewhere.
-	EventLog &events;                                           ///< Lines.
-	JobConfig config;                                           ///< The configuration in force.
-	std::map<ShardName, std::unique_ptr<InboxWriter>> inboxes;  ///< Ways around owners that can't be asked.
-	size_t open = 0;                                            ///< Appends under way.
-	std::shared_ptr<bool> alive = std::make_shared<bool>(true); ///< Expires with this.
+	Scheduler &scheduler;                                        ///< Clock and timers.
+	KeyedLog &log;                                               ///< The log.
+	ShardHost &host;                                             ///< Shards of this node.
+	OwnerLookup &lookup;                                         ///< Owners elsewhere.
+	EventLog &events;                                            ///< Lines.
+	JobConfig config;                                            ///< The configuration in force.
+	std::map<ServiceName, std::unique_ptr<InboxWriter>> inboxes; ///< Ways around owners that can't be asked.
+	size_t open = 0;                                             ///< Appends under way.
+	std::shared_ptr<bool> alive = std::make_shared<bool>(true);  ///< Expires with this.
 
-	[[nodiscard]] ShardName ShardOf(const ServiceName &service, const JobId &job) const;
-	void AskShard(const JobQuestion &question, Millis deadline, std::function<void(const JobAnswer &)> done);
-	void AskAllCells(const JobQuestion &question, Millis deadline, std::function<void(const JobAnswer &)> done);
 	void Record(const std::shared_ptr<Pending> &it);
 	void AskOwner(const std::shared_ptr<Pending> &it);
 	void OnOwner(const std::shared_ptr<Pending> &it, ResultCode code);
--- a/src/node/metrics_page.cpp
+++ b/src/node/metrics_page.cpp
@@ -45,10 +45,8 @@
 					{"ready", core.Ready()},
 					{"appends_open", static_cast<qint64>(core.Desk().Open())}};
 	QJsonArray shards;
-	for (const auto &[name, owner] : core.Host().Owners()) {
-		QJsonObject row{{"service", QString::fromStdString(name.service.Value())},
-						{"cell", static_cast<qint64>(name.cell)},
-						{"running", owner->Running() != nullptr}};
+	for (const auto &[service, owner] : core.Host().Owners()) {
+		QJsonObject row{{"service", QString::fromStdString(service.Value())}, {"running", owner->Running() != nullptr}};
 		if (const Shard *shard = owner->Running(); shard != nullptr) {
 			row["jobs"] = static_cast<qint64>(shard->Jobs().size());
 			row["live"] = static_cast<qint64>(LiveJobs(*shard));
@@ -68,10 +66,9 @@
 {
 	std::string text = "glade_config_version " + std::to_string(this->core.Desk().Config().version) + "\nglade_ready " +
 					   (this->core.Ready() ? "1" : "0") + "\n";
-	for (const auto &[name, owner] : this->core.Host().Owners()) {
+	for (const auto &[service, owner] : this->core.Host().Owners()) {
 		const Shard *shard = owner->Running();
-		const std::string label =
-				"{service=\"" + name.service.Value() + "\",cell=\"" + std::to_string(name.cell) + "\"} ";
+		const std::string label = "{service=\"" + service.Value() + "\"} ";
 		text += "glade_shard_running" + label + (shard == nullptr ? "0" : "1") + "\n";
 		if (shard == nullptr) {
 			continue;
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -180,10 +180,10 @@
 	this->host.OnReportGone(life);
 }
 
-std::optional<PoolStatus> NodeCore::PoolHere(const ShardName &name, const std::set<BoxName> &drain,
+std::optional<PoolStatus> NodeCore::PoolHere(const ServiceName &service, const std::set<BoxName> &drain,
 											 const std::set<BoxName> &due)
 {
-	ShardOwner *owner = this->host.Find(name);
+	ShardOwner *owner = this->host.Find(service);
 	Shard *shard = owner == nullptr ? nullptr : owner->Running();
 	if (shard == nullptr) {
 		return std::nullopt;
@@ -195,45 +195,20 @@
 void NodeCore::Ask(const ServiceName &service, const std::set<BoxName> &drain, const std::set<BoxName> &due,
 				   std::function<void(std::optional<PoolStatus>)> done)
 {
-	/* Part of a pool would look like a pool that is short of boxes: all cells or nothing. */
-	struct Sum {
-		uint32_t open;                    ///< Cells that have not answered.
-		std::optional<PoolStatus> status; ///< So far; none when one couldn't be asked.
-	};
-	const auto sum = std::make_shared<Sum>(Sum{this->host.Cells(), PoolStatus{}});
-	for (const uint32_t cell : std::views::iota(0U, this->host.Cells())) {
-		this->AskCell(ShardName(service, cell), drain, due, [sum, done](const std::optional<PoolStatus> &part) {
-			if (part && sum->status) {
-				std::ranges::copy(part->boxes, std::back_inserter(sum->status->boxes));
-				sum->status->waiting_cpu += part->waiting_cpu;
-			} else {
-				sum->status.reset();
-			}
-			if (--sum->open == 0) {
-				done(sum->status);
-			}
-		});
-	}
-}
-
-void NodeCore::AskCell(const ShardName &shard, const std::set<BoxName> &drain, const std::set<BoxName> &due,
-					   std::function<void(const std::optional<PoolStatus> &)> done)
-{
-	if (const std::optional<PoolStatus> here = this->PoolHere(shard, drain, due); here) {
-		done(here);
+	if (std::optional<PoolStatus> here = this->PoolHere(service, drain, due); here) {
+		done(std::move(here));
 		return;
 	}
-	const auto make = [shard, drain = NamesOf(drain), due = NamesOf(due)](uint64_t number) {
+	const auto make = [service, drain = NamesOf(drain), due = NamesOf(due)](uint64_t number) {
 		glade::wire::PoolQuestionT out;
 		out.number = number;
-		out.service = shard.service.Value();
-		out.cell = shard.cell;
+		out.service = service.Value();
 		out.drain = drain;
 		out.due = due;
 		return MakeMessage(std::move(out));
 	};
-	this->lookup.Ask(ProgressOf(shard), shard.Text(), this->scheduler.Now() + POOL_WAIT, make,
-					 [done = std::move(done)](ResultCode, const MessageUnion *message) {
+	this->lookup.Ask(PartitionId{TopicOf(service), PROGRESS_PART}, service.Value(), this->scheduler.Now() + POOL_WAIT,
+					 make, [done = std::move(done)](ResultCode, const MessageUnion *message) {
 						 const auto *in = message == nullptr ? nullptr : message->AsPoolAnswer();
 						 done(in == nullptr ? std::nullopt : std::optional(StatusOf(*in)));
 					 });
@@ -255,7 +230,7 @@
 void NodeCore::OnJobQuestion(FrameLink &link, const glade::wire::JobQuestionT &in)
 {
 	const JobAnswer answer =
-			this->desk.AnswerHere(JobQuestion{ServiceName(in.service), RouteName(in.route), JobId(in.job), in.cell});
+			this->desk.AnswerHere(JobQuestion{ServiceName(in.service), RouteName(in.route), JobId(in.job)});
 	glade::wire::JobAnswerT out;
 	out.number = in.number;
 	out.code = static_cast<uint32_t>(answer.code);
@@ -272,7 +247,7 @@
 		out.code = static_cast<uint32_t>(code);
 		to.Send(MakeMessage(out));
 	};
-	ShardOwner *owner = this->host.Find(ShardName(ServiceName(in.service), in.cell));
+	ShardOwner *owner = this->host.Find(ServiceName(in.service));
 	if (owner == nullptr || owner->Running() == nullptr || in.key.empty()) {
 		answer(link, ResultCode::RC_PEER_UNAVAILABLE);
 		return;
@@ -291,7 +266,7 @@
 void NodeCore::OnPoolQuestion(FrameLink &link, const glade::wire::PoolQuestionT &in)
 {
 	const std::optional<PoolStatus> status =
-			this->PoolHere(ShardName(ServiceName(in.service), in.cell), BoxesOf(in.drain), BoxesOf(in.due));
+			this->PoolHere(ServiceName(in.service), BoxesOf(in.drain), BoxesOf(in.due));
 	glade::wire::PoolAnswerT out;
 	out.number = in.number;
 	out.code = static_cast<uint32_t>(status ? ResultCode::RC_OK : ResultCode::RC_PEER_UNAVAILABLE);
--- a/src/node/node_core.h
+++ b/src/node/node_core.h
@@ -83,10 +83,8 @@
 	void OnJobQuestion(FrameLink &link, const glade::wire::JobQuestionT &in);
 	void OnPoolQuestion(FrameLink &link, const glade::wire::PoolQuestionT &in);
 	void OnRecordQuestion(FrameLink &link, const glade::wire::RecordQuestionT &in);
-	std::optional<PoolStatus> PoolHere(const ShardName &name, const std::set<BoxName> &drain,
+	std::optional<PoolStatus> PoolHere(const ServiceName &service, const std::set<BoxName> &drain,
 									   const std::set<BoxName> &due);
-	void AskCell(const ShardName &shard, const std::set<BoxName> &drain, const std::set<BoxName> &due,
-				 std::function<void(const std::optional<PoolStatus> &)> done);
 };
 
 #endif /* NODE_CORE_H */
--- a/src/node/owner_lookup.h
+++ b/src/node/owner_lookup.h
@@ -12,7 +12,6 @@
 	ServiceName service; ///< Service whose shard knows.
 	RouteName route;     ///< The route, for a count.
 	JobId job;           ///< The job; empty for a count.
-	uint32_t cell = 0;   ///< Cell of the service that is asked.
 };
 
 /** Answer to a JobQuestion. */
--- a/src/node/shard_host.cpp
+++ b/src/node/shard_host.cpp
@@ -17,7 +17,7 @@
 
 } // namespace
 
-std::optional<uint32_t> PartitionOf(const JobConfig &config, const ShardName &shard, uint32_t partitions)
+std::optional<uint32_t> PartitionOf(const JobConfig &config, const ServiceName &service, uint32_t partitions)
 {
 	std::vector<ServiceName> names;
 	for (const JobService &it : config.services) {
@@ -26,13 +26,12 @@
 		}
 	}
 	std::ranges::sort(names);
-	const auto it = std::ranges::find(names, shard.service);
+	const auto it = std::ranges::find(names, service);
 	if (it == names.end()) {
 		return std::nullopt;
 	}
-	const size_t cells = CellsOf(partitions);
-	const size_t place = static_cast<size_t>(std::distance(names.begin(), it)) * cells + shard.cell;
-	return static_cast<uint32_t>(place * partitions / (names.size() * cells));
+	const auto place = static_cast<size_t>(std::distance(names.begin(), it));
+	return static_cast<uint32_t>(place * partitions / names.size());
 }
 
 uint32_t WatcherOf(uint32_t part, uint32_t partitions)
@@ -43,7 +42,6 @@
 ShardHost::ShardHost(OwnerParts parts, GroupMember &member, SiteFeed &feed, uint32_t partitions)
 		: parts(std::move(parts)), member(member), feed(feed), partitions(partitions)
 {
-	this->parts.cells = CellsOf(partitions);
 }
 
 void ShardHost::Configure(const JobConfig &config)
@@ -53,15 +51,15 @@
 	this->OnMembership();
 }
 
-bool ShardHost::Dealt(const ShardName &shard) const
+bool ShardHost::Dealt(const ServiceName &service) const
 {
-	const std::optional<uint32_t> part = PartitionOf(this->config, shard, this->partitions);
+	const std::optional<uint32_t> part = PartitionOf(this->config, service, this->partitions);
 	return part && this->member.Holds(*part);
 }
 
-bool ShardHost::Watched(const ShardName &shard) const
+bool ShardHost::Watched(const ServiceName &service) const
 {
-	const std::optional<uint32_t> part = PartitionOf(this->config, shard, this->partitions);
+	const std::optional<uint32_t> part = PartitionOf(this->config, service, this->partitions);
 	/* One that owns something is not to get a second queue by watching: with 1,100 boxes a node that had two fell
 	 * behind for 12 s of a peak (one day played twice). */
 	return part && this->member.Holds(WatcherOf(*part, this->partitions)) && this->Claimed() == 0;
@@ -76,43 +74,31 @@
 size_t ShardHost::KeepMost() const
 {
 	const auto services = std::ranges::count(this->config.services, false, &JobService::reserve);
-	const size_t shards = static_cast<size_t>(services) * this->parts.cells;
-	const size_t share = shards * this->member.Count() / this->partitions;
+	const size_t share = static_cast<size_t>(services) * this->member.Count() / this->partitions;
 	return std::max(KEEP_AT_LEAST, share + 1);
 }
 
-std::vector<ShardName> ShardHost::Shards() const
-{
-	std::vector<ShardName> out;
-	for (const JobService &service : this->config.services) {
-		for (const uint32_t cell : std::views::iota(0U, this->parts.cells)) {
-			out.emplace_back(service.name, cell);
-		}
-	}
-	return out;
-}
-
 void ShardHost::OnMembership()
 {
 	size_t owned = this->Claimed();
 	const Millis now = this->parts.scheduler.Now();
 	const bool look = this->member.TakesPart() && now - this->looked_at >= LOOK_EVERY;
 	this->looked_at = look && !this->config.services.empty() ? now : this->looked_at;
-	for (const ShardName &shard : this->Shards()) {
-		const bool dealt = this->Dealt(shard);
-		const bool wanted = dealt || this->Watched(shard);
-		const auto it = this->owners.find(shard);
+	for (const JobService &service : this->config.services) {
+		const bool dealt = this->Dealt(service.name);
+		const bool wanted = dealt || this->Watched(service.name);
+		const auto it = this->owners.find(service.name);
 		if (it == this->owners.end()) {
-			if (wanted || (look && !this->config.FindService(shard.service)->reserve)) {
-				this->Begin(shard);
+			if (wanted || (look && !service.reserve)) {
+				this->Begin(service.name);
 			}
 		} else if (!wanted && it->second->Waiting()) {
 			this->owners.erase(it);
 		} else if (!dealt && it->second->Claimed() && (this->member.StandsBy() || owned > this->KeepMost())) {
 			/* A member that only was missed for a moment goes on owning: who comes after it would have to claim first.
 			 */
-			this->parts.events.Write("shard_handed_over", {{"shard", shard.Text()}});
-			this->Release(shard);
+			this->parts.events.Write("shard_handed_over", {{"service", service.name.Value()}});
+			this->Release(service.name);
 			owned--;
 		}
 	}
@@ -125,28 +111,28 @@
 	}
 }
 
-void ShardHost::Begin(const ShardName &shard)
+void ShardHost::Begin(const ServiceName &service)
 {
 	auto owner = std::make_unique<ShardOwner>(
-			this->parts, shard, [this, shard] { return this->Dealt(shard); },
-			[this, shard] { return this->Watched(shard); });
-	owner->on_lost = [this, shard] {
+			this->parts, service, [this, service] { return this->Dealt(service); },
+			[this, service] { return this->Watched(service); });
+	owner->on_lost = [this, service] {
 		/* Not from inside the owner's own call. The record tells whether another owner came. */
-		this->parts.scheduler.After(Millis(0), [this, shard] {
-			this->owners.erase(shard);
-			this->Begin(shard);
+		this->parts.scheduler.After(Millis(0), [this, service] {
+			this->owners.erase(service);
+			this->Begin(service);
 		});
 	};
 	owner->Configure(this->config);
 	std::ranges::for_each(this->reports | std::views::values, [&owner](const BoxReport &it) { owner->OnReport(it); });
 	std::ranges::for_each(this->gone, [&owner](const BoxReport &it) { owner->KnowGone(it); });
 	owner->Start();
-	this->owners.emplace(shard, std::move(owner));
+	this->owners.emplace(service, std::move(owner));
 }
 
-void ShardHost::Release(const ShardName &shard)
+void ShardHost::Release(const ServiceName &service)
 {
-	auto node = this->owners.extract(shard);
+	auto node = this->owners.extract(service);
 	node.mapped()->Release([this, owner = node.mapped().get()] {
 		this->parts.scheduler.After(Millis(0), [this, owner] {
 			std::erase_if(this->releasing, [owner](const auto &it) { return it.get() == owner; });
@@ -176,18 +162,18 @@
 void ShardHost::Clear()
 {
 	while (!this->owners.empty()) {
-		this->Release(ShardName(this->owners.begin()->first));
+		this->Release(ServiceName(this->owners.begin()->first));
 	}
 	this->feed.WatchBoxes(false);
 }
 
-const ShardOwner *ShardHost::Find(const ShardName &shard) const
+const ShardOwner *ShardHost::Find(const ServiceName &service) const
 {
-	const auto it = this->owners.find(shard);
+	const auto it = this->owners.find(service);
 	return it == this->owners.end() ? nullptr : it->second.get();
 }
 
-ShardOwner *ShardHost::Find(const ShardName &shard)
+ShardOwner *ShardHost::Find(const ServiceName &service)
 {
-	return const_cast<ShardOwner *>(std::as_const(*this).Find(shard));
+	return const_cast<ShardOwner *>(std::as_const(*this).Find(service));
 }
--- a/src/node/shard_host.h
+++ b/src/node/shard_host.h
@@ -13,13 +13,13 @@
 inline constexpr const char *NODE_TOPIC = "shards";
 
 /**
- * Number of the partition that stands for a shard.
- * @param config The configuration: shards are spread evenly, since the group deals neighbours to one member.
- * @param shard The shard.
+ * Number of the partition that stands for a service's shard.
+ * @param config The configuration: services are spread evenly, since the group deals neighbours to one member.
+ * @param service The service.
  * @param partitions Partitions of a topic.
  * @return The partition, or nothing when the service is not configured or runs no jobs.
  */
-std::optional<uint32_t> PartitionOf(const JobConfig &config, const ShardName &shard, uint32_t partitions);
+std::optional<uint32_t> PartitionOf(const JobConfig &config, const ServiceName &service, uint32_t partitions);
 
 /**
  * Number of the partition whose member watches the owner of a shard. It stands for no shard itself: services are spread
@@ -52,34 +52,31 @@
 	/** Lets go of everything. */
 	void Clear();
 
-	/** @return The owner of a shard here, or null. @param shard The shard. */
-	[[nodiscard]] const ShardOwner *Find(const ShardName &shard) const;
-	/** @return The same, to be asked to do something. @param shard The shard. */
-	ShardOwner *Find(const ShardName &shard);
+	/** @return The owner of a service here, or null. @param service The service. */
+	[[nodiscard]] const ShardOwner *Find(const ServiceName &service) const;
+	/** @return The same, to be asked to do something. @param service The service. */
+	ShardOwner *Find(const ServiceName &service);
 	/** @return All owners here. */
-	[[nodiscard]] const std::map<ShardName, std::unique_ptr<ShardOwner>> &Owners() const { return this->owners; }
-	/** @return Number of cells of each service. */
-	[[nodiscard]] uint32_t Cells() const { return this->parts.cells; }
+	[[nodiscard]] const std::map<ServiceName, std::unique_ptr<ShardOwner>> &Owners() const { return this->owners; }
 
 private:
-	OwnerParts parts;                                        ///< What owners need.
-	GroupMember &member;                                     ///< This node's part in the group.
-	SiteFeed &feed;                                          ///< For boxes' reports.
-	uint32_t partitions;                                     ///< Partitions of a topic.
-	JobConfig config;                                        ///< The configuration in force.
-	std::map<BoxLife, BoxReport> reports;                    ///< Boxes' reports.
-	std::deque<BoxReport> gone;                              ///< Last reports of lives whose report has gone.
-	std::map<ShardName, std::unique_ptr<ShardOwner>> owners; ///< Shards owned, being claimed, or waited for.
-	Millis looked_at{-1000000};                              ///< When the owners of all services were last looked at.
-	std::vector<std::unique_ptr<ShardOwner>> releasing;      ///< Shards being let go.
+	OwnerParts parts;                                          ///< What owners need.
+	GroupMember &member;                                       ///< This node's part in the group.
+	SiteFeed &feed;                                            ///< For boxes' reports.
+	uint32_t partitions;                                       ///< Partitions of a topic.
+	JobConfig config;                                          ///< The configuration in force.
+	std::map<BoxLife, BoxReport> reports;                      ///< Boxes' reports.
+	std::deque<BoxReport> gone;                                ///< Last reports of lives whose report has gone.
+	std::map<ServiceName, std::unique_ptr<ShardOwner>> owners; ///< Shards owned, being claimed, or waited for.
+	Millis looked_at{-1000000};                                ///< When the owners of all services were last looked at.
+	std::vector<std::unique_ptr<ShardOwner>> releasing;        ///< Shards being let go.
 
-	[[nodiscard]] bool Dealt(const ShardName &shard) const;
-	[[nodiscard]] bool Watched(const ShardName &shard) const;
-	[[nodiscard]] std::vector<ShardName> Shards() const;
+	[[nodiscard]] bool Dealt(const ServiceName &service) const;
+	[[nodiscard]] bool Watched(const ServiceName &service) const;
 	[[nodiscard]] size_t Claimed() const;
 	[[nodiscard]] size_t KeepMost() const;
-	void Begin(const ShardName &shard);
-	void Release(const ShardName &shard);
+	void Begin(const ServiceName &service);
+	void Release(const ServiceName &service);
 };
 
 #endif /* SHARD_HOST_H */
