Starts whose record took a second or more wait until the inbox was read

Cause: the owner's way to the store was cut; another node wrote the cancellation to the inbox; when the way came back the owner's append got through first, and its orders left before it had read the inbox.

--- a/src/jobs/shard_base.h
+++ b/src/jobs/shard_base.h
@@ -97,6 +97,8 @@
 	[[nodiscard]] const ShardJobs &Jobs() const { return this->jobs; }
 
 	std::function<void()> on_deposed; ///< A box has seen a higher token. Called last in a turn.
+	/** Reads what lies in the inbox by now, and calls back once that has been told. Null when there is no inbox. */
+	std::function<void(std::function<void()>)> read_inbox;
 
 private:
 	/** A start order that waits for its record. */
@@ -118,6 +120,7 @@
 		std::map<BoxLife, uint64_t> ends;  ///< Ends that boxes may forget, up to these numbers.
 		std::map<JobId, JobPhase> phases;  ///< Phases of the jobs recorded.
 		std::vector<IncomingRecord> taken; ///< Callers' records that it takes along.
+		Millis made_at;                    ///< When it was handed to the journal.
 	};
 
 	Scheduler &scheduler;                        ///< Clock and timers.
@@ -151,6 +154,7 @@
 	std::vector<PendingStop> stops;              ///< Stops for planned work to send once recorded.
 	std::deque<PendingStart> recorded_starts;    ///< Recorded ones that wait for their turn to be sent.
 	size_t starts_under_way = 0;                 ///< Start orders without answer.
+	bool starts_held = false;                    ///< Whether recorded starts wait for the inbox to be read.
 	Millis look_gap;                             ///< Least time between two lease orders to a box.
 	uint64_t last_look = 0;                      ///< Number of the last answered lease order.
 	Millis boxes_seen_at{-1000000};              ///< When SeeToBoxes() last went through the boxes.
@@ -185,6 +189,7 @@
 	void Commit();
 	[[nodiscard]] Batch TakeBatch(std::vector<KeyedRecord> &records);
 	void OnCommitted(const Batch &batch);
+	void HoldStarts();
 	void NoteRecorded(const IncomingRecord &incoming);
 	void OnRefused(const Batch &batch);
 	void Forget(const JobId &id);
--- a/src/jobs/shard_owner.cpp
+++ b/src/jobs/shard_owner.cpp
@@ -99,6 +99,7 @@
 	this->inbox->on_record = [this](const KeyedRecord &it) { this->OnInbox(it); };
 	this->inbox->on_loaded = [this] { this->OnLoaded(); };
 	this->inbox->Start();
+	this->shard->read_inbox = [this](std::function<void()> done) { this->inbox->ReadNow(std::move(done)); };
 }
 
 void ShardOwner::RestoreProgress(const std::string &key, const JobId &id, const std::string &bytes)
--- a/src/jobs/shard_place.cpp
+++ b/src/jobs/shard_place.cpp
@@ -242,7 +242,7 @@
 
 void Shard::PumpStarts()
 {
-	while (this->starts_under_way < STARTS_MOST && !this->recorded_starts.empty()) {
+	while (!this->starts_held && this->starts_under_way < STARTS_MOST && !this->recorded_starts.empty()) {
 		const PendingStart next = this->recorded_starts.front();
 		this->recorded_starts.pop_front();
 		this->SendStart(next);
--- a/src/jobs/shard_records.cpp
+++ b/src/jobs/shard_records.cpp
@@ -13,7 +13,10 @@
 /** After the log has refused what was to be recorded, callers' records are refused at once for so long, and nothing is
  * placed: two of its refusals. */
 constexpr Millis REFUSED_FOR(200);
-constexpr Millis LOG_AWAY(1600); ///< An owner that was confirmed longer ago takes nothing to be recorded.
+/** Starts whose record took so long wait until the inbox was read. A slow store takes 600 ms. */
+constexpr Millis RECORD_LATE(1000);
+constexpr Millis INBOX_WAIT(600); ///< The same at most: an inbox that says nothing must not hold up a queue.
+constexpr Millis LOG_AWAY(1600);  ///< An owner that was confirmed longer ago takes nothing to be recorded.
 
 } // namespace
 
@@ -91,6 +94,7 @@
 {
 	/* No append is under way, so all that was taken in is either recorded or among the dirty jobs. */
 	Batch batch;
+	batch.made_at = this->scheduler.Now();
 	this->counters.boxes_walked += this->boxes.size();
 	for (const auto &[life, box] : this->boxes) {
 		if (box.ends_seen > box.ends_durable) {
@@ -157,6 +161,9 @@
 		job.durable_phase = phase;
 	}
 	std::ranges::copy(batch.starts, std::back_inserter(this->recorded_starts));
+	if (this->scheduler.Now() - batch.made_at >= RECORD_LATE) {
+		this->HoldStarts();
+	}
 	this->PumpStarts();
 	std::ranges::for_each(batch.stops, [this](const PendingStop &it) { this->OnStopRecorded(it); });
 	for (const auto &[life, number] : batch.ends) {
@@ -171,6 +178,21 @@
 	}
 }
 
+void Shard::HoldStarts()
+{
+	/* While this owner's way to the log was cut, other nodes may have confirmed cancellations by the inbox. */
+	if (!this->read_inbox || this->recorded_starts.empty() || std::exchange(this->starts_held, true)) {
+		return;
+	}
+	const auto go_on = [this, still = std::weak_ptr<bool>(this->alive)] {
+		if (!still.expired() && std::exchange(this->starts_held, false)) {
+			this->PumpStarts();
+		}
+	};
+	this->scheduler.After(INBOX_WAIT, go_on);
+	this->read_inbox(go_on);
+}
+
 void Shard::NoteRecorded(const IncomingRecord &incoming)
 {
 	if (const auto it = this->jobs.find(incoming.id); it != this->jobs.end() && incoming.spec) {
--- a/src/store/keyed_follower.cpp
+++ b/src/store/keyed_follower.cpp
@@ -114,6 +114,19 @@
 	this->Later(this->pace.pause, &KeyedFollower::ReadOn);
 }
 
+void KeyedFollower::ReadNow(std::function<void()> done)
+{
+	this->log.Read(
+			this->partition, this->next, Millis(0),
+			[this, done = std::move(done), still = std::weak_ptr<bool>(this->alive)](const KeyedReadAnswer &answer) {
+				if (still.expired() || answer.code != ResultCode::RC_OK) {
+					return;
+				}
+				std::ranges::for_each(answer.records, [this](const KeyedRecord &it) { this->Tell(it); });
+				done();
+			});
+}
+
 void KeyedFollower::Tell(const KeyedRecord &record)
 {
 	if (record.value) {
--- a/src/store/keyed_follower.h
+++ b/src/store/keyed_follower.h
@@ -37,6 +37,10 @@
 	/** Begins. */
 	void Start();
 
+	/** Reads without waiting what has been appended by now; what comes is told as always, perhaps twice. @param done
+	 * Called once it was told; never when it couldn't be read. */
+	void ReadNow(std::function<void()> done);
+
 	/** @return Whether the newest records were told once. */
 	[[nodiscard]] bool Loaded() const { return this->loaded; }
 
