--- a/src/jobs/shard_base.h
+++ b/src/jobs/shard_base.h
@@ -196,9 +196,9 @@
 
 	/* shard_rank.cpp */
 	[[nodiscard]] std::vector<ShardJob *> JobsInOrder();
-	[[nodiscard]] JobRank RankOf(const ShardJob &job) const;
+	[[nodiscard]] static JobRank RankOf(const ShardJob &job, Millis wall_now);
 	[[nodiscard]] double RunTimeOf(const ShardJob &job, const StepSpec &step) const;
-	void RefreshOutlook(ShardJob &job) const;
+	void RefreshOutlook(ShardJob &job, Millis now) const;
 	[[nodiscard]] JobOutlook MakeOutlook(const ShardJob &job) const;
 	[[nodiscard]] bool StepReady(const ShardJob &job, uint32_t occurrence, uint32_t step) const;
 	[[nodiscard]] bool Due(const ShardJob &job, uint32_t occurrence) const;
--- a/src/jobs/shard_drain.cpp
+++ b/src/jobs/shard_drain.cpp
@@ -120,7 +120,7 @@
 		}
 	}
 	for (ShardJob *job : this->live | std::views::values) {
-		this->RefreshOutlook(*job);
+		this->RefreshOutlook(*job, now);
 		out.waiting_cpu += job->outlook.ready_cpu;
 	}
 	return out;
--- a/src/jobs/shard_rank.cpp
+++ b/src/jobs/shard_rank.cpp
@@ -67,21 +67,21 @@
 	return out;
 }
 
-void Shard::RefreshOutlook(ShardJob &job) const
+void Shard::RefreshOutlook(ShardJob &job, Millis now) const
 {
-	const Millis age = this->scheduler.Now() - job.outlook.made_at;
+	const Millis age = now - job.outlook.made_at;
 	if (job.outlook.stale || age >= (job.spec.repeats > 0 ? OUTLOOK_TIMED : OUTLOOK_FOR)) {
 		job.outlook = this->MakeOutlook(job);
 	}
 }
 
-JobRank Shard::RankOf(const ShardJob &job) const
+JobRank Shard::RankOf(const ShardJob &job, Millis wall_now)
 {
 	const JobOutlook &outlook = job.outlook;
 	JobRank rank;
 	rank.priority = job.route.priority;
 	rank.waiting_work = outlook.waiting_work;
-	const auto age = static_cast<double>((this->scheduler.WallNow() - job.spec.begun).Value());
+	const auto age = static_cast<double>((wall_now - job.spec.begun).Value());
 	const double objective = job.route.stretch * outlook.chain_all + static_cast<double>(job.route.headroom.Value());
 	if (outlook.lasting) {
 		rank.hope = JobHope::JH_LASTING;
@@ -96,10 +96,13 @@
 std::vector<ShardJob *> Shard::JobsInOrder()
 {
 	std::vector<std::pair<JobRank, ShardJob *>> order;
+	/* The clocks are read once for all: there are some hundred jobs a round. */
+	const Millis now = this->scheduler.Now();
+	const Millis wall_now = this->scheduler.WallNow();
 	for (ShardJob *job : this->live | std::views::values) {
-		this->RefreshOutlook(*job);
+		this->RefreshOutlook(*job, now);
 		if (job->outlook.waiting_work > 0) {
-			order.emplace_back(this->RankOf(*job), job);
+			order.emplace_back(RankOf(*job, wall_now), job);
 		}
 	}
 	std::ranges::stable_sort(order, {}, [](const auto &it) { return it.first; });
