--- a/tests/test_event_loop.cpp
+++ b/tests/test_event_loop.cpp
@@ -175,3 +175,14 @@
 	CHECK(RunUntil([&] { return closed == SOCKETS; }));
 	CHECK(std::ranges::count(back, BYTES) == SOCKETS);
 }
+
+TEST_CASE("event loop: the time spent waiting is told")
+{
+	const auto *loop = dynamic_cast<EpollDispatcher *>(QCoreApplication::eventDispatcher());
+	REQUIRE(loop != nullptr);
+	const auto before = loop->Waited();
+	bool rung = false;
+	QTimer::singleShot(50, [&rung] { rung = true; });
+	CHECK(RunUntil([&rung] { return rung; }));
+	CHECK(loop->Waited() > before);
+}
