--- a/src/jobs/job_id.h
+++ b/src/jobs/job_id.h
@@ -10,7 +10,7 @@
 
 /**
  * Id of a job as its caller wrote it, up to 16 characters; what is longer names no job and reads as empty. An owner
- * compares and copies ids for each run and each box: as text they took a third of its processor time.
+ * compares and copies ids for each run of each box, which as text takes memory and time each time.
  */
 class JobId {
 public:
--- a/src/jobs/shard_boxes.cpp
+++ b/src/jobs/shard_boxes.cpp
@@ -16,12 +16,10 @@
 constexpr Millis LOSSY_FOR(5000); ///< Answers of a box are taken to get lost for so long after two were.
 /** Least time between two lease orders to a box: ends are taken in together. It grows with the boxes that run
  * something, so that an owner sends LOOKS_MOST a second to them at most while none waits for its end longer than
- * LOOK_GAP_MOST. Together with IDLE_WAIT, on a day with 1,100 boxes and processors that were short (one run each):
- * 102,765 lease orders became 86,928, the busiest node's 0.162 cores 0.138, the share of jobs served 0.827 became
- * 0.934. */
+ * LOOK_GAP_MOST. */
 constexpr Millis LOOK_GAP(25);
 constexpr Millis LOOK_GAP_MOST(100); ///< The same for many boxes: a step ends 50 ms later on average.
-constexpr int64_t LOOKS_MOST = 600;  ///< Lease orders a second to boxes that run something; chosen, not tuned.
+constexpr int64_t LOOKS_MOST = 600;  ///< Lease orders a second to boxes that run something.
 constexpr Millis IDLE_WAIT(2000);    ///< A box that runs nothing of ours may hold its answer back: the most boxes take.
 constexpr Millis
 		UNRECORDED_GAP(700); ///< Next lease order while ends can't be recorded: the box answers at once each time.
--- a/src/jobs/shard_crashes.cpp
+++ b/src/jobs/shard_crashes.cpp
@@ -5,11 +5,6 @@
  * started again on boxes that take nothing else until they have answered after it, and a job fails when two boxes have
  * crashed under one of its tasks and it was the last start of the second, or when four have. A lasting task is only not
  * started any more after four: the others of its job may be at work, and to stop them would take them away, too.
- *
- * Sixteen days in memory (24 ordinary jobs on four boxes; none, one, four or eight such tasks; owners killed, boxes
- * that crash by themselves, both, neither): 158 boxes crashed, all such tasks were given up and no ordinary job failed;
- * with lost runs not counted 269 boxes crashed and 76 of 384 ordinary jobs were never done. Giving up at two crashes of
- * any kind: 122 and 32. By the same evidence, but without boxes kept free of other starts: 150 and 15.
  */
 #include "shard_base.h"
 
@@ -31,8 +26,7 @@
 /** With so many, also possible ones, any task is given up: after three crashes it may be started twice more (the
  * platform's rules), and one crash of each may have gone uncounted. */
 constexpr uint32_t CRASHES_MOST = 4;
-/** One box of so many may be on trial at a time. With one of three, ordinary jobs of the days above were done later
- * while boxes crashed by themselves. */
+/** One box of so many may be on trial at a time: with fewer, ordinary jobs wait while boxes crash by themselves. */
 constexpr size_t BOXES_A_TRIAL = 2;
 /** A task that only one box may have crashed under waits so long for a trial, then starts like others: a job whose
  * turn has come is to run within 3 s (the platform's rules). */
--- a/src/jobs/shard_place.cpp
+++ b/src/jobs/shard_place.cpp
@@ -11,8 +11,8 @@
 constexpr Millis AVOID_BUSY(1000);   ///< A box that is unhealthy or can't be reached is tried again after this.
 /** A start without an answer is repeated after this part of the time since it was placed: 0.09 s after the first. */
 constexpr int64_t START_AGAIN_PART = 4;
-/** Start orders under way at once: 1,500 a second are answered with about 15. A node that falls behind keeps the others
- * to itself, where they don't run out of time. */
+/** Start orders under way at once. A node that falls behind keeps the others to itself, where they don't run out of
+ * time. */
 constexpr size_t STARTS_MOST = 100;
 /** A start is repeated for so long before the task goes elsewhere: with four answers of ten lost, 98 of 100 starts are
  * answered by the fourth try. */
@@ -370,9 +370,8 @@
 		this->WantPlannedStop(id, task, "start_unanswered");
 		return;
 	}
-	/* The same run is ordered again: a box that has it already only says so. Against 40% of orders unanswered and done
-	 * seconds later, served rose from 0.21 to 0.31 (12 days under that load); and no run that has come to work
-	 * unseen is stopped while others of its step are away. */
+	/* The same run is ordered again: a box that has it already only says so, and no run that has come to work unseen
+	 * is stopped while others of its step are away. */
 	const Millis pause((this->scheduler.Now() - task.since).Value() / START_AGAIN_PART);
 	this->scheduler.After(pause, [this, start = PendingStart{id, task.run}, still = std::weak_ptr<bool>(this->alive)] {
 		if (!still.expired()) {
--- a/src/jobs/shard_type.h
+++ b/src/jobs/shard_type.h
@@ -151,8 +151,8 @@
 	bool strangers = false;         ///< It runs something that this shard has not placed.
 	Resources used;                 ///< Taken by the tasks placed there.
 	std::set<TaskId> placed;        ///< Tasks placed there.
-	/** Those of them that were suspects when they were placed: rounds look at these alone. With a look at each task
-	 * placed, an owner of 600 boxes spent a quarter of its time there. */
+	/** Those of them that were suspects when they were placed: rounds look at these alone, since a look at each task
+	 * placed grows with boxes times rounds. */
 	std::set<TaskId> suspects;
 	TimerId timer; ///< Next lease order.
 };
--- a/src/net/endpoint_link.cpp
+++ b/src/net/endpoint_link.cpp
@@ -271,17 +271,6 @@
 	QObject::connect(socket, &QTcpSocket::disconnected, socket, forget);
 }
 
-void QtDialer::DropIdle(const std::string &address, Millis since)
-{
-	std::erase_if(this->idle[address], [since](const Idle &it) {
-		const bool drop = it.since <= since;
-		if (drop) {
-			Discard(it.socket);
-		}
-		return drop;
-	});
-}
-
 std::unique_ptr<EndpointCall> QtDialer::Start(const std::string &address, const CallerRequest &request,
 											  CallEvents &events)
 {
--- a/src/net/endpoint_link.h
+++ b/src/net/endpoint_link.h
@@ -37,13 +37,6 @@
 	 */
 	void Keep(const std::string &address, QTcpSocket *socket);
 
-	/**
-	 * Closes idle connections that have carried nothing for a while.
-	 * @param address Their endpoint.
-	 * @param since Those that are idle since then or longer.
-	 */
-	void DropIdle(const std::string &address, Millis since);
-
 	/** @return Limits. */
 	[[nodiscard]] const DialLimits &Limits() const { return this->limits; }
 
--- a/src/store/group_member.cpp
+++ b/src/store/group_member.cpp
@@ -9,7 +9,7 @@
 constexpr int64_t JOINS_PER_SILENCE = 3; ///< Joins within the time after which a silent member is out: two may be lost.
 constexpr Millis JOIN_AGAIN(100);    ///< After a join that failed: the time in which a silent member is out runs on.
 constexpr int64_t MUCH_STRONGER = 2; ///< A node stands by for one with so many times its processor time.
-/** A node stands by for so many stronger ones at least: measured with one, which then has all shards and falls behind.
+/** A node stands by for so many stronger ones at least: a single one would have all shards and fall behind.
  */
 constexpr size_t STRONG_ENOUGH = 3;
 /** Nodes that know of stronger ones take part while fewer hold the partitions. At most half: of strong ones that come
--- a/src/upkeep/fleet_view.h
+++ b/src/upkeep/fleet_view.h
@@ -17,8 +17,8 @@
 };
 
 /**
- * Finds machines and boxes of a view by name. Made once a look: with a search through all machines for each box, a wave
- * over half of 1,200 boxes cost the fleet's holder most of its time.
+ * Finds machines and boxes of a view by name. Made once a look, since a search through all machines for each box
+ * grows with boxes times boxes.
  */
 class FleetIndex {
 public:
--- a/src/upkeep/pool_desk.h
+++ b/src/upkeep/pool_desk.h
@@ -13,9 +13,8 @@
 	double used_headroom = 1.15; ///< Room kept above what runs.
 	Millis ahead = Millis(1800); ///< What a pool asks for is extrapolated so far: a move takes 1.5 s and more.
 	double floor_share = 0.4;    ///< A pool keeps this part of an even share of all boxes, for a sudden start.
-	/** A box goes to the reserve when no pool has needed it for so long: peaks come by turns, about 40 s apart. Sent
-	 * there after 2.5 s without need, boxes were fetched again for the next peak: 278 moves a quiet day instead of 125,
-	 * and mean worth of days with trouble 0.358 instead of 0.375 (20 runs each; 6 and 12 s: 0.348, 0.349). */
+	/** A box goes to the reserve when no pool has needed it for so long: peaks come by turns, about 40 s apart, and
+	 * what was sent away is fetched again for the next one. */
 	Millis unneeded_for = Millis(90000);
 	Millis empty_within = Millis(1500); ///< A box that isn't empty by then is not moved after all.
 	Millis move_within = Millis(6000);  ///< A move that isn't seen to end by then is no longer counted on.
