--- a/src/bench/main.cpp
+++ b/src/bench/main.cpp
@@ -12,7 +12,7 @@
 constexpr const char *USAGE = R"(glade_bench: measures glademount and prints JSON lines
 
 Usage:
-  glade_bench (maintain|optimum|fold|jobs|config|overload|slots|proxy|capacity) [options]
+  glade_bench (maintain|optimum|fold|jobs|config|overload|slots|proxy|fleet|capacity) [options]
   glade_bench (-h | --help)
   glade_bench --version
 
@@ -36,7 +36,7 @@
 								 BenchEntry{"fold", RunFoldBench},         BenchEntry{"jobs", RunJobsBench},
 								 BenchEntry{"config", RunConfigBench},     BenchEntry{"overload", RunOverloadBench},
 								 BenchEntry{"slots", RunSlotsBench},       BenchEntry{"proxy", RunProxyBench},
-								 BenchEntry{"capacity", RunCapacityBench}};
+								 BenchEntry{"fleet", RunFleetBench},       BenchEntry{"capacity", RunCapacityBench}};
 
 } // namespace
 
--- a/src/upkeep/pool_desk.cpp
+++ b/src/upkeep/pool_desk.cpp
@@ -10,11 +10,11 @@
 
 } // namespace
 
-void PoolDesk::NoteArrivals(const FleetView &view, Millis now)
+void PoolDesk::NoteArrivals(const FleetIndex &index, Millis now)
 {
 	std::erase_if(this->leaving, [&](const auto &it) {
-		const auto row = std::ranges::find(view.machines, it.first, &MachineRow::box);
-		const bool gone = row == view.machines.end();
+		const MachineRow *row = index.Row(it.first);
+		const bool gone = row == nullptr;
 		const bool there = !gone && row->pool == it.second.to && row->state == MachineState::MS_UP;
 		const Millis patience = it.second.ordered ? this->limits.move_within : this->limits.empty_within;
 		return gone || there || now - it.second.since > patience;
@@ -49,15 +49,15 @@
 	return static_cast<int64_t>(static_cast<double>(all) / std::max(pools, 1.0) * this->limits.floor_share);
 }
 
-PoolDesk::Balance PoolDesk::BalanceOf(const ServiceName &pool, const PoolStatus &status, const FleetView &view,
+PoolDesk::Balance PoolDesk::BalanceOf(const ServiceName &pool, const PoolStatus &status, const FleetIndex &index,
 									  const std::set<BoxName> &taken)
 {
 	Balance balance;
 	balance.pool = pool;
 	for (const PoolBox &box : status.boxes) {
 		/* The report of a box that has moved away stands for a while. */
-		const auto row = std::ranges::find(view.machines, box.box, &MachineRow::box);
-		const bool here = row != view.machines.end() && row->pool == pool && row->life == box.life;
+		const MachineRow *row = index.Row(box.box);
+		const bool here = row != nullptr && row->pool == pool && row->life == box.life;
 		if (here && box.placing && !this->leaving.contains(box.box) && !taken.contains(box.box)) {
 			balance.have += box.cpu;
 			if (box.tasks == 0) {
@@ -66,17 +66,18 @@
 		}
 	}
 	for (const auto &[box, way] : this->leaving) {
-		const auto row = std::ranges::find(view.machines, box, &MachineRow::box);
-		balance.have += way.to == pool && row != view.machines.end() ? row->capacity.cpu : 0;
+		const MachineRow *row = index.Row(box);
+		balance.have += way.to == pool && row != nullptr ? row->capacity.cpu : 0;
 	}
 	return balance;
 }
 
-std::vector<PoolDesk::Balance> PoolDesk::Balances(const FleetView &view, const std::set<BoxName> &taken, Millis now)
+std::vector<PoolDesk::Balance> PoolDesk::Balances(const FleetView &view, const FleetIndex &index,
+												  const std::set<BoxName> &taken, Millis now)
 {
 	std::vector<Balance> out;
 	for (const auto &[service, status] : view.pools) {
-		Balance balance = this->BalanceOf(service, status, view, taken);
+		Balance balance = this->BalanceOf(service, status, index, taken);
 		int64_t used = 0;
 		std::ranges::for_each(status.boxes, [&used](const PoolBox &it) { used += it.used_cpu; });
 		const double asks =
@@ -160,8 +161,9 @@
 
 PoolActions PoolDesk::Decide(const FleetView &view, const std::set<BoxName> &taken, Millis now)
 {
-	this->NoteArrivals(view, now);
-	std::vector<Balance> all = this->Balances(view, taken, now);
+	const FleetIndex index(view);
+	this->NoteArrivals(index, now);
+	std::vector<Balance> all = this->Balances(view, index, taken, now);
 	/* The neediest first. */
 	std::ranges::sort(all, std::ranges::greater{}, [](const Balance &it) { return it.want - it.have; });
 	for (Balance &it : all) {
@@ -173,8 +175,8 @@
 	std::ranges::for_each(all, [&](Balance &it) { this->SendAway(it, view, unneeded, now); });
 	PoolActions actions;
 	for (const auto &[box, way] : this->leaving) {
-		const auto row = std::ranges::find(view.machines, box, &MachineRow::box);
-		if (way.ordered || row == view.machines.end()) {
+		const MachineRow *row = index.Row(box);
+		if (way.ordered || row == nullptr) {
 			continue;
 		}
 		if (view.reserves.contains(row->pool)) {
@@ -182,12 +184,8 @@
 			continue;
 		}
 		actions.drain[row->pool].insert(box);
-		const auto pool = view.pools.find(row->pool);
-		if (pool == view.pools.end()) {
-			continue;
-		}
-		const auto status = std::ranges::find(pool->second.boxes, row->life, &PoolBox::life);
-		if (status != pool->second.boxes.end() && status->tasks == 0 && !status->placing) {
+		const PoolBox *status = index.Status(*row);
+		if (status != nullptr && status->tasks == 0 && !status->placing) {
 			actions.moves.push_back(PoolMove{box, way.to});
 		}
 	}
--- a/src/upkeep/pool_desk.h
+++ b/src/upkeep/pool_desk.h
@@ -86,9 +86,10 @@
 	std::optional<Millis> watched_since;                   ///< When this desk first looked.
 	std::set<std::pair<ServiceName, ServiceName>> refused; ///< Pairs of pools between which boxes can't move.
 
-	void NoteArrivals(const FleetView &view, Millis now);
-	[[nodiscard]] std::vector<Balance> Balances(const FleetView &view, const std::set<BoxName> &taken, Millis now);
-	Balance BalanceOf(const ServiceName &pool, const PoolStatus &status, const FleetView &view,
+	void NoteArrivals(const FleetIndex &index, Millis now);
+	[[nodiscard]] std::vector<Balance> Balances(const FleetView &view, const FleetIndex &index,
+												const std::set<BoxName> &taken, Millis now);
+	Balance BalanceOf(const ServiceName &pool, const PoolStatus &status, const FleetIndex &index,
 					  const std::set<BoxName> &taken);
 	[[nodiscard]] int64_t FloorOf(const FleetView &view) const;
 	double GrowthOf(const ServiceName &pool, double cpu, Millis now);
--- a/src/upkeep/wave_desk.cpp
+++ b/src/upkeep/wave_desk.cpp
@@ -8,23 +8,6 @@
 
 constexpr double LATE_AFTER = 2.0 / 3.0; ///< Part of a wave's time after which more boxes of a pool may go at once.
 
-const MachineRow *RowOf(const FleetView &view, const BoxName &box)
-{
-	const auto it = std::ranges::find(view.machines, box, &MachineRow::box);
-	return it == view.machines.end() ? nullptr : &*it;
-}
-
-/** A box in the status of its pool, or null. */
-const PoolBox *StatusOf(const FleetView &view, const MachineRow &row)
-{
-	const auto pool = view.pools.find(row.pool);
-	if (pool == view.pools.end()) {
-		return nullptr;
-	}
-	const auto it = std::ranges::find(pool->second.boxes, row.life, &PoolBox::life);
-	return it == pool->second.boxes.end() ? nullptr : &*it;
-}
-
 } // namespace
 
 void WaveDesk::Add(const WaveOrder &order, Millis now)
@@ -48,14 +31,14 @@
 	});
 }
 
-void WaveDesk::NoteReturns(const FleetView &view, Millis now)
+void WaveDesk::NoteReturns(const FleetView &view, const FleetIndex &index, Millis now)
 {
 	for (auto &[box, order] : this->down) {
-		const MachineRow *row = RowOf(view, box);
+		const MachineRow *row = index.Row(box);
 		order.seen = order.seen || (row != nullptr && row->state != MachineState::MS_UP);
 	}
 	std::erase_if(this->down, [&](const auto &it) {
-		const MachineRow *row = RowOf(view, it.first);
+		const MachineRow *row = index.Row(it.first);
 		if (row == nullptr) {
 			return true;
 		}
@@ -82,41 +65,44 @@
 	return static_cast<size_t>(emptied + gone);
 }
 
-size_t WaveDesk::TakenOf(const ServiceName &pool, const FleetView &view) const
+std::map<ServiceName, size_t> WaveDesk::TakenByPool(const FleetIndex &index) const
 {
-	const auto in_pool = [&](const BoxName &it) {
-		const MachineRow *row = RowOf(view, it);
-		return row != nullptr && row->pool == pool;
+	std::map<ServiceName, size_t> out;
+	const auto count = [&](const BoxName &it) {
+		if (const MachineRow *row = index.Row(it); row != nullptr) {
+			out[row->pool]++;
+		}
 	};
-	return static_cast<size_t>(std::ranges::count_if(this->draining | std::views::keys, in_pool) +
-							   std::ranges::count_if(this->down | std::views::keys, in_pool));
+	std::ranges::for_each(this->draining | std::views::keys, count);
+	std::ranges::for_each(this->down | std::views::keys, count);
+	return out;
 }
 
 WaveActions WaveDesk::Decide(const FleetView &view, Millis now)
 {
-	this->NoteReturns(view, now);
+	const FleetIndex index(view);
+	this->NoteReturns(view, index, now);
 	WaveActions actions;
 	for (const auto &[number, wave] : this->waves) {
 		if (!this->completed.contains(number)) {
-			this->DecideWave(wave, view, now, actions);
+			this->DecideWave(wave, view, index, now, actions);
 		}
 	}
 	for (const auto &[box, wave] : this->draining) {
-		if (const MachineRow *row = RowOf(view, box); row != nullptr) {
+		if (const MachineRow *row = index.Row(box); row != nullptr) {
 			actions.drain[row->pool].insert(box);
 		}
 	}
 	return actions;
 }
 
-void WaveDesk::DecideWave(const Wave &wave, const FleetView &view, Millis now, WaveActions &actions)
+std::vector<const MachineRow *> WaveDesk::OpenOf(const Wave &wave, const FleetIndex &index, WaveActions &actions)
 {
-	const uint64_t number = wave.order.number;
-	std::set<BoxName> &done = this->begun[number];
+	const std::set<BoxName> &done = this->begun[wave.order.number];
 	std::vector<const MachineRow *> open;
 	size_t left = 0;
 	for (const BoxName &box : wave.order.boxes) {
-		const MachineRow *row = RowOf(view, box);
+		const MachineRow *row = index.Row(box);
 		if (done.contains(box) || row == nullptr) {
 			this->draining.erase(box);
 			continue;
@@ -130,34 +116,50 @@
 		}
 	}
 	if (left == 0) {
-		actions.completed.push_back(number);
-		return;
+		actions.completed.push_back(wave.order.number);
 	}
-	/* Boxes that are off come first, then those with the least to move. */
-	const auto weight = [&view](const MachineRow *it) {
-		const PoolBox *status = StatusOf(view, *it);
-		return view.reserves.contains(it->pool) ? -1 : status == nullptr ? INT64_MAX : int64_t{status->tasks};
-	};
-	std::ranges::stable_sort(open, {}, weight);
+	return open;
+}
+
+void WaveDesk::Empty(const Wave &wave, const std::vector<const MachineRow *> &open, const FleetView &view,
+					 const FleetIndex &index, Millis now, WaveActions &actions)
+{
 	const bool late = now - wave.since >
 					  Millis(static_cast<int64_t>(static_cast<double>(wave.order.within.Value()) * LATE_AFTER));
+	const double share = late ? this->limits.late_share : this->limits.pool_share;
+	std::map<ServiceName, size_t> by_pool = this->TakenByPool(index);
+	size_t taken = this->Taken(wave.order.number);
 	for (const MachineRow *row : open) {
-		const auto in_pool = std::ranges::count(view.machines, row->pool, &MachineRow::pool);
-		const double share = late ? this->limits.late_share : this->limits.pool_share;
-		const auto most = std::max<size_t>(1, static_cast<size_t>(static_cast<double>(in_pool) * share));
+		const auto in_pool = static_cast<double>(index.Size(row->pool));
+		const auto most = std::max<size_t>(1, static_cast<size_t>(in_pool * share));
 		const bool off = view.reserves.contains(row->pool);
-		if (this->Taken(number) < wave.order.down_max && (off || this->TakenOf(row->pool, view) < most)) {
-			this->draining[row->box] = number;
+		if (taken < wave.order.down_max && (off || by_pool[row->pool] < most)) {
+			this->draining[row->box] = wave.order.number;
 			actions.due[row->pool].erase(row->box);
+			by_pool[row->pool]++;
+			taken++;
 		}
 	}
+}
+
+void WaveDesk::DecideWave(const Wave &wave, const FleetView &view, const FleetIndex &index, Millis now,
+						  WaveActions &actions)
+{
+	std::vector<const MachineRow *> open = this->OpenOf(wave, index, actions);
+	/* Boxes that are off come first, then those with the least to move. */
+	const auto weight = [&](const MachineRow *it) {
+		const PoolBox *status = index.Status(*it);
+		return view.reserves.contains(it->pool) ? -1 : status == nullptr ? INT64_MAX : int64_t{status->tasks};
+	};
+	std::ranges::stable_sort(open, {}, weight);
+	this->Empty(wave, open, view, index, now, actions);
 	for (const auto &[box, of_wave] : this->draining) {
-		const MachineRow *row = RowOf(view, box);
-		const PoolBox *status = row == nullptr ? nullptr : StatusOf(view, *row);
+		const MachineRow *row = index.Row(box);
+		const PoolBox *status = row == nullptr ? nullptr : index.Status(*row);
 		const bool off = row != nullptr && view.reserves.contains(row->pool);
 		const bool empty = status != nullptr && status->tasks == 0 && !status->placing;
-		if (of_wave == number && (off || empty)) {
-			actions.maintain.emplace_back(box, number);
+		if (of_wave == wave.order.number && (off || empty)) {
+			actions.maintain.emplace_back(box, of_wave);
 		}
 	}
 }
--- a/src/upkeep/wave_desk.h
+++ b/src/upkeep/wave_desk.h
@@ -4,7 +4,7 @@
 
 #include "../jobs/shard_base.h"
 #include "../jobs/site_feed.h"
-#include "machine_control.h"
+#include "fleet_view.h"
 
 /** Figures of waves. */
 struct WaveLimits {
@@ -21,13 +21,6 @@
 	std::vector<uint64_t> completed;                    ///< Waves of which every box has begun.
 };
 
-/** What the desk knows of the fleet. */
-struct FleetView {
-	std::vector<MachineRow> machines;        ///< All machines, newly listed.
-	std::map<ServiceName, PoolStatus> pools; ///< Pools, as their owners see them; absent when unknown.
-	std::set<ServiceName> reserves;          ///< Pools whose boxes are off.
-};
-
 /** Decides on waves. At most so many boxes of a wave are down at once as its order says. */
 class WaveDesk {
 public:
@@ -83,10 +76,13 @@
 	std::map<BoxName, uint64_t> draining;        ///< Boxes being emptied.
 	std::set<BoxName> others;                    ///< Boxes that move meanwhile.
 
-	void NoteReturns(const FleetView &view, Millis now);
-	void DecideWave(const Wave &wave, const FleetView &view, Millis now, WaveActions &actions);
+	void NoteReturns(const FleetView &view, const FleetIndex &index, Millis now);
+	void DecideWave(const Wave &wave, const FleetView &view, const FleetIndex &index, Millis now, WaveActions &actions);
+	std::vector<const MachineRow *> OpenOf(const Wave &wave, const FleetIndex &index, WaveActions &actions);
+	void Empty(const Wave &wave, const std::vector<const MachineRow *> &open, const FleetView &view,
+			   const FleetIndex &index, Millis now, WaveActions &actions);
 	[[nodiscard]] size_t Taken(uint64_t wave) const;
-	[[nodiscard]] size_t TakenOf(const ServiceName &pool, const FleetView &view) const;
+	[[nodiscard]] std::map<ServiceName, size_t> TakenByPool(const FleetIndex &index) const;
 };
 
 #endif /* WAVE_DESK_H */
