--- a/src/bench/bench_output.h
+++ b/src/bench/bench_output.h
@@ -41,7 +41,7 @@
 int RunOverloadBench(const BenchOptions &options); ///< Three times the capacity, with faults, against baselines.
 int RunSlotsBench(const BenchOptions &options);    ///< Shares of slots among entries.
 int RunProxyBench(const BenchOptions &options);    ///< Real sockets: throughput and added latency.
-int RunFleetBench(const BenchOptions &options);    ///< A look of the fleet's holder at 300, 1,200 and 5,000 boxes.
+int RunHolderBench(const BenchOptions &options);   ///< A look of the fleet's holder at 300, 1,200 and 5,000 boxes.
 int RunCapacityBench(const BenchOptions &options); ///< Slopes for docs/CAPACITY.md.
 
 #endif /* BENCH_OUTPUT_H */
--- a/src/bench/fleet_bench.cpp
+++ b/src/bench/holder_bench.cpp
@@ -1,4 +1,4 @@
-/** @file fleet_bench.cpp One look of the fleet's holder: a wave over half of the boxes, and moves between pools. */
+/** @file holder_bench.cpp One look of the fleet's holder: a wave over half of the boxes, and moves between pools. */
 #include "bench_output.h"
 
 #include "../upkeep/pool_desk.h"
@@ -68,7 +68,7 @@
 
 } // namespace
 
-int RunFleetBench(const BenchOptions &options)
+int RunHolderBench(const BenchOptions &options)
 {
 	for (const size_t boxes : SIZES) {
 		PrintFigure({"fleet", std::to_string(boxes) + " boxes", "look", MeasureLook(boxes), "us", "", 0, options.seed});
--- a/src/bench/main.cpp
+++ b/src/bench/main.cpp
@@ -36,7 +36,7 @@
 								 BenchEntry{"fold", RunFoldBench},         BenchEntry{"jobs", RunJobsBench},
 								 BenchEntry{"config", RunConfigBench},     BenchEntry{"overload", RunOverloadBench},
 								 BenchEntry{"slots", RunSlotsBench},       BenchEntry{"proxy", RunProxyBench},
-								 BenchEntry{"fleet", RunFleetBench},       BenchEntry{"capacity", RunCapacityBench}};
+								 BenchEntry{"fleet", RunHolderBench},      BenchEntry{"capacity", RunCapacityBench}};
 
 } // namespace
 
