An owner that answers late is not asked again and again over new connections

What callers would see: no answer at all about their jobs from an owner that is 250 ms late and more. Each question was repeated every 250 ms, each time over a new connection that closed the one before; the answers, late, found theirs closed, and the questions of all others on it were sent again as well.

Failing before, in the new test (eight questions, answers 400 ms late): 0 of 8 answered, 96 questions, 12 connections. Now 8 answered, 16 questions and 2 connections at most.

An answer is waited for twice what the last one took, 250 ms to 1 s, and longer after each try without a sign; a connection that was made since, or over which something came, is kept. A node that can't be reached is asked again as before.

--- a/src/node/owner_lookup.cpp
+++ b/src/node/owner_lookup.cpp
@@ -9,7 +9,11 @@
 
 namespace {
 
-constexpr Millis ANSWER_WAIT(250); ///< A node that has not answered by then is asked again; two hops take a few ms.
+/** A node that has not answered by then is asked again, over a new connection if nothing was heard of it; two hops take
+ * a few ms. */
+constexpr Millis ANSWER_WAIT(250);
+constexpr Millis ANSWER_WAIT_MOST(1000); ///< The same for a node that answers late.
+constexpr int64_t PATIENCE_A_ANSWER = 2; ///< A node's answers are waited for so many times what the last one took.
 /** A node that is recording and was not heard of for so long is asked whether it is still there; without an answer
  * within ANSWER_WAIT its connection is replaced. An append around a silent partition is done within 0.4 s. */
 constexpr Millis RECORDING_WAIT(600);
@@ -68,8 +72,8 @@
 void OwnerLookup::Again(uint64_t number)
 {
 	Open &it = this->open.at(number);
-	const Millis answer = it.recording && !it.probed ? RECORDING_WAIT : ANSWER_WAIT;
-	const Millis wait = it.asked.empty() ? ASK_AGAIN : answer;
+	const Millis patience = it.asked.empty() ? ASK_AGAIN : this->PatienceWith(it.asked);
+	const Millis wait = it.recording && !it.probed ? std::max(RECORDING_WAIT, patience) : patience;
 	this->scheduler.Cancel(it.timer);
 	it.timer = this->scheduler.After(std::min(wait, it.deadline - this->scheduler.Now()), [this, number] {
 		const auto late = this->open.find(number);
@@ -83,7 +87,7 @@
 		}
 		/* A node that records for long is alive: its connection carries other questions, too. */
 		if (!late->second.recording && !late->second.asked.empty()) {
-			this->GiveUpNode(late->second);
+			this->GiveUpNode(late->second, late->second.sent_at);
 		}
 		this->Try(number);
 	});
@@ -91,10 +95,10 @@
 
 void OwnerLookup::CheckNode(uint64_t number, Open &question)
 {
-	const bool heard = this->heard[question.asked] >= question.checked_at;
+	const bool heard = this->PeerOf(question.asked).heard_at >= question.checked_at;
 	if (!heard && question.probed) {
 		question.recording = question.probed = false;
-		this->GiveUpNode(question);
+		this->GiveUpNode(question, question.checked_at);
 		this->Try(number);
 		return;
 	}
@@ -112,13 +116,19 @@
 	 * it. Whatever the node answers to this shows that the connection works. */
 	glade::wire::JobQuestionT out;
 	out.number = ++this->last_number;
-	this->ClientOf(address).Send(MakeMessage(std::move(out)));
+	this->PeerOf(address).client->Send(MakeMessage(std::move(out)));
 }
 
-void OwnerLookup::GiveUpNode(Open &question)
+void OwnerLookup::GiveUpNode(Open &question, Millis since)
 {
-	/* The node is gone, another owns the shard by now, or the connection has fallen silent. */
-	this->clients.erase(std::exchange(question.asked, {}));
+	/* The node is gone, another owns the shard by now, or the connection has fallen silent. One that was made later,
+	 * or over which something came, is kept: other questions wait for their answers there. */
+	Peer &peer = this->PeerOf(question.asked);
+	if (peer.made_at <= since && peer.heard_at < since) {
+		peer.patience = std::min(peer.patience + peer.patience, ANSWER_WAIT_MOST);
+		peer.client.reset();
+	}
+	question.asked.clear();
 	question.lost = question.lost || question.sent;
 	this->Refresh(question.shard);
 }
@@ -171,36 +181,59 @@
 	if (owner.address.empty() || this->scheduler.Now() - owner.asked_at > OWNER_VALID) {
 		this->Refresh(shard);
 	}
-	return !owner.address.empty() && this->ClientOf(owner.address).Up();
+	return !owner.address.empty() && this->PeerOf(owner.address).client->Up();
 }
 
-FrameClient &OwnerLookup::ClientOf(const std::string &address)
+OwnerLookup::Peer &OwnerLookup::PeerOf(const std::string &address)
 {
-	auto &client = this->clients[address];
-	if (!client) {
+	const auto [it, added] = this->peers.try_emplace(address);
+	Peer &peer = it->second;
+	if (added) {
+		peer.patience = ANSWER_WAIT;
+	}
+	if (!peer.client) {
 		const std::optional<NetAddress> to = ParseAddress(address);
-		client = std::make_unique<FrameClient>(this->scheduler, std::vector<NetAddress>{to.value_or(NetAddress{})});
-		client->on_message = [this, address](const MessageUnion &message) {
-			this->heard[address] = this->scheduler.Now();
+		peer.client =
+				std::make_unique<FrameClient>(this->scheduler, std::vector<NetAddress>{to.value_or(NetAddress{})});
+		peer.made_at = this->scheduler.Now();
+		peer.client->on_message = [this, address](const MessageUnion &message) {
+			this->peers.at(address).heard_at = this->scheduler.Now();
 			this->OnFrame(message);
 		};
-		client->on_up = [this, address] {
-			for (auto &[number, it] : this->open) {
-				if (it.asked == address) {
+		peer.client->on_up = [this, address] {
+			for (auto &[number, open] : this->open) {
+				if (open.asked == address) {
 					this->Send(number);
 				}
 			}
 		};
-		client->Start();
+		peer.client->Start();
+	}
+	return peer;
+}
+
+Millis OwnerLookup::PatienceWith(const std::string &address)
+{
+	/* One that can't be reached isn't late, and another may own the shard soon. */
+	const Peer &peer = this->PeerOf(address);
+	return peer.client->Up() ? peer.patience : ANSWER_WAIT;
+}
+
+void OwnerLookup::NoteAnswer(const Open &question)
+{
+	if (question.sent && !question.asked.empty()) {
+		const int64_t took = (this->scheduler.Now() - question.sent_at).Value();
+		this->PeerOf(question.asked).patience =
+				std::clamp(Millis(took * PATIENCE_A_ANSWER), ANSWER_WAIT, ANSWER_WAIT_MOST);
 	}
-	return *client;
 }
 
 void OwnerLookup::Send(uint64_t number)
 {
 	Open &it = this->open.at(number);
 	it.asked = this->owners.at(it.shard).address;
-	FrameClient &client = this->ClientOf(it.asked);
+	FrameClient &client = *this->PeerOf(it.asked).client;
+	it.sent_at = this->scheduler.Now();
 	if (client.Up()) {
 		client.Send(it.make(number));
 		/* The one before may still be carried out, whatever is answered to this one. */
@@ -228,6 +261,7 @@
 	if (it == this->open.end()) {
 		return; /* Answered before, by a repeated question. */
 	}
+	this->NoteAnswer(it->second);
 	if (code == ResultCode::RC_LOG_RECORDING) {
 		it->second.recording = true;
 		it->second.probed = false;
--- a/src/node/owner_lookup.h
+++ b/src/node/owner_lookup.h
@@ -73,10 +73,21 @@
 		bool probed = false;    ///< Whether its node was asked since whether it is still there.
 		Millis checked_at;      ///< When the wait for a sign of its node began.
 		bool sent = false;      ///< Whether a question is out that nobody has answered.
+		Millis sent_at;         ///< When it was sent last.
 		bool lost = false;      ///< Whether an earlier question got no answer: it may still be carried out.
 		TimerId timer;          ///< Next try.
 	};
 
+	/** A node that owns shards. */
+	struct Peer {
+		std::unique_ptr<FrameClient> client; ///< Connection.
+		Millis made_at;                      ///< When that was begun.
+		Millis heard_at{-1000000};           ///< When the node was last heard of.
+		/** An answer is waited for so long. It follows what answers took: a node that is late would get each question
+		 * again and again, each time over a new connection, and its answers would find the old one closed. */
+		Millis patience;
+	};
+
 	/** What is known of a shard's owner. */
 	struct KnownOwner {
 		std::string address;       ///< Its node; empty when not known.
@@ -84,28 +95,30 @@
 		Millis asked_at{-1000000}; ///< When the log was asked last.
 	};
 
-	Scheduler &scheduler;                                        ///< Clock and timers.
-	KeyedLog &log;                                               ///< Knows the owners.
-	EventLog &events;                                            ///< Lines.
-	std::map<PartitionId, KnownOwner> owners;                    ///< Owners by shard.
-	std::map<std::string, std::unique_ptr<FrameClient>> clients; ///< Connections by address.
-	std::map<std::string, Millis> heard;                         ///< When a node was last heard of, by address.
-	std::map<uint64_t, Open> open;                               ///< Questions under way.
-	uint64_t last_number = 0;                                    ///< Last question's number.
-	std::shared_ptr<bool> alive = std::make_shared<bool>(true);  ///< Expires with this.
+	Scheduler &scheduler;                                       ///< Clock and timers.
+	KeyedLog &log;                                              ///< Knows the owners.
+	EventLog &events;                                           ///< Lines.
+	std::map<PartitionId, KnownOwner> owners;                   ///< Owners by shard.
+	std::map<std::string, Peer> peers;                          ///< Nodes by address.
+	std::map<uint64_t, Open> open;                              ///< Questions under way.
+	uint64_t last_number = 0;                                   ///< Last question's number.
+	std::shared_ptr<bool> alive = std::make_shared<bool>(true); ///< Expires with this.
 
 	void Try(uint64_t number);
 	void Again(uint64_t number);
 	void CheckNode(uint64_t number, Open &question);
 	void Probe(const std::string &address);
-	void GiveUpNode(Open &question);
+	/** A node has not answered. @param question What it was asked. @param since When the wait for it began. */
+	void GiveUpNode(Open &question, Millis since);
 	void Refresh(const PartitionId &shard);
 	void ReadOwner(const PartitionId &shard, const PartitionId &from);
 	void OnOwner(const PartitionId &shard, const PartitionId &from, const NewestPage &page);
 	void Send(uint64_t number);
 	void OnFrame(const MessageUnion &message);
 	void Finish(uint64_t number, ResultCode code, const MessageUnion *answer);
-	FrameClient &ClientOf(const std::string &address);
+	Peer &PeerOf(const std::string &address);
+	[[nodiscard]] Millis PatienceWith(const std::string &address);
+	void NoteAnswer(const Open &question);
 };
 
 #endif /* OWNER_LOOKUP_H */
--- a/tests/test_silent_connection.cpp
+++ b/tests/test_silent_connection.cpp
@@ -221,3 +221,57 @@
 	CHECK(*it.told == ResultCode::RC_LOG_UNAVAILABLE);
 	CHECK(it.asked == 1);
 }
+
+/* Guards against questions that grow when their owner is late: each was asked again every 250 ms over a new connection,
+ * so that the answers, 400 ms late, found theirs closed, and no caller got one. */
+TEST_CASE("an owner that answers late is not asked again and again, and its answers arrive")
+{
+	constexpr size_t QUESTIONS = 8;
+	constexpr int LATE_MS = 400;
+	constexpr Millis DEADLINE(3000);
+	QtScheduler scheduler;
+	NoEventLog events;
+	size_t asked = 0;
+	std::set<FrameLink *> standing;
+	size_t links = 0;
+	FrameServer server(
+			[&](FrameLink &link, const MessageUnion &message) {
+				asked++;
+				links += standing.insert(&link).second ? 1 : 0;
+				glade::wire::JobAnswerT out;
+				out.number = message.AsJobQuestion()->number;
+				out.code = static_cast<uint32_t>(ResultCode::RC_OK);
+				QTimer::singleShot(LATE_MS, [&standing, to = &link, out] {
+					if (standing.contains(to)) {
+						to->Send(MakeMessage(out));
+					}
+				});
+			},
+			[&standing](FrameLink &link) { standing.erase(&link); });
+	REQUIRE(server.Listen(NetAddress{QHostAddress(QHostAddress::LocalHost), 0}));
+	OwnerOnlyLog log(scheduler, "127.0.0.1:" + std::to_string(server.Port()));
+	OwnerLookup lookup(scheduler, log, events);
+	QEventLoop loop;
+	QTimer::singleShot(LOOP_MOST, &loop, &QEventLoop::quit);
+	size_t over = 0;
+	size_t answered = 0;
+	for (size_t n = 0; n < QUESTIONS; n++) {
+		const auto make = [](uint64_t number) {
+			glade::wire::JobQuestionT out;
+			out.number = number;
+			out.service = "calc";
+			return MakeMessage(std::move(out));
+		};
+		const auto done = [&](ResultCode code, const MessageUnion *) {
+			answered += code == ResultCode::RC_OK ? 1 : 0;
+			if (++over == QUESTIONS) {
+				loop.quit();
+			}
+		};
+		lookup.Ask(PartitionId{"keyed.jobs.calc", 0}, "j", scheduler.Now() + DEADLINE, make, done);
+	}
+	loop.exec();
+	CHECK(answered == QUESTIONS);
+	CHECK(asked <= 2 * QUESTIONS);
+	CHECK(links <= 2);
+}
