What ran on a box that has crashed starts elsewhere once its machine is listed as down

A machine that is down has no life, and a life doesn't come back.

The holder of the fleet's orders compares each list with the one before it, asked for after that was answered, and tells owners which lives have ended, at once and for 5 s.

Failing before: test_crashing_tasks "listed as down" (run not done in 0.5 s and its run time), "given up sooner" (no verdict within 4 s), checked with the note to owners taken out.

--- a/src/jobs/shard_base.h
+++ b/src/jobs/shard_base.h
@@ -53,6 +53,8 @@
 	 * @param due Boxes that will be emptied before long: what lasts is rather placed elsewhere.
 	 */
 	void Drain(const std::set<BoxName> &drain, const std::set<BoxName> &due);
+	/** Lives have ended: what ran there is lost. @param lives Lives that don't come back, also of other pools. */
+	void NoteEnded(const std::set<BoxLife> &lives);
 	/** @return How the pool stands. */
 	[[nodiscard]] PoolStatus Status();
 	/** Takes a job; one that is known is ignored. @param spec The job. @param recorded Whether the log has it. */
--- a/src/jobs/shard_boxes.cpp
+++ b/src/jobs/shard_boxes.cpp
@@ -415,6 +415,15 @@
 	this->Wake();
 }
 
+void Shard::NoteEnded(const std::set<BoxLife> &lives)
+{
+	for (const BoxLife &life : lives) {
+		if (const auto it = this->boxes.find(life); it != this->boxes.end()) {
+			this->EndLife(it->second, "machine_down");
+		}
+	}
+}
+
 void Shard::SetLookGap(size_t busy)
 {
 	const Millis spread(static_cast<int64_t>(busy) * MS_PER_SECOND / LOOKS_MOST);
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -11,17 +11,19 @@
 constexpr Millis LOOK_EVERY(5000);        ///< Who holds the fleet is looked at so often, when it is not dealt here.
 constexpr Millis POOL_WAIT(600);          ///< Time that the owner of a pool has to answer the fleet's owner.
 
-std::set<BoxName> BoxesOf(const std::vector<std::string> &names)
+template <class Id>
+std::set<Id> SetOf(const std::vector<std::string> &names)
 {
-	std::set<BoxName> out;
-	std::ranges::for_each(names, [&out](const std::string &it) { out.insert(BoxName(it)); });
+	std::set<Id> out;
+	std::ranges::for_each(names, [&out](const std::string &it) { out.insert(Id(it)); });
 	return out;
 }
 
-std::vector<std::string> NamesOf(const std::set<BoxName> &boxes)
+template <class Id>
+std::vector<std::string> NamesOf(const std::set<Id> &ids)
 {
 	std::vector<std::string> out;
-	std::ranges::transform(boxes, std::back_inserter(out), [](const BoxName &it) { return it.Value(); });
+	std::ranges::transform(ids, std::back_inserter(out), [](const Id &it) { return it.Value(); });
 	return out;
 }
 
@@ -180,31 +182,33 @@
 	this->host.OnReportGone(life);
 }
 
-std::optional<PoolStatus> NodeCore::PoolHere(const ServiceName &service, const std::set<BoxName> &drain,
-											 const std::set<BoxName> &due)
+std::optional<PoolStatus> NodeCore::PoolHere(const ServiceName &service, const PoolRequest &request)
 {
 	ShardOwner *owner = this->host.Find(service);
 	Shard *shard = owner == nullptr ? nullptr : owner->Running();
 	if (shard == nullptr) {
 		return std::nullopt;
 	}
-	shard->Drain(drain, due);
+	shard->NoteEnded(request.ended);
+	shard->Drain(request.drain, request.due);
 	return shard->Status();
 }
 
-void NodeCore::Ask(const ServiceName &service, const std::set<BoxName> &drain, const std::set<BoxName> &due,
+void NodeCore::Ask(const ServiceName &service, const PoolRequest &request,
 				   std::function<void(std::optional<PoolStatus>)> done)
 {
-	if (std::optional<PoolStatus> here = this->PoolHere(service, drain, due); here) {
+	if (std::optional<PoolStatus> here = this->PoolHere(service, request); here) {
 		done(std::move(here));
 		return;
 	}
-	const auto make = [service, drain = NamesOf(drain), due = NamesOf(due)](uint64_t number) {
+	const auto make = [service, drain = NamesOf(request.drain), due = NamesOf(request.due),
+					   ended = NamesOf(request.ended)](uint64_t number) {
 		glade::wire::PoolQuestionT out;
 		out.number = number;
 		out.service = service.Value();
 		out.drain = drain;
 		out.due = due;
+		out.ended = ended;
 		return MakeMessage(std::move(out));
 	};
 	this->lookup.Ask(PartitionId{TopicOf(service), PROGRESS_PART}, service.Value(), this->scheduler.Now() + POOL_WAIT,
@@ -266,7 +270,8 @@
 void NodeCore::OnPoolQuestion(FrameLink &link, const glade::wire::PoolQuestionT &in)
 {
 	const std::optional<PoolStatus> status =
-			this->PoolHere(ServiceName(in.service), BoxesOf(in.drain), BoxesOf(in.due));
+			this->PoolHere(ServiceName(in.service),
+						   PoolRequest{SetOf<BoxName>(in.drain), SetOf<BoxName>(in.due), SetOf<BoxLife>(in.ended)});
 	glade::wire::PoolAnswerT out;
 	out.number = in.number;
 	out.code = static_cast<uint32_t>(status ? ResultCode::RC_OK : ResultCode::RC_PEER_UNAVAILABLE);
--- a/src/node/node_core.h
+++ b/src/node/node_core.h
@@ -51,7 +51,7 @@
 	void OnWave(const WaveOrder &wave) override;
 	void OnReport(const BoxReport &report) override;
 	void OnReportGone(const BoxLife &life) override;
-	void Ask(const ServiceName &service, const std::set<BoxName> &drain, const std::set<BoxName> &due,
+	void Ask(const ServiceName &service, const PoolRequest &request,
 			 std::function<void(std::optional<PoolStatus>)> done) override;
 
 	JobDesk &Desk() { return this->desk; }                             ///< Answers to callers.
@@ -83,8 +83,7 @@
 	void OnJobQuestion(FrameLink &link, const glade::wire::JobQuestionT &in);
 	void OnPoolQuestion(FrameLink &link, const glade::wire::PoolQuestionT &in);
 	void OnRecordQuestion(FrameLink &link, const glade::wire::RecordQuestionT &in);
-	std::optional<PoolStatus> PoolHere(const ServiceName &service, const std::set<BoxName> &drain,
-									   const std::set<BoxName> &due);
+	std::optional<PoolStatus> PoolHere(const ServiceName &service, const PoolRequest &request);
 };
 
 #endif /* NODE_CORE_H */
--- a/src/upkeep/fleet_owner.cpp
+++ b/src/upkeep/fleet_owner.cpp
@@ -118,7 +118,7 @@
 	}
 	this->timer = this->parts.scheduler.After(TICK, [this] { this->Tick(); });
 	if (this->pending == 0) {
-		this->Look(this->actions);
+		this->Look();
 	} else {
 		this->KeepConfirmed();
 	}
@@ -134,12 +134,17 @@
 	}
 }
 
-void FleetOwner::Look(const WaveActions &last)
+PoolRequest FleetOwner::RequestFor(const ServiceName &pool) const
 {
-	const auto of = [](const std::map<ServiceName, std::set<BoxName>> &all, const ServiceName &service) {
-		const auto it = all.find(service);
+	const auto of = [&pool](const std::map<ServiceName, std::set<BoxName>> &all) {
+		const auto it = all.find(pool);
 		return it == all.end() ? std::set<BoxName>() : it->second;
 	};
+	return PoolRequest{of(this->actions.drain), of(this->actions.due), this->lives.EndedIn(pool)};
+}
+
+void FleetOwner::Look()
+{
 	this->view.pools.clear();
 	this->view.reserves.clear();
 	this->pending = 1;
@@ -149,7 +154,7 @@
 			continue;
 		}
 		this->pending++;
-		this->parts.pools.Ask(service.name, of(last.drain, service.name), of(last.due, service.name),
+		this->parts.pools.Ask(service.name, this->RequestFor(service.name),
 							  [this, name = service.name,
 							   still = std::weak_ptr<bool>(this->alive)](const std::optional<PoolStatus> &status) {
 								  if (still.expired()) {
@@ -163,20 +168,29 @@
 	}
 	this->parts.machines.List(
 			[this, still = std::weak_ptr<bool>(this->alive)](ResultCode code, const std::vector<MachineRow> &rows) {
-				if (still.expired()) {
-					return;
-				}
-				if (code == ResultCode::RC_OK) {
-					this->view.machines = rows;
-				} else {
-					/* Decisions on an old list would miss boxes that have come back or gone: none are made this time.
-					 */
-					this->view.machines.clear();
+				if (!still.expired()) {
+					this->OnMachines(code, rows);
 				}
-				this->Answered();
 			});
 }
 
+void FleetOwner::OnMachines(ResultCode code, const std::vector<MachineRow> &rows)
+{
+	if (code == ResultCode::RC_OK) {
+		this->view.machines = rows;
+		/* Their owners hear of ended lives at once: what ran there waits for it. */
+		for (const ServiceName &pool : this->lives.Take(rows, this->parts.scheduler.Now())) {
+			this->parts.pools.Ask(pool, this->RequestFor(pool), [](const std::optional<PoolStatus> &) {
+				/* The next look asks again. */
+			});
+		}
+	} else {
+		/* Decisions on an old list would miss boxes that have come back or gone: none are made this time. */
+		this->view.machines.clear();
+	}
+	this->Answered();
+}
+
 void FleetOwner::Answered()
 {
 	if (--this->pending > 0) {
--- a/src/upkeep/fleet_owner.h
+++ b/src/upkeep/fleet_owner.h
@@ -4,18 +4,26 @@
 #define FLEET_OWNER_H
 
 #include "../store/partition_claim.h"
+#include "life_watch.h"
 #include "pool_desk.h"
 #include "turn_log.h"
 #include "wave_desk.h"
 
+/** What the owner of a pool is told with a question. */
+struct PoolRequest {
+	std::set<BoxName> drain; ///< Boxes to be emptied, until the next question or for a short time.
+	std::set<BoxName> due;   ///< Boxes that will be emptied later.
+	std::set<BoxLife> ended; ///< Lives that have ended for certain.
+};
+
 /** Asks the owners of pools. */
 class PoolOwners {
 public:
 	virtual ~PoolOwners() = default;
 
-	/** Asks how a pool stands and has boxes emptied. @param service The pool. @param drain Boxes to be emptied. @param
-	 * due Boxes that will be emptied later. @param done Gets the status, or nothing when the owner didn't answer. */
-	virtual void Ask(const ServiceName &service, const std::set<BoxName> &drain, const std::set<BoxName> &due,
+	/** Asks how a pool stands and has boxes emptied. @param service The pool. @param request What its owner is told.
+	 * @param done Gets the status, or nothing when the owner didn't answer. */
+	virtual void Ask(const ServiceName &service, const PoolRequest &request,
 					 std::function<void(std::optional<PoolStatus>)> done) = 0;
 };
 
@@ -72,6 +80,7 @@
 	WaveDesk desk;                                              ///< Decides on waves.
 	PoolDesk movers;                                            ///< Decides on moves.
 	FleetView view;                                             ///< What is known.
+	LifeWatch lives;                                            ///< Which boxes have crashed.
 	std::unique_ptr<PartitionClaim> claim;                      ///< The claim.
 	std::unique_ptr<PairedJournal> journal;                     ///< Records, once claimed.
 	FenceToken fence;                                           ///< Token of this ownership.
@@ -89,7 +98,9 @@
 	void Restore(const std::string &key, const std::string &value);
 	void Tick();
 	void KeepConfirmed();
-	void Look(const WaveActions &last);
+	void Look();
+	[[nodiscard]] PoolRequest RequestFor(const ServiceName &pool) const;
+	void OnMachines(ResultCode code, const std::vector<MachineRow> &rows);
 	void Answered();
 	void Act();
 	void Plan(std::vector<PlannedOrder> &planned, const BoxName &box, std::optional<uint64_t> wave,
--- a/tests/job_world.h
+++ b/tests/job_world.h
@@ -234,6 +234,30 @@
 		});
 	}
 
+	/** From now on owners hear of lives that have ended, as the holder of the fleet's orders tells them. */
+	void TellEndedLives()
+	{
+		std::set<BoxLife> ended;
+		for (const BoxReport &report : this->site.Reports()) {
+			if (this->site.Down(report.box)) {
+				ended.insert(report.life);
+			}
+		}
+		for (const auto &node : this->nodes) {
+			if (node->up && !ended.empty()) {
+				node->scheduler.After(Millis(0), [it = node.get(), ended] {
+					for (const char *service : {"calc", "grid"}) {
+						ShardOwner *owner = it->host.Find(ServiceName(service));
+						if (owner != nullptr && owner->Running() != nullptr) {
+							owner->Running()->NoteEnded(ended);
+						}
+					}
+				});
+			}
+		}
+		this->clock.After(LISTED, [this] { this->TellEndedLives(); });
+	}
+
 	/** @return The steps of a small chain: so many tasks, then one. */
 	static std::vector<StepSpec> Chain(uint32_t width)
 	{
@@ -278,6 +302,7 @@
 private:
 	static constexpr size_t TRIES = 12;            ///< Times that a caller hands a job in.
 	static constexpr Millis RETRY = Millis(400);   ///< Before a caller tries again.
+	static constexpr Millis LISTED = Millis(200);  ///< Machines are listed so often.
 	static constexpr Millis REPORTS = Millis(500); ///< Boxes' reports are told so often.
 
 	static JobRoute MakeRoute(const std::string &name, const std::string &service, int64_t priority)
--- a/tests/test_crashing_tasks.cpp
+++ b/tests/test_crashing_tasks.cpp
@@ -335,3 +335,37 @@
 	REQUIRE(read);
 	CHECK(*read == progress);
 }
+
+/* Guards against a wait of seconds for what ran on a box that has crashed: nobody asked whether its machine was down.
+ */
+TEST_CASE("what ran on a box that has crashed starts elsewhere once its machine is listed as down")
+{
+	constexpr Millis CRASH_AT(3000);
+	constexpr Millis LISTED_WITHIN(500); ///< One list, the way to the owner, and the record of the new start.
+	constexpr Millis RUN_TIME(1000);
+	JobWorld world;
+	const WorldJob &job = world.Plan(Millis(2500), "calc", JobWorld::Chain(1), RUN_TIME);
+	world.TellEndedLives();
+	world.clock.RunUntil(CRASH_AT);
+	const BoxLife life =
+			std::as_const(world.OwnerOf(CALC)->host).Find(CALC)->Running()->Jobs().at(job.spec.id).tasks[0].box;
+	REQUIRE_FALSE(life.Value().empty());
+	world.site.Crash(BoxName(life.Value().substr(0, life.Value().find("-life"))));
+	world.clock.RunUntil(CRASH_AT + LISTED_WITHIN + RUN_TIME);
+	CHECK(std::as_const(world.OwnerOf(CALC)->host).Find(CALC)->Running()->Jobs().at(job.spec.id).tasks[0].phase ==
+		  TaskPhase::TP_DONE);
+	world.clock.RunUntil(WHOLE);
+	CHECK(world.ViewOf(job).phase == JobPhase::JP_COMPLETED);
+	CHECK(world.site.violations == std::vector<std::string>{});
+}
+
+TEST_CASE("a task that crashes its boxes is given up sooner when machines that are down are listed")
+{
+	constexpr Millis VERDICT(4000); ///< After the job is handed in at 2 s: two crashes and a start that waits its turn.
+	CrashingDay day(1);
+	day.world.TellEndedLives();
+	day.world.clock.RunUntil(Millis(2000) + VERDICT);
+	CHECK(day.Count(day.crashing, JobPhase::JP_FAILED) == 1);
+	day.Run();
+	CHECK(day.Count(day.ordinary, JobPhase::JP_COMPLETED) == ORDINARY);
+}
--- a/tests/test_fleet_owner.cpp
+++ b/tests/test_fleet_owner.cpp
@@ -44,8 +44,10 @@
 		std::vector<MachineRow> rows;
 		rows.reserve(this->names.size());
 		for (const std::string &name : this->names) {
-			rows.push_back(MachineRow{BoxName(name), PoolOf(name), MachineState::MS_UP, ZoneName("z"),
-									  Resources{8000, 8000, 0}, BoxLife(name + "-1")});
+			const bool crashed = this->down.contains(name);
+			rows.push_back(MachineRow{BoxName(name), PoolOf(name),
+									  crashed ? MachineState::MS_DOWN : MachineState::MS_UP, ZoneName("z"),
+									  Resources{8000, 8000, 0}, BoxLife(crashed ? "" : name + "-1")});
 		}
 		this->clock.After(Millis(2), [done, rows] { done(ResultCode::RC_OK, rows); });
 	}
@@ -61,6 +63,7 @@
 		this->clock.After(Millis(2), [done, outcome = this->outcome] { done(outcome); });
 	}
 
+	std::set<std::string> down;                          ///< Machines that are down.
 	std::vector<Order> orders;                           ///< All orders.
 	ControlOutcome outcome = ControlOutcome::CO_REFUSED; ///< Answer: not carried out, so that holders order again.
 
@@ -74,21 +77,24 @@
 public:
 	explicit EmptyPools(std::vector<std::string> names) : names(std::move(names)) {}
 
-	void Ask(const ServiceName &service, const std::set<BoxName> &drain, const std::set<BoxName> &,
+	void Ask(const ServiceName &service, const PoolRequest &request,
 			 std::function<void(std::optional<PoolStatus>)> done) override
 	{
+		this->ended.insert(request.ended.begin(), request.ended.end());
 		PoolStatus out;
 		for (const std::string &name : this->names) {
 			if (PoolOf(name) != service) {
 				continue;
 			}
 			out.boxes.push_back(
-					PoolBox{BoxName(name), BoxLife(name + "-1"), 0, 0, 8000, !drain.contains(BoxName(name))});
+					PoolBox{BoxName(name), BoxLife(name + "-1"), 0, 0, 8000, !request.drain.contains(BoxName(name))});
 		}
 		done(out);
 	}
 	void Publish(uint64_t, bool, std::function<void(bool)> done) override { done(true); }
 
+	std::set<BoxLife> ended; ///< Lives that owners were told of as ended.
+
 private:
 	std::vector<std::string> names; ///< The boxes.
 };
@@ -324,3 +330,14 @@
 	/* Two looks at the fleet, the append under way, and its own. */
 	CHECK(*ordered - asked <= Millis(700));
 }
+
+TEST_CASE("the owner of a pool hears within two looks that a box of its own has crashed")
+{
+	FleetWorld world;
+	auto holder = world.Make("first", {});
+	world.clock.RunUntil(world.clock.Now() + Millis(1500));
+	REQUIRE(world.pools.ended.empty());
+	world.machines.down = {"m1"};
+	world.clock.RunUntil(world.clock.Now() + Millis(400));
+	CHECK(world.pools.ended == std::set{BoxLife("m1-1")});
+}
--- a/tests/test_other_writer.cpp
+++ b/tests/test_other_writer.cpp
@@ -76,10 +76,7 @@
 	void Move(const BoxName &, const ServiceName &, const ControlLease &, Done) override {}
 	void Maintain(const BoxName &, uint64_t, const ControlLease &, Done) override {}
 	void Publish(uint64_t, bool, std::function<void(bool)>) override {}
-	void Ask(const ServiceName &, const std::set<BoxName> &, const std::set<BoxName> &,
-			 std::function<void(std::optional<PoolStatus>)>) override
-	{
-	}
+	void Ask(const ServiceName &, const PoolRequest &, std::function<void(std::optional<PoolStatus>)>) override {}
 };
 
 } // namespace
