While tasks crash boxes, jobs start on one box 80 ms apart, so that a crash names one job

For 10 s after a crash that one run had just begun under, a box takes starts of one job within 80 ms, and a run counts as the last start of its box for 60 ms, not 300. An owner that finds crashes in the records it takes over begins so. Nothing is different while no box crashes.

--- a/src/jobs/shard_base.h
+++ b/src/jobs/shard_base.h
@@ -149,6 +149,7 @@
 	std::map<RouteName, double> run_times;       ///< ms that tasks of a route took, on a scale of ratios, smoothed.
 	std::map<uint64_t, IncomingRecord> incoming; ///< Records that wait for the next append, in the order of arrival.
 	uint64_t incoming_last = 0;                  ///< Number of the last of them.
+	Millis alarm_until;                          ///< Until then starts on one box are kept apart.
 	Millis refused_at{-1000000};                 ///< When the log had last refused what was to be recorded.
 	std::vector<IncomingRecord> accepted;        ///< Those that the next append takes along.
 	std::set<JobId> dirty;                       ///< Jobs to be recorded.
@@ -219,6 +220,7 @@
 	OpenBox *Choose(std::vector<OpenBox> &open, const ShardJob &job, const TaskId &first, bool suspect);
 	[[nodiscard]] bool MayRun(const ShardJob &job, const TaskId &first, const ShardBox &box) const;
 	void WantTickets(const PlaceRound &round, const ShardJob &job, const TaskId &first);
+	void NoteStarting(OpenBox &open, const JobId &job, bool suspect) const;
 	bool PickGang(std::vector<OpenBox> &open, const ShardJob &job, const TaskId &first, bool suspect,
 				  std::vector<ShardBox *> &picks);
 	[[nodiscard]] uint32_t CountOn(const ShardBox &box, const TaskId &first) const;
@@ -289,6 +291,9 @@
 	[[nodiscard]] bool TriedAlone(const ShardTask &task) const;
 	[[nodiscard]] static bool OnTrial(const ShardBox &box, const ShardTask &task);
 	[[nodiscard]] std::optional<JobId> TrialOn(const ShardBox &box) const;
+	[[nodiscard]] bool Alarmed() const { return this->scheduler.Now() < this->alarm_until; }
+	void RaiseAlarm();
+	[[nodiscard]] std::optional<JobId> FreshOn(const ShardBox &box) const;
 	[[nodiscard]] static bool TrialMayBegin(const std::vector<OpenBox> &open, const JobId &job);
 
 	/* shard_drain.cpp */
--- a/src/jobs/shard_crashes.cpp
+++ b/src/jobs/shard_crashes.cpp
@@ -21,6 +21,11 @@
 /** A run is the last start of its box for so long: tasks that crash boxes were seen to do it within 10 ms. Nothing
  * starts beside a suspect meanwhile. */
 constexpr Millis TRIAL_FOR(300);
+/** A run counts as the last start of its box for so long: see TRIAL_FOR, and the time that an answer takes. */
+constexpr Millis JUST_BEGAN(60);
+/** While tasks crash boxes, jobs start on one box so far apart: beyond JUST_BEGAN, so that a crash names one. */
+constexpr Millis STARTS_APART(80);
+constexpr Millis ALARM_FOR(10000); ///< Tasks are taken to crash boxes for so long after one may have.
 /** With so many crashes a task is given up that was the last start: the least that the platform's page allows. */
 constexpr uint32_t CRASHES_CERTAIN = 2;
 /** With so many, also possible ones, any task is given up: after three crashes it may be started twice more (the
@@ -53,7 +58,27 @@
 
 bool Shard::JustBegan(const ShardBox &box, const ShardTask &task)
 {
-	return task.run_state == RunState::RS_RUNNING && box.answered_at - task.ordered_at < TRIAL_FOR;
+	return task.run_state == RunState::RS_RUNNING && box.answered_at - task.ordered_at < JUST_BEGAN;
+}
+
+void Shard::RaiseAlarm()
+{
+	if (!this->Alarmed()) {
+		this->log.Write("starts_apart",
+						{{"service", this->service.Value()}, {"for_ms", std::to_string(ALARM_FOR.Value())}});
+	}
+	this->alarm_until = this->scheduler.Now() + ALARM_FOR;
+}
+
+std::optional<JobId> Shard::FreshOn(const ShardBox &box) const
+{
+	const Millis now = this->scheduler.Now();
+	const auto it = std::ranges::find_if(box.placed, [&](const TaskId &id) {
+		const ShardTask &task = *this->FindTask(id);
+		return task.run_state == RunState::RS_RECORDING || task.run_state == RunState::RS_ORDERED ||
+			   now - task.ordered_at < STARTS_APART;
+	});
+	return it == box.placed.end() ? std::nullopt : std::optional(it->job);
 }
 
 bool Shard::OthersJustBegan(const ShardBox &box, const JobId &job)
@@ -106,7 +131,11 @@
 	}
 	task.crashes++;
 	this->counters.crashed++;
-	const bool last_start = JustBegan(box, task) && !others;
+	const bool just_began = JustBegan(box, task);
+	const bool last_start = just_began && !others;
+	if (just_began) {
+		this->RaiseAlarm();
+	}
 	this->LogCrash(box, id, last_start);
 	return GivesUp(job, id, last_start);
 }
--- a/src/jobs/shard_jobs.cpp
+++ b/src/jobs/shard_jobs.cpp
@@ -106,6 +106,9 @@
 		this->restored.erase(old);
 	}
 	ShardJob &kept = this->jobs.emplace(spec.id, std::move(job)).first->second;
+	if (!kept.Over() && std::ranges::any_of(kept.tasks, [](const ShardTask &it) { return it.crashes > 0; })) {
+		this->RaiseAlarm();
+	}
 	for (size_t place = 0; place < kept.tasks.size(); place++) {
 		ShardTask &task = kept.tasks[place];
 		if (task.phase != TaskPhase::TP_PLACED) {
--- a/src/jobs/shard_place.cpp
+++ b/src/jobs/shard_place.cpp
@@ -29,6 +29,7 @@
 {
 	PlaceRound round;
 	const Millis now = this->scheduler.Now();
+	const bool apart = this->Alarmed();
 	this->counters.rounds++;
 	this->counters.boxes_walked += this->boxes.size();
 	for (ShardBox &box : this->boxes | std::views::values) {
@@ -36,7 +37,7 @@
 			Resources free = box.report.capacity;
 			free -= box.used;
 			this->counters.tasks_walked += box.suspects.size();
-			round.open.push_back(OpenBox{&box, this->TrialOn(box), free});
+			round.open.push_back(OpenBox{&box, this->TrialOn(box), apart ? this->FreshOn(box) : std::nullopt, free});
 		}
 	}
 	return round;
@@ -116,7 +117,8 @@
 		const bool fits = it.free.Holds(step.demand) &&
 						  (step.required_label.empty() || report.HasLabel(step.required_label)) &&
 						  (step.per_box == 0 || this->CountOn(*it.box, first) + it.picked < step.per_box) &&
-						  (!it.trial || (suspect && it.trial == job.spec.id)) && this->MayRun(job, first, *it.box);
+						  (!it.trial || (suspect && it.trial == job.spec.id)) &&
+						  (!it.fresh || it.fresh == job.spec.id) && this->MayRun(job, first, *it.box);
 		if (!fits) {
 			continue;
 		}
@@ -133,6 +135,16 @@
 	return best;
 }
 
+void Shard::NoteStarting(OpenBox &open, const JobId &job, bool suspect) const
+{
+	if (suspect) {
+		open.trial = job;
+	}
+	if (this->Alarmed()) {
+		open.fresh = job;
+	}
+}
+
 void Shard::PlaceStep(PlaceRound &round, ShardJob &job, uint32_t occurrence, uint32_t step)
 {
 	const StepSpec &spec = job.spec.steps[step];
@@ -159,9 +171,7 @@
 			return;
 		}
 		it->free -= spec.demand;
-		if (suspect) {
-			it->trial = job.spec.id;
-		}
+		this->NoteStarting(*it, job.spec.id, suspect);
 		this->Assign(job, id, *it->box, RunNumber(task.run.Value() + 1));
 	}
 }
@@ -214,9 +224,7 @@
 		this->Assign(job, id, *picks[index], RunNumber(last_run + 1));
 		OpenBox &open = *std::ranges::find(round.open, picks[index], &OpenBox::box);
 		open.free -= spec.demand;
-		if (suspect) {
-			open.trial = job.spec.id;
-		}
+		this->NoteStarting(open, job.spec.id, suspect);
 	}
 }
 
--- a/src/jobs/shard_type.h
+++ b/src/jobs/shard_type.h
@@ -186,8 +186,11 @@
 struct OpenBox {
 	ShardBox *box = nullptr;    ///< The box.
 	std::optional<JobId> trial; ///< Job of which a suspect task has just begun there: nothing else starts beside it.
-	Resources free;             ///< What is left there.
-	uint32_t picked = 0;        ///< Tasks of the gang at hand that were chosen for it but not assigned yet.
+	/** Job of which a task has just begun there, while tasks crash boxes: those of others wait for a moment, so that a
+	 * crash names one job. */
+	std::optional<JobId> fresh;
+	Resources free;      ///< What is left there.
+	uint32_t picked = 0; ///< Tasks of the gang at hand that were chosen for it but not assigned yet.
 };
 
 /** One round of placing: what has room, and what was found to fit nowhere. */
