Tasks that a crash names are tried together on a box that is kept empty for them

A job that was alone in its box's last 60 ms before a crash is mostly guilty; its second crash took a full box along. Such tasks now wait, 2 s at most, for a box that takes nothing else meanwhile, and all that wait start there at once: a crash there costs no others their runs, and one box for all of them. Each that was named before, and began beside named ones alone, is given up by it.

--- a/src/jobs/shard_base.h
+++ b/src/jobs/shard_base.h
@@ -150,6 +150,7 @@
 	std::map<uint64_t, IncomingRecord> incoming; ///< Records that wait for the next append, in the order of arrival.
 	uint64_t incoming_last = 0;                  ///< Number of the last of them.
 	Millis alarm_until;                          ///< Until then starts on one box are kept apart.
+	std::optional<BoxLife> trial_box;            ///< Box that is kept for blamed tasks, while some wait.
 	Millis refused_at{-1000000};                 ///< When the log had last refused what was to be recorded.
 	std::vector<IncomingRecord> accepted;        ///< Those that the next append takes along.
 	std::set<JobId> dirty;                       ///< Jobs to be recorded.
@@ -217,11 +218,13 @@
 	void PlaceJob(PlaceRound &round, ShardJob &job);
 	void PlaceStep(PlaceRound &round, ShardJob &job, uint32_t occurrence, uint32_t step);
 	void PlaceGang(PlaceRound &round, ShardJob &job, uint32_t occurrence, uint32_t step);
-	OpenBox *Choose(std::vector<OpenBox> &open, const ShardJob &job, const TaskId &first, bool suspect);
+	OpenBox *Choose(std::vector<OpenBox> &open, const ShardJob &job, const TaskId &first, StartKind kind);
 	[[nodiscard]] bool MayRun(const ShardJob &job, const TaskId &first, const ShardBox &box) const;
 	void WantTickets(const PlaceRound &round, const ShardJob &job, const TaskId &first);
-	void NoteStarting(OpenBox &open, const JobId &job, bool suspect) const;
-	bool PickGang(std::vector<OpenBox> &open, const ShardJob &job, const TaskId &first, bool suspect,
+	[[nodiscard]] StartKind KindOf(const ShardTask &task) const;
+	[[nodiscard]] static bool MayStartOn(const OpenBox &open, const JobId &job, StartKind kind);
+	void NoteStarting(OpenBox &open, const JobId &job, StartKind kind) const;
+	bool PickGang(std::vector<OpenBox> &open, const ShardJob &job, const TaskId &first, StartKind kind,
 				  std::vector<ShardBox *> &picks);
 	[[nodiscard]] uint32_t CountOn(const ShardBox &box, const TaskId &first) const;
 	void Assign(ShardJob &job, const TaskId &id, ShardBox &box, RunNumber run);
@@ -287,12 +290,14 @@
 	void LookAfterTrial(const TaskId &id, RunNumber run);
 	void AskAfterTrial(const TaskId &id, RunNumber run);
 	[[nodiscard]] static bool JustBegan(const ShardBox &box, const ShardTask &task);
-	[[nodiscard]] bool OthersJustBegan(const ShardBox &box, const JobId &job);
+	[[nodiscard]] bool OthersJustBegan(const ShardBox &box, const JobId &job, bool blamed_too);
 	[[nodiscard]] bool TriedAlone(const ShardTask &task) const;
 	[[nodiscard]] static bool OnTrial(const ShardBox &box, const ShardTask &task);
 	[[nodiscard]] std::optional<JobId> TrialOn(const ShardBox &box) const;
 	[[nodiscard]] bool Alarmed() const { return this->scheduler.Now() < this->alarm_until; }
 	void RaiseAlarm();
+	[[nodiscard]] bool WaitsForTrial(const ShardTask &task) const;
+	void ReserveTrialBox(PlaceRound &round, const std::vector<ShardJob *> &jobs);
 	[[nodiscard]] std::optional<JobId> FreshOn(const ShardBox &box) const;
 	[[nodiscard]] static bool TrialMayBegin(const std::vector<OpenBox> &open, const JobId &job);
 
--- a/src/jobs/shard_crashes.cpp
+++ b/src/jobs/shard_crashes.cpp
@@ -36,6 +36,9 @@
 /** A task that only one box may have crashed under waits so long for a trial, then starts like others: a job whose
  * turn has come is to run within 3 s (the platform's rules). */
 constexpr Millis TRIAL_WAIT(1500);
+/** A blamed task waits so long for a box of its own, where it costs no others their runs: two runs of quick tasks. Then
+ * it starts like other suspects: a job whose turn has come is to run within 3 s (the platform's rules). */
+constexpr Millis BLAMED_WAIT(2000);
 constexpr Millis SURE_AFTER(10000); ///< What reports say is sure when the store was away last before this.
 
 } // namespace
@@ -81,10 +84,39 @@
 	return it == box.placed.end() ? std::nullopt : std::optional(it->job);
 }
 
-bool Shard::OthersJustBegan(const ShardBox &box, const JobId &job)
+bool Shard::OthersJustBegan(const ShardBox &box, const JobId &job, bool blamed_too)
 {
-	return std::ranges::any_of(box.placed,
-							   [&](const TaskId &it) { return it.job != job && JustBegan(box, *this->FindTask(it)); });
+	return std::ranges::any_of(box.placed, [&](const TaskId &it) {
+		const ShardTask &task = *this->FindTask(it);
+		return it.job != job && JustBegan(box, task) && (blamed_too || !task.blamed);
+	});
+}
+
+bool Shard::WaitsForTrial(const ShardTask &task) const
+{
+	return task.blamed && this->scheduler.Now() - task.since < BLAMED_WAIT;
+}
+
+void Shard::ReserveTrialBox(PlaceRound &round, const std::vector<ShardJob *> &jobs)
+{
+	const auto waits = [this](const ShardTask &it) { return Startable(it) && this->WaitsForTrial(it); };
+	const bool any = this->Alarmed() && std::ranges::any_of(jobs, [&waits](const ShardJob *it) {
+						 return std::ranges::any_of(it->tasks, waits);
+					 });
+	if (!any) {
+		this->trial_box.reset();
+		return;
+	}
+	const auto kept = [this](const OpenBox &it) { return it.box->report.life == this->trial_box; };
+	auto box = std::ranges::find_if(round.open, kept);
+	if (box == round.open.end()) {
+		box = std::ranges::max_element(round.open, {}, [](const OpenBox &it) { return it.free.cpu; });
+	}
+	if (box != round.open.end() && round.open.size() > 1) {
+		this->trial_box = box->box->report.life;
+		box->for_blamed = true;
+		box->was_empty = box->box->placed.empty();
+	}
 }
 
 bool Shard::CrashesBoxes(const StoredTask &task)
@@ -119,7 +151,7 @@
 	if (nothing || (began && lived >= proven)) {
 		return false;
 	}
-	const bool others = this->OthersJustBegan(box, id.job);
+	const bool others = this->OthersJustBegan(box, id.job, true);
 	const bool fresh = (!began && !restored) || JustBegan(box, task);
 	const bool was_suspect = std::exchange(task.suspect, task.suspect || fresh || task.crashes > 0);
 	if (evidence == CrashEvidence::CE_POSSIBLE || !began) {
@@ -137,7 +169,10 @@
 		this->RaiseAlarm();
 	}
 	this->LogCrash(box, id, last_start);
-	return GivesUp(job, id, last_start);
+	/* Beside others that are blamed as well, a crash speaks against each: they were tried together to lose one box. */
+	const bool guilty = last_start || (just_began && task.blamed && !this->OthersJustBegan(box, id.job, false));
+	task.blamed = task.blamed || last_start;
+	return GivesUp(job, id, guilty);
 }
 
 void Shard::LogCrash(const ShardBox &box, const TaskId &id, bool last_start)
@@ -161,7 +196,7 @@
 		return;
 	}
 	/* The boxes that it lost have crashed by themselves. */
-	task.suspect = false;
+	task.suspect = task.blamed = false;
 	task.crashes = task.crashes_possible = 0;
 	this->Touch(id.job);
 }
--- a/src/jobs/shard_place.cpp
+++ b/src/jobs/shard_place.cpp
@@ -37,7 +37,8 @@
 			Resources free = box.report.capacity;
 			free -= box.used;
 			this->counters.tasks_walked += box.suspects.size();
-			round.open.push_back(OpenBox{&box, this->TrialOn(box), apart ? this->FreshOn(box) : std::nullopt, free});
+			round.open.push_back(
+					OpenBox{&box, this->TrialOn(box), apart ? this->FreshOn(box) : std::nullopt, false, false, free});
 		}
 	}
 	return round;
@@ -50,6 +51,7 @@
 		return;
 	}
 	PlaceRound round = this->BeginRound();
+	this->ReserveTrialBox(round, jobs);
 	std::ranges::for_each(jobs, [&](ShardJob *it) { this->PlaceJob(round, *it); });
 }
 
@@ -104,9 +106,27 @@
 	this->tickets.Want(StepId{first.job, first.occurrence, first.step}, lives, static_cast<size_t>(waiting));
 }
 
-OpenBox *Shard::Choose(std::vector<OpenBox> &open, const ShardJob &job, const TaskId &first, bool suspect)
+StartKind Shard::KindOf(const ShardTask &task) const
+{
+	if (this->WaitsForTrial(task)) {
+		return StartKind::SK_BLAMED;
+	}
+	return this->TriedAlone(task) ? StartKind::SK_SUSPECT : StartKind::SK_PLAIN;
+}
+
+bool Shard::MayStartOn(const OpenBox &open, const JobId &job, StartKind kind)
+{
+	if (open.for_blamed || kind == StartKind::SK_BLAMED) {
+		return open.for_blamed && open.was_empty && kind == StartKind::SK_BLAMED;
+	}
+	const bool apart = !open.fresh || open.fresh == job;
+	return apart && (!open.trial || (kind == StartKind::SK_SUSPECT && open.trial == job));
+}
+
+OpenBox *Shard::Choose(std::vector<OpenBox> &open, const ShardJob &job, const TaskId &first, StartKind kind)
 {
 	const StepSpec &step = job.spec.steps[first.step];
+	const bool suspect = kind == StartKind::SK_SUSPECT;
 	if (suspect && !TrialMayBegin(open, job.spec.id)) {
 		return nullptr;
 	}
@@ -117,8 +137,7 @@
 		const bool fits = it.free.Holds(step.demand) &&
 						  (step.required_label.empty() || report.HasLabel(step.required_label)) &&
 						  (step.per_box == 0 || this->CountOn(*it.box, first) + it.picked < step.per_box) &&
-						  (!it.trial || (suspect && it.trial == job.spec.id)) &&
-						  (!it.fresh || it.fresh == job.spec.id) && this->MayRun(job, first, *it.box);
+						  MayStartOn(it, job.spec.id, kind) && this->MayRun(job, first, *it.box);
 		if (!fits) {
 			continue;
 		}
@@ -135,9 +154,9 @@
 	return best;
 }
 
-void Shard::NoteStarting(OpenBox &open, const JobId &job, bool suspect) const
+void Shard::NoteStarting(OpenBox &open, const JobId &job, StartKind kind) const
 {
-	if (suspect) {
+	if (kind != StartKind::SK_PLAIN) {
 		open.trial = job;
 	}
 	if (this->Alarmed()) {
@@ -155,13 +174,13 @@
 		if (!Startable(task)) {
 			continue;
 		}
-		const bool suspect = this->TriedAlone(task);
-		OpenBox *it = this->Choose(round.open, job, first, suspect);
+		const StartKind kind = this->KindOf(task);
+		OpenBox *it = this->Choose(round.open, job, first, kind);
 		if (it == nullptr) {
 			if (job.route.advised) {
 				this->WantTickets(round, job, first);
 			}
-			if (suspect) {
+			if (kind != StartKind::SK_PLAIN) {
 				continue; /* The others may still start. */
 			}
 			/* Others with the same wishes or more need not look. */
@@ -171,18 +190,18 @@
 			return;
 		}
 		it->free -= spec.demand;
-		this->NoteStarting(*it, job.spec.id, suspect);
+		this->NoteStarting(*it, job.spec.id, kind);
 		this->Assign(job, id, *it->box, RunNumber(task.run.Value() + 1));
 	}
 }
 
-bool Shard::PickGang(std::vector<OpenBox> &open, const ShardJob &job, const TaskId &first, bool suspect,
+bool Shard::PickGang(std::vector<OpenBox> &open, const ShardJob &job, const TaskId &first, StartKind kind,
 					 std::vector<ShardBox *> &picks)
 {
 	const StepSpec &step = job.spec.steps[first.step];
 	picks.clear();
 	while (picks.size() < step.count) {
-		OpenBox *it = this->Choose(open, job, first, suspect);
+		OpenBox *it = this->Choose(open, job, first, kind);
 		if (it == nullptr) {
 			return false;
 		}
@@ -212,10 +231,11 @@
 	}
 	choices.push_back(round.open);
 	std::vector<ShardBox *> picks;
-	/* They start together: one that crashes boxes makes all of them suspect. */
+	/* They start together, on several boxes: one that crashes boxes makes all of them suspect. */
 	const bool suspect = std::ranges::any_of(members, [this](const ShardTask &it) { return this->TriedAlone(it); });
+	const StartKind kind = suspect ? StartKind::SK_SUSPECT : StartKind::SK_PLAIN;
 	const bool found =
-			std::ranges::any_of(choices, [&](auto &open) { return this->PickGang(open, job, first, suspect, picks); });
+			std::ranges::any_of(choices, [&](auto &open) { return this->PickGang(open, job, first, kind, picks); });
 	if (!found && job.route.advised) {
 		this->WantTickets(round, job, first);
 	}
@@ -224,7 +244,7 @@
 		this->Assign(job, id, *picks[index], RunNumber(last_run + 1));
 		OpenBox &open = *std::ranges::find(round.open, picks[index], &OpenBox::box);
 		open.free -= spec.demand;
-		this->NoteStarting(open, job.spec.id, suspect);
+		this->NoteStarting(open, job.spec.id, kind);
 	}
 }
 
--- a/src/jobs/shard_type.h
+++ b/src/jobs/shard_type.h
@@ -76,6 +76,8 @@
 	Millis ordered_at;                           ///< When the first order for the run was sent.
 	/** A box crashed just after it had begun the task. Not stored: a new owner goes by `crashes`. */
 	bool suspect = false;
+	/** A box crashed when the task's job was the only one that had just begun there. Not stored either. */
+	bool blamed = false;
 	uint64_t listed_by = 0; ///< Number of the newest look whose list had the current run.
 };
 
@@ -182,6 +184,13 @@
 	CE_CERTAIN = 2,  ///< It has crashed.
 };
 
+/** How a task is started, by what is known of boxes that have crashed under it. */
+enum class StartKind : uint8_t {
+	SK_PLAIN = 0,   ///< Like others.
+	SK_SUSPECT = 1, ///< Nothing else starts beside it.
+	SK_BLAMED = 2,  ///< On the box that is kept for such tasks.
+};
+
 /** A box that takes tasks in this round of placing. */
 struct OpenBox {
 	ShardBox *box = nullptr;    ///< The box.
@@ -189,8 +198,11 @@
 	/** Job of which a task has just begun there, while tasks crash boxes: those of others wait for a moment, so that a
 	 * crash names one job. */
 	std::optional<JobId> fresh;
-	Resources free;      ///< What is left there.
-	uint32_t picked = 0; ///< Tasks of the gang at hand that were chosen for it but not assigned yet.
+	/** Only blamed tasks start there, all that wait in one round: a later one would find some that have begun. */
+	bool for_blamed = false;
+	bool was_empty = false; ///< Whether it was empty when the round began, if it is for blamed tasks.
+	Resources free;         ///< What is left there.
+	uint32_t picked = 0;    ///< Tasks of the gang at hand that were chosen for it but not assigned yet.
 };
 
 /** One round of placing: what has room, and what was found to fit nowhere. */
