--- a/src/jobs/shard_base.h
+++ b/src/jobs/shard_base.h
@@ -297,6 +297,7 @@
 	[[nodiscard]] bool Alarmed() const { return this->scheduler.Now() < this->alarm_until; }
 	void RaiseAlarm();
 	[[nodiscard]] bool WaitsForTrial(const ShardTask &task) const;
+	[[nodiscard]] int64_t CountLasting(const ShardBox &box) const;
 	void ReserveTrialBox(PlaceRound &round, const std::vector<ShardJob *> &jobs);
 	[[nodiscard]] std::optional<JobId> FreshOn(const ShardBox &box) const;
 	[[nodiscard]] static bool TrialMayBegin(const std::vector<OpenBox> &open, const JobId &job);
--- a/src/jobs/shard_crashes.cpp
+++ b/src/jobs/shard_crashes.cpp
@@ -97,6 +97,12 @@
 	return task.blamed && this->scheduler.Now() - task.since < BLAMED_WAIT;
 }
 
+int64_t Shard::CountLasting(const ShardBox &box) const
+{
+	return std::ranges::count_if(
+			box.placed, [this](const TaskId &it) { return this->jobs.at(it.job).spec.steps[it.step].lasting; });
+}
+
 void Shard::ReserveTrialBox(PlaceRound &round, const std::vector<ShardJob *> &jobs)
 {
 	const auto waits = [this](const ShardTask &it) { return Startable(it) && this->WaitsForTrial(it); };
@@ -110,12 +116,15 @@
 	const auto kept = [this](const OpenBox &it) { return it.box->report.life == this->trial_box; };
 	auto box = std::ranges::find_if(round.open, kept);
 	if (box == round.open.end()) {
-		box = std::ranges::max_element(round.open, {}, [](const OpenBox &it) { return it.free.cpu; });
+		/* Tasks that last would keep it from getting empty. */
+		box = std::ranges::max_element(round.open, {}, [this](const OpenBox &it) {
+			return std::pair(-this->CountLasting(*it.box), it.free.cpu);
+		});
 	}
 	if (box != round.open.end() && round.open.size() > 1) {
 		this->trial_box = box->box->report.life;
 		box->for_blamed = true;
-		box->was_empty = box->box->placed.empty();
+		box->was_empty = this->CountLasting(*box->box) == std::ssize(box->box->placed);
 	}
 }
 
