--- a/src/jobs/shard_crashes.cpp
+++ b/src/jobs/shard_crashes.cpp
@@ -122,7 +122,12 @@
 		});
 	}
 	if (box != round.open.end() && round.open.size() > 1) {
-		this->trial_box = box->box->report.life;
+		if (this->trial_box != box->box->report.life) {
+			this->trial_box = box->box->report.life;
+			this->log.Write("box_kept", {{"life", this->trial_box->Value()},
+										 {"placed", std::to_string(box->box->placed.size())},
+										 {"why", "tasks that a crash names"}});
+		}
 		box->for_blamed = true;
 		box->was_empty = this->CountLasting(*box->box) == std::ssize(box->box->placed);
 	}
