A node that stops claims nothing any more

Seen in the code only so far; the new test (test_group, "in the turn in which it loses a shard") plays that turn, and fails without the mend: the node stands in the claim.

--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -94,7 +94,7 @@
 void NodeCore::OnMembership()
 {
 	this->host.OnMembership();
-	if (this->desk.Config().version == 0) {
+	if (this->desk.Config().version == 0 || this->leaving) {
 		return;
 	}
 	const bool dealt = this->FleetDealt();
--- a/src/node/shard_host.cpp
+++ b/src/node/shard_host.cpp
@@ -80,6 +80,9 @@
 
 void ShardHost::OnMembership()
 {
+	if (this->stopped) {
+		return;
+	}
 	size_t owned = this->Claimed();
 	const Millis now = this->parts.scheduler.Now();
 	const bool look = this->member.TakesPart() && now - this->looked_at >= LOOK_EVERY;
@@ -119,8 +122,10 @@
 	owner->on_lost = [this, service] {
 		/* Not from inside the owner's own call. The record tells whether another owner came. */
 		this->parts.scheduler.After(Millis(0), [this, service] {
-			this->owners.erase(service);
-			this->Begin(service);
+			if (!this->stopped) {
+				this->owners.erase(service);
+				this->Begin(service);
+			}
 		});
 	};
 	owner->Configure(this->config);
@@ -161,6 +166,7 @@
 
 void ShardHost::Clear()
 {
+	this->stopped = true;
 	while (!this->owners.empty()) {
 		this->Release(ServiceName(this->owners.begin()->first));
 	}
--- a/src/node/shard_host.h
+++ b/src/node/shard_host.h
@@ -49,7 +49,7 @@
 	void OnReport(const BoxReport &report);
 	/** A box's report is gone. @param life The box's life. */
 	void OnReportGone(const BoxLife &life);
-	/** Lets go of everything. */
+	/** Lets go of everything, for good: the node stops. */
 	void Clear();
 
 	/** @return The owner of a service here, or null. @param service The service. */
@@ -70,6 +70,7 @@
 	std::map<ServiceName, std::unique_ptr<ShardOwner>> owners; ///< Shards owned, being claimed, or waited for.
 	Millis looked_at{-1000000};                                ///< When the owners of all services were last looked at.
 	std::vector<std::unique_ptr<ShardOwner>> releasing;        ///< Shards being let go.
+	bool stopped = false;                                      ///< Whether nothing is claimed any more.
 
 	[[nodiscard]] bool Dealt(const ServiceName &service) const;
 	[[nodiscard]] bool Watched(const ServiceName &service) const;
--- a/tests/test_group.cpp
+++ b/tests/test_group.cpp
@@ -298,3 +298,23 @@
 		}
 	}
 }
+
+/* Guards against a node that stops and claims what it has just lost: callers would wait for an owner that leaves. */
+TEST_CASE("a node that stops in the turn in which it loses a shard claims nothing any more")
+{
+	JobWorld world;
+	world.clock.RunUntil(Millis(3000));
+	WorldNode *owner = world.OwnerOf(ServiceName("calc"));
+	REQUIRE(owner != nullptr);
+	owner->host.Find(ServiceName("calc"))->on_lost();
+	owner->host.Clear();
+	owner->member.Leave([] {});
+	world.clock.RunUntil(Millis(3100));
+	CHECK(owner->host.Owners().empty());
+	owner->host.OnMembership();
+	CHECK(owner->host.Owners().empty());
+	world.clock.RunUntil(Millis(6000));
+	WorldNode *next = world.OwnerOf(ServiceName("calc"));
+	REQUIRE(next != nullptr);
+	CHECK(next != owner);
+}
