--- a/src/jobs/shard_records.cpp
+++ b/src/jobs/shard_records.cpp
@@ -15,6 +15,9 @@
 constexpr Millis REFUSED_FOR(200);
 /** Starts whose record took so long wait until the inbox was read. A slow store takes 600 ms. */
 constexpr Millis RECORD_LATE(1000);
+/** The same for starts that are recorded within this time after the log was last away; that is looked at twice a
+ * second, and the first append after it takes up to 0.6 s. */
+constexpr Millis LOG_BACK(2000);
 constexpr Millis INBOX_WAIT(600); ///< The same at most: an inbox that says nothing must not hold up a queue.
 constexpr Millis LOG_AWAY(1600);  ///< An owner that was confirmed longer ago takes nothing to be recorded.
 
@@ -161,7 +164,10 @@
 		job.durable_phase = phase;
 	}
 	std::ranges::copy(batch.starts, std::back_inserter(this->recorded_starts));
-	if (this->scheduler.Now() - batch.made_at >= RECORD_LATE) {
+	const Millis now = this->scheduler.Now();
+	/* Also what was placed only when the log was back: an append without an answer holds up placing, too. */
+	const bool was_away = now - this->store_away_at < LOG_BACK;
+	if (was_away || now - batch.made_at >= RECORD_LATE) {
 		this->HoldStarts();
 	}
 	this->PumpStarts();
--- a/tests/test_cancel_unseen.cpp
+++ b/tests/test_cancel_unseen.cpp
@@ -10,13 +10,13 @@
 const ServiceName CALC("calc");
 
 /** A job whose second step is placed while its owner can't reach the store; meanwhile it is cancelled at another node,
- * by the inbox. Nobody takes over: the other nodes stand still. @param cut_for The store is back after this. @return
- * Rules broken. */
-std::vector<std::string> Play(Millis cut_for)
+ * by the inbox. Nobody takes over: the other nodes stand still. @param cut_for The store is back after this. @param
+ * cut_at When it goes. @return Rules broken. */
+std::vector<std::string> Play(Millis cut_for, Millis cut_at = Millis(4400))
 {
 	JobWorld world;
 	WorldJob &job = world.Plan(Millis(4000), "calc", JobWorld::Chain(3));
-	world.clock.RunUntil(Millis(4400));
+	world.clock.RunUntil(cut_at);
 	WorldNode *owner = world.OwnerOf(CALC);
 	REQUIRE(owner != nullptr);
 	REQUIRE(job.accepted);
@@ -27,14 +27,15 @@
 		job.cancelled = code == ResultCode::RC_OK;
 		world.site.JobOf(job.spec.id).cancelled_at = world.clock.Now();
 	});
-	world.clock.RunUntil(Millis(4500));
+	const Millis cancelled = cut_at + Millis(100);
+	world.clock.RunUntil(cancelled);
 	REQUIRE(job.cancelled);
 	for (const auto &it : world.nodes) {
 		it->scheduler.paused_until = it.get() == owner ? Millis(0) : world.clock.Now() + cut_for + Millis(2000);
 	}
-	world.clock.RunUntil(Millis(4500) + cut_for);
+	world.clock.RunUntil(cancelled + cut_for);
 	owner->log.faults.silent = false;
-	world.clock.RunUntil(Millis(4500) + cut_for + Millis(4000));
+	world.clock.RunUntil(cancelled + cut_for + Millis(4000));
 	return world.site.violations;
 }
 
@@ -51,6 +52,20 @@
 	}
 }
 
+/* The same cut at other moments of the job's run, and for other times. */
+TEST_CASE("starts wait until the inbox was read, whenever the way to the store was cut")
+{
+	constexpr Millis MOMENTS_APART(40);
+	constexpr Millis TIMES_APART(150);
+	for (Millis cut_at(4100); cut_at < Millis(5000); cut_at = cut_at + MOMENTS_APART) {
+		for (Millis cut_for(1000); cut_for < Millis(6000); cut_for = cut_for + TIMES_APART) {
+			CAPTURE(cut_at.Value());
+			CAPTURE(cut_for.Value());
+			CHECK(Play(cut_for, cut_at) == std::vector<std::string>{});
+		}
+	}
+}
+
 TEST_CASE("an inbox that says nothing holds such starts up for a moment only")
 {
 	JobWorld world;
