--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -7,6 +7,9 @@
 run() {
 	local seed=$1 seconds=$2 folder="build/soak/$1"
 	local port=$((20000 + seed % 500 * 20))
+	# One run at a time uses a seed's ports, also of other clones: two would talk to each other's boxes.
+	exec 9>"${TMPDIR:-/tmp}/glade_soak_$port.lock"
+	flock 9
 	rm -rf "$folder"
 	mkdir -p "$folder"
 	if "$SOAK_BIN/glade_soak" --node "$SOAK_BIN/glade_node" --folder "$folder" --seed "$seed" --seconds "$seconds" \
