The last start is noted with its box, blamed tasks stand in a set, and the box kept for them is called trial box throughout

Found by reading the diff: while tasks crash boxes, each round looked through all tasks on all boxes and all tasks of all jobs, work that grows with boxes times rounds. Now a box knows its last start, and named tasks are listed. The form of the soak's list is checked in one place, boxes added to the tests' world by one function, comments say what holds now.

--- a/scripts/check_lists.sh
+++ b/scripts/check_lists.sh
@@ -16,13 +16,14 @@
 	fi
 	echo "$1: $rows rows"
 }
-check tests/soak/seeds.txt '^(#.*|[0-9]+ [^ ].*)$' 8
 check scripts/mutations.txt "^(#.*|[^	]+	[^	]+	[^	]+	[^	]+)\$" 19
 check KNOWN-RED.txt '^[^|]+ \| [^|]+ \| [0-9]+$' 0
 # Seeds that the pages name as broken run in CI.
-for seed in $(grep -ohiE 'soak seeds? [0-9]+(, [0-9]+)*' docs/findings.md docs/incidents/*.md KNOWN-RED.txt | grep -oE '[0-9]+' | sort -un); do
-	if ! grep -qE "^$seed " tests/soak/seeds.txt; then
-		echo "tests/soak/seeds.txt: seed $seed is missing"
-		exit 1
-	fi
-done
+seeds=$(scripts/soak.sh seeds)
+echo "tests/soak/seeds.txt: $(echo "$seeds" | wc -l) rows"
+named=$(grep -ohiE 'soak seeds? [0-9]+(, [0-9]+)*' docs/findings.md docs/incidents/*.md KNOWN-RED.txt | grep -oE '[0-9]+' | sort -u)
+missing=$(comm -23 <(echo "$named") <(echo "$seeds" | sort))
+if [ -n "$missing" ]; then
+	echo "tests/soak/seeds.txt: missing: $missing"
+	exit 1
+fi
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Runs the soak: scripts/soak.sh FIRST LAST [PARALLEL] [SECONDS] runs seeds FIRST to LAST; logs of a seed that broke a
 # promise stay in build/soak/SEED. scripts/soak.sh regress [PARALLEL] [SECONDS] runs the seeds of tests/soak/seeds.txt,
-# and passes over the failures of those that KNOWN-RED.txt names ("soak seed N | ..."). SOAK_SEEDS names another list.
+# and passes over the failures of those that KNOWN-RED.txt names ("soak seed N | ..."); scripts/soak.sh seeds lists them.
+# SOAK_SEEDS names another list.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 run() {
@@ -28,7 +29,7 @@
 	fi
 }
 export -f run
-# Each line is a comment or a seed with its cause: a tool that rewrote the list once hid a seed from CI.
+# Each line is a comment or a seed with its cause: seeds behind another one would not be found.
 read_seeds() {
 	local list=$1
 	if grep -vnE '^(#.*|[0-9]+ [^ ].*)$' "$list" >&2; then
@@ -41,6 +42,10 @@
 	fi
 	grep -oE '^[0-9]+' "$list"
 }
+if [ "${1:-}" = seeds ]; then
+	read_seeds "${SOAK_SEEDS:-tests/soak/seeds.txt}"
+	exit
+fi
 if [ "${1:-}" = regress ]; then
 	seeds=$(read_seeds "${SOAK_SEEDS:-tests/soak/seeds.txt}")
 	parallel=${2:-4}
--- a/src/jobs/shard_base.h
+++ b/src/jobs/shard_base.h
@@ -153,7 +153,8 @@
 	std::map<uint64_t, IncomingRecord> incoming; ///< Records that wait for the next append, in the order of arrival.
 	uint64_t incoming_last = 0;                  ///< Number of the last of them.
 	Millis alarm_until;                          ///< Until then starts on one box are kept apart.
-	std::optional<BoxLife> trial_box;            ///< Box that is kept for blamed tasks, while some wait.
+	std::set<TaskId> blamed;                     ///< Tasks that a crash has named, also some that are over.
+	std::optional<BoxLife> trial_box;            ///< Box that is kept for them, while some wait.
 	Millis refused_at{-1000000};                 ///< When the log had last refused what was to be recorded.
 	std::vector<IncomingRecord> accepted;        ///< Those that the next append takes along.
 	std::set<JobId> dirty;                       ///< Jobs to be recorded.
@@ -224,7 +225,7 @@
 	OpenBox *Choose(std::vector<OpenBox> &open, const ShardJob &job, const TaskId &first, StartKind kind);
 	[[nodiscard]] bool MayRun(const ShardJob &job, const TaskId &first, const ShardBox &box) const;
 	void WantTickets(const PlaceRound &round, const ShardJob &job, const TaskId &first);
-	[[nodiscard]] bool MayTryBlamed(const PlaceRound &round, const ShardJob &job) const;
+	[[nodiscard]] bool MayTry(const PlaceRound &round, const ShardJob &job) const;
 	[[nodiscard]] StartKind KindOf(const ShardTask &task) const;
 	[[nodiscard]] static bool MayStartOn(const OpenBox &open, const JobId &job, StartKind kind);
 	void NoteStarting(OpenBox &open, const JobId &job, StartKind kind) const;
@@ -302,7 +303,8 @@
 	void RaiseAlarm();
 	[[nodiscard]] bool WaitsForTrial(const ShardTask &task) const;
 	[[nodiscard]] int64_t CountLasting(const ShardBox &box) const;
-	void ReserveTrialBox(PlaceRound &round, const std::vector<ShardJob *> &jobs);
+	[[nodiscard]] bool TrialWanted(const TaskId &id) const;
+	void KeepTrialBox(PlaceRound &round);
 	[[nodiscard]] std::optional<JobId> FreshOn(const ShardBox &box) const;
 	[[nodiscard]] static bool TrialMayBegin(const std::vector<OpenBox> &open, const JobId &job);
 
--- a/src/jobs/shard_crashes.cpp
+++ b/src/jobs/shard_crashes.cpp
@@ -1,10 +1,14 @@
 /** @file shard_crashes.cpp Shard: tasks that crash the boxes that start them.
  *
  * A box that crashes takes up to some twenty runs with it, and mostly none of them is to blame. What is known of each
- * is how long its box has lived on after it began. So only runs that had just begun count a crash, the last ones are
- * started again on boxes that take nothing else until they have answered after it, and a job fails when two boxes have
- * crashed under one of its tasks and it was the last start of the second, or when four have. A lasting task is only not
- * started any more after four: the others of its job may be at work, and to stop them would take them away, too.
+ * is how long its box has lived on after it began. So only runs that had just begun count a crash. Those that were
+ * among the last ones are suspects, and start again where nothing else starts until the box has answered after it.
+ * While tasks crash boxes, jobs start on one box apart, so that a crash names one of them: its tasks are blamed, and
+ * all that are start together on a trial box, which is kept empty for them.
+ *
+ * A job fails when two boxes have crashed under one of its tasks and the second crash names it, or had only blamed ones
+ * beside it, or when four have. A lasting task is only not started any more after four: the others of its job may be at
+ * work, and to stop them would take them away, too.
  */
 #include "shard_base.h"
 
@@ -18,10 +22,10 @@
  * One that crashes its boxes later than this is not found; a lasting one, later than TRIAL_FOR: with many boxes
  * crashing, tasks whose boxes had lived 0.6 to 1.1 s each time were given up after four. */
 constexpr Millis PROVEN_AFTER(2000);
-/** A run is the last start of its box for so long: tasks that crash boxes were seen to do it within 10 ms. Nothing
- * starts beside a suspect meanwhile. */
+/** A suspect is on trial for so long: nothing starts beside it, and the box is asked after it. */
 constexpr Millis TRIAL_FOR(300);
-/** A run counts as the last start of its box for so long: see TRIAL_FOR, and the time that an answer takes. */
+/** A run is among the last starts of its box for so long: a task that crashes boxes does it within 10 ms, and answers
+ * take up to some tens. */
 constexpr Millis JUST_BEGAN(60);
 /** While tasks crash boxes, jobs start on one box so far apart: beyond JUST_BEGAN, so that a crash names one. */
 constexpr Millis STARTS_APART(80);
@@ -36,7 +40,7 @@
 /** A task that only one box may have crashed under waits so long for a trial, then starts like others: a job whose
  * turn has come is to run within 3 s (the platform's rules). */
 constexpr Millis TRIAL_WAIT(1500);
-/** A blamed task waits so long for a box of its own, where it costs no others their runs: two runs of quick tasks. Then
+/** A blamed task waits so long for the trial box, where it costs no others their runs: two runs of quick tasks. Then
  * it starts like other suspects: a job whose turn has come is to run within 3 s (the platform's rules). */
 constexpr Millis BLAMED_WAIT(2000);
 constexpr Millis SURE_AFTER(10000); ///< What reports say is sure when the store was away last before this.
@@ -75,13 +79,9 @@
 
 std::optional<JobId> Shard::FreshOn(const ShardBox &box) const
 {
-	const Millis now = this->scheduler.Now();
-	const auto it = std::ranges::find_if(box.placed, [&](const TaskId &id) {
-		const ShardTask &task = *this->FindTask(id);
-		return task.run_state == RunState::RS_RECORDING || task.run_state == RunState::RS_ORDERED ||
-			   now - task.ordered_at < STARTS_APART;
-	});
-	return it == box.placed.end() ? std::nullopt : std::optional(it->job);
+	/* The last start is noted with its box: to look through what is placed there would grow with boxes times rounds. */
+	const bool fresh = this->scheduler.Now() - box.last_start_at < STARTS_APART;
+	return fresh ? std::optional(box.last_start) : std::nullopt;
 }
 
 bool Shard::OthersJustBegan(const ShardBox &box, const JobId &job, bool blamed_too)
@@ -103,33 +103,39 @@
 			box.placed, [this](const TaskId &it) { return this->jobs.at(it.job).spec.steps[it.step].lasting; });
 }
 
-void Shard::ReserveTrialBox(PlaceRound &round, const std::vector<ShardJob *> &jobs)
+bool Shard::TrialWanted(const TaskId &id) const
+{
+	const ShardTask *task = this->FindTask(id);
+	return task != nullptr && Startable(*task) && this->WaitsForTrial(*task) && !this->jobs.at(id.job).Over();
+}
+
+void Shard::KeepTrialBox(PlaceRound &round)
 {
-	const auto waits = [this](const ShardTask &it) { return Startable(it) && this->WaitsForTrial(it); };
-	const bool any = this->Alarmed() && std::ranges::any_of(jobs, [&waits](const ShardJob *it) {
-						 return std::ranges::any_of(it->tasks, waits);
-					 });
-	if (!any) {
+	std::erase_if(this->blamed, [this](const TaskId &it) {
+		const ShardTask *task = this->FindTask(it);
+		return task == nullptr || !task->blamed || this->jobs.at(it.job).Over();
+	});
+	const bool wanted = std::ranges::any_of(this->blamed, [this](const TaskId &it) { return this->TrialWanted(it); });
+	if (!wanted || round.open.size() <= 1) {
 		this->trial_box.reset();
 		return;
 	}
-	const auto kept = [this](const OpenBox &it) { return it.box->report.life == this->trial_box; };
-	auto box = std::ranges::find_if(round.open, kept);
+	auto box = std::ranges::find_if(round.open,
+									[this](const OpenBox &it) { return it.box->report.life == this->trial_box; });
 	if (box == round.open.end()) {
 		/* Tasks that last would keep it from getting empty. */
 		box = std::ranges::max_element(round.open, {}, [this](const OpenBox &it) {
 			return std::pair(-this->CountLasting(*it.box), it.free.cpu);
 		});
+		this->trial_box = box->box->report.life;
+		this->log.Write("trial_box",
+						{{"life", this->trial_box->Value()}, {"placed", std::to_string(box->box->placed.size())}});
 	}
-	if (box != round.open.end() && round.open.size() > 1) {
-		if (this->trial_box != box->box->report.life) {
-			this->trial_box = box->box->report.life;
-			this->log.Write("box_kept", {{"life", this->trial_box->Value()},
-										 {"placed", std::to_string(box->box->placed.size())},
-										 {"why", "tasks that a crash names"}});
-		}
-		box->for_blamed = true;
-		box->was_empty = round.box_kept = this->CountLasting(*box->box) == std::ssize(box->box->placed);
+	/* All that wait start there in one round: in a later one, some would already have begun. */
+	if (this->CountLasting(*box->box) == std::ssize(box->box->placed)) {
+		box->trial_box = round.trial_box = true;
+	} else {
+		round.open.erase(box);
 	}
 }
 
@@ -185,7 +191,10 @@
 	this->LogCrash(box, id, last_start);
 	/* Beside others that are blamed as well, a crash speaks against each: they were tried together to lose one box. */
 	const bool guilty = last_start || (just_began && task.blamed && !this->OthersJustBegan(box, id.job, false));
-	task.blamed = task.blamed || last_start;
+	if (last_start) {
+		task.blamed = true;
+		this->blamed.insert(id);
+	}
 	return GivesUp(job, id, guilty);
 }
 
--- a/src/jobs/shard_place.cpp
+++ b/src/jobs/shard_place.cpp
@@ -38,7 +38,7 @@
 			free -= box.used;
 			this->counters.tasks_walked += box.suspects.size();
 			round.open.push_back(
-					OpenBox{&box, this->TrialOn(box), apart ? this->FreshOn(box) : std::nullopt, false, false, free});
+					OpenBox{&box, this->TrialOn(box), apart ? this->FreshOn(box) : std::nullopt, false, free});
 		}
 	}
 	return round;
@@ -51,7 +51,7 @@
 		return;
 	}
 	PlaceRound round = this->BeginRound();
-	this->ReserveTrialBox(round, jobs);
+	this->KeepTrialBox(round);
 	std::ranges::for_each(jobs, [&](ShardJob *it) { this->PlaceJob(round, *it); });
 }
 
@@ -62,7 +62,7 @@
 			return;
 		}
 		for (const uint32_t step : std::views::iota(0U, static_cast<uint32_t>(job.spec.steps.size()))) {
-			const bool hopeless = round.Hopeless(job.spec.steps[step].demand) && !this->MayTryBlamed(round, job);
+			const bool hopeless = round.Hopeless(job.spec.steps[step].demand) && !this->MayTry(round, job);
 			if (hopeless || !this->StepReady(job, occurrence, step)) {
 				continue;
 			}
@@ -115,18 +115,18 @@
 	return this->TriedAlone(task) ? StartKind::SK_SUSPECT : StartKind::SK_PLAIN;
 }
 
-bool Shard::MayTryBlamed(const PlaceRound &round, const ShardJob &job) const
+bool Shard::MayTry(const PlaceRound &round, const ShardJob &job) const
 {
-	/* The box that is kept for them is empty while all others are full. */
-	return round.box_kept && std::ranges::any_of(job.tasks, [this](const ShardTask &it) {
-			   return Startable(it) && this->WaitsForTrial(it);
+	/* The trial box is empty while all others are full. */
+	return round.trial_box && std::ranges::any_of(this->blamed, [this, &job](const TaskId &it) {
+			   return it.job == job.spec.id && this->TrialWanted(it);
 		   });
 }
 
 bool Shard::MayStartOn(const OpenBox &open, const JobId &job, StartKind kind)
 {
-	if (open.for_blamed || kind == StartKind::SK_BLAMED) {
-		return open.for_blamed && open.was_empty && kind == StartKind::SK_BLAMED;
+	if (open.trial_box || kind == StartKind::SK_BLAMED) {
+		return open.trial_box && kind == StartKind::SK_BLAMED;
 	}
 	const bool apart = !open.fresh || open.fresh == job;
 	return apart && (!open.trial || (kind == StartKind::SK_SUSPECT && open.trial == job));
@@ -196,7 +196,7 @@
 			if (!job.route.advised && spec.required_label.empty() && spec.per_box == 0) {
 				round.hopeless.push_back(spec.demand);
 			}
-			if (!this->MayTryBlamed(round, job)) {
+			if (!this->MayTry(round, job)) {
 				return;
 			}
 			continue;
@@ -271,6 +271,8 @@
 	task.stop_wanted = task.stop_sent = task.stop_confirmed = false;
 	task.leaving = task.stop_recorded = false;
 	task.since = this->scheduler.Now();
+	box.last_start = id.job;
+	box.last_start_at = task.since;
 	this->Put(box, job, id);
 	if (job.phase == JobPhase::JP_QUEUED) {
 		job.phase = JobPhase::JP_RUNNING;
@@ -338,6 +340,8 @@
 	if (!task->uncertain) {
 		task->ordered_at = this->scheduler.Now();
 	}
+	it->second.last_start = start.task.job;
+	it->second.last_start_at = this->scheduler.Now();
 	this->starts_under_way++;
 	this->counters.starts++;
 	this->log.Write("run_ordered", {{"job", start.task.job.Value()},
--- a/src/jobs/shard_type.h
+++ b/src/jobs/shard_type.h
@@ -153,6 +153,8 @@
 	bool due = false;               ///< It will be emptied before long.
 	bool strangers = false;         ///< It runs something that this shard has not placed.
 	Resources used;                 ///< Taken by the tasks placed there.
+	JobId last_start;               ///< Job of which a task was placed or started there last,
+	Millis last_start_at{-1000000}; ///< and when.
 	std::set<TaskId> placed;        ///< Tasks placed there.
 	/** Those of them that were suspects when they were placed: rounds look at these alone, since a look at each task
 	 * placed grows with boxes times rounds. */
@@ -198,9 +200,7 @@
 	/** Job of which a task has just begun there, while tasks crash boxes: those of others wait for a moment, so that a
 	 * crash names one job. */
 	std::optional<JobId> fresh;
-	/** Only blamed tasks start there, all that wait in one round: a later one would find some that have begun. */
-	bool for_blamed = false;
-	bool was_empty = false; ///< Whether it was empty when the round began, if it is for blamed tasks.
+	bool trial_box = false; ///< Only blamed tasks start there: it is kept for them, and empty.
 	Resources free;         ///< What is left there.
 	uint32_t picked = 0;    ///< Tasks of the gang at hand that were chosen for it but not assigned yet.
 };
@@ -208,7 +208,7 @@
 /** One round of placing: what has room, and what was found to fit nowhere. */
 struct PlaceRound {
 	std::vector<OpenBox> open;       ///< Boxes that take tasks.
-	bool box_kept = false;           ///< Whether one is kept for blamed tasks, and empty.
+	bool trial_box = false;          ///< Whether one of them is the trial box.
 	std::vector<Resources> hopeless; ///< Demands that no box has room for. Room only shrinks within a round.
 
 	/** @return Whether a demand is known to fit nowhere. @param demand It. */
--- a/tests/job_world.h
+++ b/tests/job_world.h
@@ -234,6 +234,20 @@
 		});
 	}
 
+	/** Adds boxes to the service "calc". @param count How many. @param room What each has. */
+	void AddBoxes(int count, const Resources &room)
+	{
+		for (int n = 0; n < count; n++) {
+			BoxReport report = this->site.Reports().front();
+			report.box = BoxName("calc-wide" + std::to_string(n));
+			report.life = BoxLife(report.box.Value() + "-life0");
+			report.service = ServiceName("calc");
+			report.address = report.box.Value();
+			report.capacity = room;
+			this->site.Add(report);
+		}
+	}
+
 	/** From now on owners hear of lives that have ended, as the holder of the fleet's orders tells them. */
 	void TellEndedLives()
 	{
--- a/tests/test_deadly_share.cpp
+++ b/tests/test_deadly_share.cpp
@@ -26,15 +26,7 @@
 	/** @param each Of so many jobs one crashes the boxes that start its first task; 0 for none. */
 	explicit DeadlyDay(int each)
 	{
-		for (int n = 0; n < BOXES; n++) {
-			BoxReport report = this->world.site.Reports().front();
-			report.box = BoxName("calc-wide" + std::to_string(n));
-			report.life = BoxLife(report.box.Value() + "-life0");
-			report.service = CALC;
-			report.address = report.box.Value();
-			report.capacity = ROOM;
-			this->world.site.Add(report);
-		}
+		this->world.AddBoxes(BOXES, ROOM);
 		StepSpec step;
 		step.count = WIDTH;
 		step.demand = DEMAND;
--- a/tests/test_owner_headroom.cpp
+++ b/tests/test_owner_headroom.cpp
@@ -37,15 +37,7 @@
 	/** @param share Of a core that the owner has; none when its work takes no time. */
 	explicit PeakWorld(std::optional<double> share) : world(1), share(share.value_or(1))
 	{
-		for (int n = 0; n < BOXES; n++) {
-			BoxReport report = this->world.site.Reports().front();
-			report.box = BoxName("calc-wide" + std::to_string(n));
-			report.life = BoxLife(report.box.Value() + "-life0");
-			report.service = CALC;
-			report.address = report.box.Value();
-			report.capacity = ROOM;
-			this->world.site.Add(report);
-		}
+		this->world.AddBoxes(BOXES, ROOM);
 		this->world.clock.RunUntil(PEAK_FROM);
 		if (share) {
 			this->world.nodes.front()->scheduler.take_cost = [this] { return this->Cost(); };
