--- a/src/jobs/job_type.h
+++ b/src/jobs/job_type.h
@@ -153,6 +153,7 @@
 /** What a box's agent says of itself. */
 struct BoxReport {
 	BoxLife life;                    ///< Its current start.
+	std::optional<Millis> born;      ///< Wall time at which its agent started.
 	BoxName box;                     ///< The box.
 	ServiceName service;             ///< Pool that it serves.
 	std::string address;             ///< IP:port of its agent.
@@ -241,6 +242,7 @@
 	OrderAnswer order;               ///< How it ended.
 	std::vector<RunningRow> running; ///< What runs.
 	std::vector<EndedRow> ended;     ///< What has ended and isn't noted yet.
+	std::optional<Millis> born;      ///< Wall time at which the box's agent started.
 };
 
 /** @return Word for a phase, as logs show it. @param phase The phase. */
--- a/src/jobs/shard_base.h
+++ b/src/jobs/shard_base.h
@@ -96,6 +96,8 @@
 	{
 		return ShardBacklog{this->recorded_starts.size(), this->starts_under_way, this->incoming.size()};
 	}
+	/** @return How many of its boxes are in use, and why others are not. */
+	[[nodiscard]] BoxCounts CountBoxes() const;
 	/** @return Boxes. */
 	[[nodiscard]] const std::map<BoxLife, ShardBox> &Boxes() const { return this->boxes; }
 	/** @return Jobs. */
@@ -261,6 +263,7 @@
 	void PumpAfter(const BoxLife &life, Millis delay);
 	void OnLease(const BoxLife &life, Millis sent, uint64_t noted, const LeaseAnswer &answer);
 	void OnNoLease(ShardBox &box, OrderOutcome outcome);
+	void NoteGoneBack(const ShardBox &box, uint64_t noted, const LeaseAnswer &answer);
 	[[nodiscard]] bool Behind() const;
 	/** @return When a box may be looked at again. @param box It. */
 	[[nodiscard]] Millis LookDue(const ShardBox &box);
--- a/src/jobs/shard_boxes.cpp
+++ b/src/jobs/shard_boxes.cpp
@@ -57,6 +57,7 @@
 	}
 	this->log.Write("box_report", {{"box", report.box.Value()},
 								   {"life", report.life.Value()},
+								   {"born", report.born ? std::to_string(report.born->Value()) : "none"},
 								   {"cpu", std::to_string(report.capacity.cpu)},
 								   {"leaving", report.leaving ? "yes" : "no"}});
 	if (report.leaving && !was_leaving) {
@@ -238,6 +239,7 @@
 		return;
 	}
 	const Millis now = this->scheduler.Now();
+	this->NoteGoneBack(box, noted, answer);
 	box.listed_at = now;
 	box.ends_told = std::max(box.ends_told, noted);
 	if (answer.order.box_clock) {
@@ -264,6 +266,24 @@
 	}
 }
 
+void Shard::NoteGoneBack(const ShardBox &box, uint64_t noted, const LeaseAnswer &answer)
+{
+	const bool clock_back = box.clock && answer.order.box_clock && *answer.order.box_clock < *box.clock;
+	const bool ends_back = !answer.ended.empty() && answer.ended.front().number <= noted;
+	if (!clock_back && !ends_back) {
+		return;
+	}
+	this->log.Write("box_went_back",
+					{{"life", box.report.life.Value()},
+					 {"born", answer.born ? std::to_string(answer.born->Value()) : "none"},
+					 {"reported_born", box.report.born ? std::to_string(box.report.born->Value()) : "none"},
+					 {"clock", std::to_string(answer.order.box_clock.value_or(Millis(-1)).Value())},
+					 {"clock_before", std::to_string(box.clock.value_or(Millis(-1)).Value())},
+					 {"first_end", answer.ended.empty() ? "none" : std::to_string(answer.ended.front().number)},
+					 {"ends_noted", std::to_string(noted)},
+					 {"placed", std::to_string(box.placed.size())}});
+}
+
 void Shard::Adopt(ShardBox &box)
 {
 	box.adopted = true;
--- a/src/jobs/shard_drain.cpp
+++ b/src/jobs/shard_drain.cpp
@@ -116,6 +116,19 @@
 	return this->scheduler.Now() - this->journal.ConfirmedAt() <= CONFIRMED_WITHIN;
 }
 
+BoxCounts Shard::CountBoxes() const
+{
+	const Millis now = this->scheduler.Now();
+	BoxCounts out;
+	for (const ShardBox &box : this->boxes | std::views::values) {
+		out.listed += box.listed ? 1 : 0;
+		out.over += box.listed && box.over ? 1 : 0;
+		out.adopted += box.listed && box.adopted ? 1 : 0;
+		out.open += Placing(box, now) ? 1 : 0;
+	}
+	return out;
+}
+
 PoolStatus Shard::Status()
 {
 	const Millis now = this->scheduler.Now();
--- a/src/jobs/shard_owner.cpp
+++ b/src/jobs/shard_owner.cpp
@@ -183,11 +183,16 @@
 	const ShardCounters &last = this->load_from;
 	const ShardCounters counters = this->shard->Counters();
 	const ShardBacklog backlog = this->shard->Backlog();
+	const BoxCounts boxes = this->shard->CountBoxes();
 	this->parts.events.Write("owner_load", {{"service", this->service.Value()},
 											{"late_ms", std::to_string(this->latest.Value())},
 											{"starts_waiting", std::to_string(backlog.starts_waiting)},
 											{"starts_under_way", std::to_string(backlog.starts_under_way)},
 											{"callers_waiting", std::to_string(backlog.callers_waiting)},
+											{"boxes_listed", std::to_string(boxes.listed)},
+											{"boxes_over", std::to_string(boxes.over)},
+											{"boxes_adopted", std::to_string(boxes.adopted)},
+											{"boxes_open", std::to_string(boxes.open)},
 											{"starts", std::to_string(counters.starts - last.starts)},
 											{"runs_done", std::to_string(counters.done - last.done)},
 											{"looks", std::to_string(counters.looks - last.looks)},
--- a/src/jobs/shard_type.h
+++ b/src/jobs/shard_type.h
@@ -50,6 +50,14 @@
 	size_t callers_waiting = 0;  ///< Callers' records that wait for an append.
 };
 
+/** Boxes of a shard, for logs: beside the machines that are up they show what is kept from use. */
+struct BoxCounts {
+	size_t listed = 0;  ///< Boxes whose report stands.
+	size_t over = 0;    ///< Those of them that are taken to have ended.
+	size_t adopted = 0; ///< Those that have answered this owner.
+	size_t open = 0;    ///< Those on which tasks may be placed.
+};
+
 /** What a run of a placed task is known to do. Not stored: a new owner asks the boxes. */
 enum class RunState : uint8_t {
 	RS_RECORDING = 0, ///< The placement is being recorded; no order was sent.
