Red tests: boxes that start again under their id (TWICE, LOST)

The stand-ins in memory can keep a box's id at a restart; its clock and its numbers of ends start anew.

--- a/src/standin/memory/box_site.cpp
+++ b/src/standin/memory/box_site.cpp
@@ -21,7 +21,15 @@
 
 void BoxSite::Add(const BoxReport &report)
 {
-	this->boxes[report.box].report = report;
+	Box &box = this->boxes[report.box];
+	box.report = report;
+	box.started = this->clock.Now();
+	box.report.born = this->clock.WallNow();
+}
+
+Millis BoxSite::ClockOf(const BoxName &name) const
+{
+	return this->ClockOf(this->boxes.at(name));
 }
 
 BoxReport BoxSite::Restart(const BoxName &name)
@@ -29,9 +37,13 @@
 	Box &box = this->boxes.at(name);
 	this->LoseRuns(box);
 	BoxReport report = box.report;
-	report.life = BoxLife(name.Value() + "-life" + std::to_string(++this->lives));
+	if (!this->keeps_id) {
+		report.life = BoxLife(name.Value() + "-life" + std::to_string(++this->lives));
+	}
+	report.born = this->clock.WallNow();
 	box = Box{};
 	box.report = report;
+	box.started = this->clock.Now();
 	return report;
 }
 
@@ -68,8 +80,8 @@
 	}
 	this->crashes++;
 	this->LoseRuns(box);
-	this->clock.After(this->back_after, [this, name, life = box.report.life] {
-		if (this->boxes.at(name).report.life == life) {
+	this->clock.After(this->back_after, [this, name, born = box.report.born] {
+		if (this->boxes.at(name).report.born == born) {
 			this->Restart(name);
 		}
 	});
@@ -120,9 +132,9 @@
 	return it == this->boxes.end() || it->second.report.life != report.life ? nullptr : &it->second;
 }
 
-OrderAnswer BoxSite::Plain(OrderOutcome outcome) const
+OrderAnswer BoxSite::Plain(const Box *box, OrderOutcome outcome) const
 {
-	return OrderAnswer{outcome, this->clock.Now()};
+	return OrderAnswer{outcome, box == nullptr ? std::nullopt : std::optional(this->ClockOf(*box))};
 }
 
 void BoxSite::Violation(const std::string &rule, const TaskId &task)
@@ -192,13 +204,14 @@
 
 void BoxSite::ProlongLease(Box &box, Millis until)
 {
-	const Millis end = std::min(until, this->clock.Now() + this->lease_max);
+	const Millis now = this->ClockOf(box);
+	const Millis end = std::min(until, now + this->lease_max);
 	if (end <= box.lease_until) {
 		return;
 	}
 	box.lease_until = end;
 	this->clock.Cancel(box.lease_timer);
-	box.lease_timer = this->clock.After(end - this->clock.Now(), [this, name = box.report.box] { this->Lapse(name); });
+	box.lease_timer = this->clock.After(end - now, [this, name = box.report.box] { this->Lapse(name); });
 }
 
 void BoxSite::Lapse(const BoxName &name)
@@ -230,22 +243,22 @@
 {
 	Box *box = this->Find(report);
 	if (box == nullptr) {
-		return this->Plain(OrderOutcome::OO_OTHER_LIFE);
+		return this->Plain(nullptr, OrderOutcome::OO_OTHER_LIFE);
 	}
 	if (order.fence < box->fence) {
-		return this->Plain(OrderOutcome::OO_FENCED);
+		return this->Plain(box, OrderOutcome::OO_FENCED);
 	}
 	box->fence = order.fence;
 	const auto there = box->running.find(order.task);
 	if (there != box->running.end() && there->second.run == order.run) {
-		return this->Plain(OrderOutcome::OO_DONE);
+		return this->Plain(box, OrderOutcome::OO_DONE);
 	}
 	if (box->stopped.contains(order.task) && order.run <= box->stopped[order.task]) {
 		this->ProlongLease(*box, order.lease_until);
-		return this->Plain(OrderOutcome::OO_RUN_TOO_OLD);
+		return this->Plain(box, OrderOutcome::OO_RUN_TOO_OLD);
 	}
-	if (order.lease_until <= this->clock.Now()) {
-		return this->Plain(OrderOutcome::OO_LEASE_PAST);
+	if (order.lease_until <= this->ClockOf(*box)) {
+		return this->Plain(box, OrderOutcome::OO_LEASE_PAST);
 	}
 	this->ProlongLease(*box, order.lease_until);
 	const auto job = this->jobs.find(order.task.job);
@@ -253,10 +266,10 @@
 	Resources free = box->report.capacity;
 	std::ranges::for_each(box->running | std::views::values, [&free](const Run &it) { free -= it.room; });
 	if (this->guarded && !free.Holds(demand)) {
-		return this->Plain(OrderOutcome::OO_NO_ROOM);
+		return this->Plain(box, OrderOutcome::OO_NO_ROOM);
 	}
 	if (this->ticket_holds && !this->ticket_holds(report, order)) {
-		return this->Plain(OrderOutcome::OO_NO_TICKET);
+		return this->Plain(box, OrderOutcome::OO_NO_TICKET);
 	}
 	this->Judge(*box, order);
 	this->JudgeRoom(*box, order.task, demand);
@@ -275,17 +288,17 @@
 		run.timer = this->clock.After(job->second.crash_after, [this, name = report.box] { this->Crash(name); });
 	}
 	box->running[order.task] = run;
-	return this->Plain(OrderOutcome::OO_DONE);
+	return this->Plain(box, OrderOutcome::OO_DONE);
 }
 
 OrderAnswer BoxSite::Stop(const BoxReport &report, const TaskId &task, RunNumber run, FenceToken fence)
 {
 	Box *box = this->Find(report);
 	if (box == nullptr) {
-		return this->Plain(OrderOutcome::OO_OTHER_LIFE);
+		return this->Plain(nullptr, OrderOutcome::OO_OTHER_LIFE);
 	}
 	if (fence < box->fence) {
-		return this->Plain(OrderOutcome::OO_FENCED);
+		return this->Plain(box, OrderOutcome::OO_FENCED);
 	}
 	box->fence = fence;
 	box->stopped[task] = std::max(box->stopped[task], run);
@@ -300,7 +313,7 @@
 					this->stop_takes, [this, name = report.box, task, run] { this->EndStopped(name, task, run); });
 		}
 	}
-	return this->Plain(OrderOutcome::OO_DONE);
+	return this->Plain(box, OrderOutcome::OO_DONE);
 }
 
 void BoxSite::EndStopped(const BoxName &name, const TaskId &task, RunNumber run)
@@ -329,13 +342,13 @@
 {
 	Box *box = this->Find(report);
 	if (box == nullptr) {
-		return this->Plain(OrderOutcome::OO_OTHER_LIFE);
+		return this->Plain(nullptr, OrderOutcome::OO_OTHER_LIFE);
 	}
 	if (fence < box->fence) {
-		return this->Plain(OrderOutcome::OO_FENCED);
+		return this->Plain(box, OrderOutcome::OO_FENCED);
 	}
 	box->fence = fence;
-	return this->Plain(OrderOutcome::OO_DONE);
+	return this->Plain(box, OrderOutcome::OO_DONE);
 }
 
 LeaseAnswer BoxSite::Lease(const BoxReport &report, const LeaseOrder &order)
@@ -343,11 +356,11 @@
 	LeaseAnswer answer;
 	Box *box = this->Find(report);
 	if (box == nullptr) {
-		answer.order = this->Plain(OrderOutcome::OO_OTHER_LIFE);
+		answer.order = this->Plain(nullptr, OrderOutcome::OO_OTHER_LIFE);
 		return answer;
 	}
 	if (order.fence < box->fence) {
-		answer.order = this->Plain(OrderOutcome::OO_FENCED);
+		answer.order = this->Plain(box, OrderOutcome::OO_FENCED);
 		return answer;
 	}
 	box->fence = order.fence;
@@ -365,7 +378,8 @@
 	if (order.lease_until) {
 		this->ProlongLease(*box, *order.lease_until);
 	}
-	answer.order = this->Plain(OrderOutcome::OO_DONE);
+	answer.order = this->Plain(box, OrderOutcome::OO_DONE);
+	answer.born = box->report.born;
 	for (const auto &[task, run] : box->running) {
 		answer.running.push_back(RunningRow{task, run.run, {}, 100, 0});
 	}
--- a/src/standin/memory/box_site.h
+++ b/src/standin/memory/box_site.h
@@ -39,11 +39,14 @@
 
 	/** Adds a box. @param report What it will say of itself. */
 	void Add(const BoxReport &report);
-	/** A box loses all that runs and comes back under another life. @param box Which. @return Its new report. */
+	/** A box's agent starts again: it loses all that runs, and its counts and its clock start anew. @param box Which.
+	 * @return Its new report. */
 	BoxReport Restart(const BoxName &box);
-	/** A box loses all that runs, answers nothing for `back_after`, then comes back under another life. Its report
-	 * stands meanwhile. @param box Which. */
+	/** A box loses all that runs, answers nothing for `back_after`, then starts again. Its report stands meanwhile.
+	 * @param box Which. */
 	void Crash(const BoxName &box);
+	/** @return A box's own clock: the time since it started. @param box Which. */
+	[[nodiscard]] Millis ClockOf(const BoxName &box) const;
 	/** @return Whether a box has crashed and isn't back. @param box Which. */
 	[[nodiscard]] bool Down(const BoxName &box) const;
 	/** A box's room changes while it runs. @param box Which. @param room Its new room. */
@@ -77,6 +80,7 @@
 	uint64_t starts = 0;                                                     ///< Runs begun.
 	uint64_t crashes = 0;                                                    ///< Crashes of boxes.
 	Millis back_after = Millis(3000);                                        ///< A crashed box is back after this.
+	bool keeps_id = false;                                                   ///< Whether boxes keep their ids.
 	bool guarded = true; ///< Whether boxes refuse what doesn't fit; otherwise they start all that they are told.
 
 private:
@@ -92,7 +96,8 @@
 	struct Box {
 		BoxReport report;                    ///< What it says of itself.
 		FenceToken fence;                    ///< Highest token seen.
-		Millis lease_until;                  ///< By the box's clock, which is the world's.
+		Millis started;                      ///< When its agent started; its own clock begins then.
+		Millis lease_until;                  ///< By its own clock.
 		TimerId lease_timer;                 ///< End of the lease.
 		std::map<TaskId, Run> running;       ///< What runs.
 		std::map<TaskId, RunNumber> stopped; ///< Runs up to this one can't start any more.
@@ -117,7 +122,8 @@
 	uint64_t lives = 0;                        ///< Lives given out by Restart().
 
 	Box *Find(const BoxReport &report);
-	[[nodiscard]] OrderAnswer Plain(OrderOutcome outcome) const;
+	[[nodiscard]] Millis ClockOf(const Box &box) const { return this->clock.Now() - box.started; }
+	[[nodiscard]] OrderAnswer Plain(const Box *box, OrderOutcome outcome) const;
 	void Judge(const Box &box, const StartOrder &order);
 	void JudgeCrasher(const SiteJob &job, const TaskId &task);
 	void JudgeRoom(const Box &box, const TaskId &task, const Resources &demand);
--- a/tests/job_world.h
+++ b/tests/job_world.h
@@ -9,6 +9,7 @@
 #include "standin/memory/node_scheduler.h"
 
 #include <memory>
+#include <ranges>
 
 /** A feed that the world drives. */
 class WorldFeed : public SiteFeed {
@@ -248,22 +249,25 @@
 		}
 	}
 
-	/** From now on owners hear of lives that have ended, as the holder of the fleet's orders tells them. */
+	/** From now on owners hear of lives that have ended, as the holder of the fleet's orders tells them: for some
+	 * seconds. */
 	void TellEndedLives()
 	{
-		std::set<BoxLife> ended;
+		std::erase_if(this->ended, [this](const auto &it) { return this->clock.Now() - it.second > TOLD_FOR; });
+		std::set<BoxLife> lives;
 		for (const BoxReport &report : this->site.Reports()) {
 			if (this->site.Down(report.box)) {
-				ended.insert(report.life);
+				this->ended[report.life] = this->clock.Now();
 			}
 		}
+		std::ranges::copy(this->ended | std::views::keys, std::inserter(lives, lives.end()));
 		for (const auto &node : this->nodes) {
-			if (node->up && !ended.empty()) {
-				node->scheduler.After(Millis(0), [it = node.get(), ended] {
+			if (node->up && !lives.empty()) {
+				node->scheduler.After(Millis(0), [it = node.get(), lives] {
 					for (const char *service : {"calc", "grid"}) {
 						ShardOwner *owner = it->host.Find(ServiceName(service));
 						if (owner != nullptr && owner->Running() != nullptr) {
-							owner->Running()->NoteEnded(ended);
+							owner->Running()->NoteEnded(lives);
 						}
 					}
 				});
@@ -314,10 +318,13 @@
 	std::set<BoxName> unlisted;                    ///< Boxes whose reports are missing.
 
 private:
-	static constexpr size_t TRIES = 12;            ///< Times that a caller hands a job in.
-	static constexpr Millis RETRY = Millis(400);   ///< Before a caller tries again.
-	static constexpr Millis LISTED = Millis(200);  ///< Machines are listed so often.
-	static constexpr Millis REPORTS = Millis(500); ///< Boxes' reports are told so often.
+	std::map<BoxLife, Millis> ended; ///< Lives that were listed as ended, and when they last were.
+
+	static constexpr size_t TRIES = 12;              ///< Times that a caller hands a job in.
+	static constexpr Millis RETRY = Millis(400);     ///< Before a caller tries again.
+	static constexpr Millis LISTED = Millis(200);    ///< Machines are listed so often.
+	static constexpr Millis TOLD_FOR = Millis(5000); ///< A life that was listed as ended is told for so long.
+	static constexpr Millis REPORTS = Millis(500);   ///< Boxes' reports are told so often.
 
 	static JobRoute MakeRoute(const std::string &name, const std::string &service, int64_t priority)
 	{
--- a/tests/soak/soak_boxes.cpp
+++ b/tests/soak/soak_boxes.cpp
@@ -37,7 +37,8 @@
 
 Millis SoakBoxes::ClockOf(const BoxReport &box) const
 {
-	return Millis(static_cast<int64_t>(static_cast<double>(this->scheduler.Now().Value()) * RateOf(box)));
+	const Millis since = this->site.ClockOf(box.box);
+	return Millis(static_cast<int64_t>(static_cast<double>(since.Value()) * RateOf(box)));
 }
 
 Millis SoakBoxes::WorldTime(const BoxReport &box, Millis box_time) const
--- /dev/null
+++ b/tests/test_same_id.cpp
@@ -0,0 +1,90 @@
+/** @file test_same_id.cpp Boxes whose agents start again under the id that they had. */
+#include "job_world.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+namespace {
+
+/** A day on which boxes crash in a row. */
+struct CrashDay {
+	Millis back_after;             ///< A box is back after this.
+	Millis run_time = Millis(300); ///< Of each task.
+	bool listed = false;           ///< Whether owners hear of boxes that are listed as down.
+	bool owner_killed = false;     ///< Whether the owner is killed amid.
+};
+
+/** What came of a day. */
+struct CrashDayEnd {
+	std::vector<std::string> violations; ///< Rules broken.
+	int64_t unfinished = 0;              ///< Accepted jobs that never ended.
+};
+
+constexpr int JOBS = 60;                ///< Of a wide step and one more task each,
+constexpr Millis JOBS_APART(250);       ///< handed in so far apart.
+constexpr int CRASHES = 8;              ///< Of the four boxes in turn,
+constexpr Millis FIRST_CRASH(4000);     ///< the first one at this time,
+constexpr Millis CRASHES_APART(1700);   ///< and so far apart.
+constexpr Millis OWNER_KILLED_AT(9000); ///< Amid the crashes.
+constexpr Millis WHOLE(60000);          ///< All that can end has ended.
+
+CrashDayEnd Play(const CrashDay &day)
+{
+	JobWorld world;
+	world.site.keeps_id = true;
+	world.site.back_after = day.back_after;
+	if (day.listed) {
+		world.TellEndedLives();
+	}
+	for (int n = 0; n < JOBS; n++) {
+		world.Plan(Millis(1000 + n * JOBS_APART.Value()), "calc", JobWorld::Chain(2), day.run_time);
+	}
+	for (int n = 0; n < CRASHES; n++) {
+		world.clock.After(FIRST_CRASH + Millis(n * CRASHES_APART.Value()),
+						  [&world, n] { world.site.Crash(BoxName("calc-box" + std::to_string(n % 4))); });
+	}
+	if (day.owner_killed) {
+		world.clock.After(OWNER_KILLED_AT, [&world] {
+			if (WorldNode *owner = world.OwnerOf(ServiceName("calc")); owner != nullptr) {
+				JobWorld::Kill(*owner);
+			}
+		});
+	}
+	world.clock.RunUntil(WHOLE);
+	CrashDayEnd out{world.site.violations, 0};
+	out.unfinished = std::ranges::count_if(world.jobs, [&world](const auto &it) {
+		return it->accepted && world.ViewOf(*it).phase != JobPhase::JP_COMPLETED;
+	});
+	return out;
+}
+
+/** Plays days on which boxes are back after 0.05 to 3 s. @param listed See CrashDay. */
+void PlayAll(bool listed)
+{
+	for (const int64_t back : {50, 100, 260, 1000, 3000}) {
+		for (const int64_t run : {300, 1200}) {
+			for (const bool killed : {false, true}) {
+				CAPTURE(back);
+				CAPTURE(run);
+				CAPTURE(killed);
+				const CrashDayEnd end = Play(CrashDay{Millis(back), Millis(run), listed, killed});
+				CAPTURE(end.violations.empty() ? std::string() : end.violations.front());
+				CHECK(end.violations.size() == 0);
+				CHECK(end.unfinished == 0);
+			}
+		}
+	}
+}
+
+} // namespace
+
+TEST_CASE("a run that ended well on a box that started again under its id is not started once more")
+{
+	PlayAll(false);
+}
+
+TEST_CASE("a box that was listed as down and is back under its id is used again and keeps its new runs")
+{
+	PlayAll(true);
+}
