A life of a box is its id and its start; what an order to the life before began is taken over or waited for

What callers saw: a task that had ended well was started again, also beside its second run (TWICE); jobs that never ended though boxes were free (LOST). Cause: the id was taken for the life. A box that starts again under its id got lease orders that let it forget ends of its own, was kept from use for good once it had been listed as down, and lost its new runs to a word about the life before.

A later start in a report, a list that names another one, or a clock that goes back end the life before. The list of machines names ids alone: only the life that its owner knew before the list was asked for is told to have ended. Orders name ids alone, too, so the next life may carry out what was meant for the one before: such a run is taken over when it is listed, and its task starts nowhere else until the next life has listed what it runs, or the order can't come any more.

A job under which two boxes have crashed may be shown as failed in the new tests, as in the others.

--- a/src/jobs/job_codec.cpp
+++ b/src/jobs/job_codec.cpp
@@ -111,11 +111,12 @@
 		row->leaving = task.leaving;
 		row->crashes = task.crashes;
 		row->crashes_possible = task.crashes_possible;
-		if (!task.box.Value().empty()) {
+		if (!task.box.id.Value().empty()) {
 			const auto [it, added] = places.emplace(task.box, static_cast<uint16_t>(places.size() + 1));
 			row->box = it->second;
 			if (added) {
-				out.boxes.push_back(task.box.Value());
+				out.boxes.push_back(task.box.id.Value());
+				out.born.push_back(task.box.born.Value());
 			}
 		}
 		out.tasks.push_back(std::move(row));
@@ -147,7 +148,9 @@
 		task.crashes = row->crashes;
 		task.crashes_possible = row->crashes_possible;
 		if (row->box > 0) {
-			task.box = BoxLife(in->boxes[row->box - 1U]);
+			const size_t place = row->box - 1U;
+			/* Earlier versions record no start: such a life counts as older than any that tells its own. */
+			task.box = BoxLife{BoxId(in->boxes[place]), Millis(place < in->born.size() ? in->born[place] : 0)};
 		}
 		progress.tasks.push_back(std::move(task));
 	}
--- a/src/jobs/job_config.cpp
+++ b/src/jobs/job_config.cpp
@@ -33,6 +33,11 @@
 	return std::ranges::find(this->labels, label) != this->labels.end();
 }
 
+std::string LifeText(const BoxLife &life)
+{
+	return life.born == Millis(0) ? life.id.Value() : life.id.Value() + "@" + std::to_string(life.born.Value());
+}
+
 const char *NameOf(JobPhase phase)
 {
 	constexpr std::array NAMES = {"queued", "running", "completed", "failed", "cancelled"};
--- a/src/jobs/job_type.h
+++ b/src/jobs/job_type.h
@@ -12,10 +12,24 @@
 #include <vector>
 
 using RouteName = Strong<struct RouteNameTag, std::string>; ///< A route: a queue of jobs for one service.
-using BoxLife = Strong<struct BoxLifeTag, std::string>;     ///< One start of a box's agent; a restart has another id.
+using BoxId = Strong<struct BoxIdTag, std::string>;         ///< Id of a box's agent; it may keep it over restarts.
 using RunNumber = Strong<struct RunNumberTag, uint32_t>;    ///< Counts the starts of a task, from 1; 0 is "none".
 using FenceToken = Strong<struct FenceTokenTag, uint64_t>;  ///< A box obeys only the highest token it has seen.
 
+/**
+ * One start of a box's agent. It holds and knows nothing of an earlier one, also under the same id: its clock and its
+ * numbers of ends begin anew, and it has seen no token, run or stop.
+ */
+struct BoxLife {
+	BoxId id;    ///< Its id.
+	Millis born; ///< Wall time of the start; 0 when it isn't told.
+
+	auto operator<=>(const BoxLife &) const = default;
+};
+
+/** @return A life, as logs show it: the id, and when it began if that is known. @param life The life. */
+std::string LifeText(const BoxLife &life);
+
 /** What a task takes of a box, or a box has. */
 struct Resources {
 	int64_t cpu = 0;          ///< Thousandths of a core.
@@ -153,7 +167,6 @@
 /** What a box's agent says of itself. */
 struct BoxReport {
 	BoxLife life;                    ///< Its current start.
-	std::optional<Millis> born;      ///< Wall time at which its agent started.
 	BoxName box;                     ///< The box.
 	ServiceName service;             ///< Pool that it serves.
 	std::string address;             ///< IP:port of its agent.
@@ -199,6 +212,7 @@
 struct OrderAnswer {
 	OrderOutcome outcome = OrderOutcome::OO_UNKNOWN; ///< How it ended.
 	std::optional<Millis> box_clock;                 ///< The box's clock, when it told.
+	std::optional<BoxLife> life;                     ///< The life that answered, when it told.
 };
 
 /** How a run ended. */
@@ -242,7 +256,6 @@
 	OrderAnswer order;               ///< How it ended.
 	std::vector<RunningRow> running; ///< What runs.
 	std::vector<EndedRow> ended;     ///< What has ended and isn't noted yet.
-	std::optional<Millis> born;      ///< Wall time at which the box's agent started.
 };
 
 /** @return Word for a phase, as logs show it. @param phase The phase. */
--- a/src/jobs/shard_base.h
+++ b/src/jobs/shard_base.h
@@ -71,8 +71,8 @@
 	void Configure(const JobConfig &config);
 	/** Takes a box's report. @param report It. */
 	void OnReport(const BoxReport &report);
-	/** A box's report is gone. @param life The box's life. */
-	void OnReportGone(const BoxLife &life);
+	/** The report under an id is gone. @param id The id. */
+	void OnReportGone(const BoxId &id);
 	/** Tells where a life answered whose report has gone. Before Begin(). @param report Its last report. */
 	void KnowGone(const BoxReport &report) { this->gone_reports[report.life] = report; }
 	/** Everything known when the shard was claimed has been told: begins to place. */
@@ -151,6 +151,9 @@
 	std::set<JobId> cancelled;                   ///< Cancellations, also of jobs that are not there.
 	std::map<BoxLife, ShardBox> boxes;           ///< Boxes of the service.
 	std::map<BoxLife, BoxReport> gone_reports;   ///< Last reports of lives whose report has gone, until Begin().
+	Millis order_lost_at{-1000000};              ///< When a box was last seen to live on after an unanswered order.
+	std::set<BoxId> held;                        ///< Ids whose next life may carry out orders to the one before.
+	std::map<BoxId, BoxReport> older_reports;    ///< Reports of lives that began before one that is known.
 	std::map<RouteName, double> run_times;       ///< ms that tasks of a route took, on a scale of ratios, smoothed.
 	std::map<uint64_t, IncomingRecord> incoming; ///< Records that wait for the next append, in the order of arrival.
 	uint64_t incoming_last = 0;                  ///< Number of the last of them.
@@ -254,16 +257,17 @@
 	void WantPlannedStop(const TaskId &id, ShardTask &task, const char *why);
 	void OnStopRecorded(const PendingStop &stop);
 	void SendStop(const TaskId &id);
-	bool TakeOutcome(const BoxLife &life, Millis sent, OrderOutcome outcome);
+	[[nodiscard]] OrderSent Sent(const ShardBox &box) const;
+	bool TakeOutcome(const OrderSent &sent, const OrderAnswer &answer);
+	[[nodiscard]] static bool OfOtherLife(const OrderSent &sent, const OrderAnswer &answer);
 	void OnStopped(const TaskId &id, RunNumber run, const BoxLife &life, OrderAnswer answer);
 
 	/* shard_boxes.cpp */
 	void PumpLease(ShardBox &box);
 	[[nodiscard]] static bool Idle(const ShardBox &box);
 	void PumpAfter(const BoxLife &life, Millis delay);
-	void OnLease(const BoxLife &life, Millis sent, uint64_t noted, const LeaseAnswer &answer);
+	void OnLease(const OrderSent &sent, uint64_t noted, const LeaseAnswer &answer);
 	void OnNoLease(ShardBox &box, OrderOutcome outcome);
-	void NoteGoneBack(const ShardBox &box, uint64_t noted, const LeaseAnswer &answer);
 	[[nodiscard]] bool Behind() const;
 	/** @return When a box may be looked at again. @param box It. */
 	[[nodiscard]] Millis LookDue(const ShardBox &box);
@@ -281,12 +285,21 @@
 	[[nodiscard]] std::optional<Millis> LeaseEnd(const ShardBox &box) const;
 	[[nodiscard]] Millis FirstLapse() const;
 	void NoteLeaseAsked(ShardBox &box, Millis until);
-	void LoseTasks(ShardBox &box, const char *why, CrashEvidence evidence);
-	void EndLife(ShardBox &box, const char *why);
 	void LapseBoxes();
 	void SetLookGap(size_t busy);
 	void Depose();
 
+	/* shard_lives.cpp */
+	[[nodiscard]] std::vector<ShardBox *> LivesOf(const BoxId &id);
+	void EndEarlierLives(const BoxId &id);
+	void EndLife(ShardBox &box, const char *why);
+	[[nodiscard]] bool MayBeCarriedOut(const ShardBox &box, const ShardTask &task) const;
+	void LoseRuns(ShardBox &box, const char *why);
+	void LoseTasks(ShardBox &box, const char *why, CrashEvidence evidence);
+	void LoseHeld(const BoxId &id, const char *why);
+	void NoteOtherId(const BoxReport &report);
+	bool TakeRun(ShardBox &box, const TaskId &id, ShardTask &task, RunNumber run);
+
 	/* shard_crashes.cpp */
 	[[nodiscard]] CrashEvidence EvidenceOf(const ShardBox &box) const;
 	bool NoteCrash(const ShardBox &box, const TaskId &id, CrashEvidence evidence);
--- a/src/jobs/shard_boxes.cpp
+++ b/src/jobs/shard_boxes.cpp
@@ -40,24 +40,36 @@
 	if (report.service != this->service) {
 		return;
 	}
+	const std::vector<ShardBox *> lives = this->LivesOf(report.life.id);
+	const bool older = !lives.empty() && !lives.back()->over && report.life < lives.back()->report.life;
+	if (older) {
+		/* Either it was written before the start that is known, or the wall clock was set back. The box's next answer
+		 * tells: see EndLife(). */
+		this->older_reports[report.life.id] = report;
+		return;
+	}
+	this->older_reports.erase(report.life.id);
 	auto [it, added] = this->boxes.try_emplace(report.life);
 	ShardBox &box = it->second;
 	const bool was_leaving = box.report.leaving;
 	const bool changed =
 			added || was_leaving != report.leaving || box.report.capacity != report.capacity || !box.listed;
 	box.report = report;
-	box.listed = true;
 	if (added) {
 		/* Nothing of ours runs there, but an earlier owner may have placed what we can't see yet. */
 		box.lapse_at = this->FirstLapse();
 		box.answered_at = box.listed_at = this->scheduler.Now();
 	}
+	this->EndEarlierLives(report.life.id);
+	if (added) {
+		this->NoteOtherId(report);
+	}
+	box.listed = true;
 	if (!changed) {
 		return;
 	}
 	this->log.Write("box_report", {{"box", report.box.Value()},
-								   {"life", report.life.Value()},
-								   {"born", report.born ? std::to_string(report.born->Value()) : "none"},
+								   {"life", LifeText(report.life)},
 								   {"cpu", std::to_string(report.capacity.cpu)},
 								   {"leaving", report.leaving ? "yes" : "no"}});
 	if (report.leaving && !was_leaving) {
@@ -66,14 +78,17 @@
 	this->PumpLease(box);
 }
 
-void Shard::OnReportGone(const BoxLife &life)
+void Shard::OnReportGone(const BoxId &id)
 {
-	const auto it = this->boxes.find(life);
-	if (it != this->boxes.end() && it->second.listed) {
-		it->second.listed = false;
+	this->older_reports.erase(id);
+	for (ShardBox *box : this->LivesOf(id)) {
+		if (!box->listed) {
+			continue;
+		}
+		box->listed = false;
 		this->boxes_changed = true;
 		this->log.Write("box_report_gone",
-						{{"life", life.Value()}, {"placed", std::to_string(it->second.placed.size())}});
+						{{"life", LifeText(box->report.life)}, {"placed", std::to_string(box->placed.size())}});
 		this->Wake();
 	}
 }
@@ -168,9 +183,13 @@
 void Shard::NoteOutcome(ShardBox &box, Millis sent, OrderOutcome outcome)
 {
 	const Millis now = this->scheduler.Now();
+	const bool answered = outcome != OrderOutcome::OO_NOT_SENT && outcome != OrderOutcome::OO_UNKNOWN;
+	if (answered ? box.lost > 0 : outcome == OrderOutcome::OO_UNKNOWN && box.answered_at >= sent) {
+		this->order_lost_at = now;
+	}
 	if (outcome == OrderOutcome::OO_NOT_SENT) {
 		box.silent = true;
-	} else if (outcome != OrderOutcome::OO_UNKNOWN) {
+	} else if (answered) {
 		box.answered_at = now;
 		box.lost = 0;
 		box.silent = false;
@@ -215,23 +234,23 @@
 	box.asked_at = now;
 	this->counters.looks++;
 	this->orders.Lease(box.report, order,
-					   [this, life = box.report.life, now, noted = order.ends_noted,
+					   [this, sent = this->Sent(box), noted = order.ends_noted,
 						still = std::weak_ptr<bool>(this->alive)](const LeaseAnswer &answer) {
 						   if (!still.expired()) {
-							   this->OnLease(life, now, noted, answer);
+							   this->OnLease(sent, noted, answer);
 						   }
 					   });
 }
 
-void Shard::OnLease(const BoxLife &life, Millis sent, uint64_t noted, const LeaseAnswer &answer)
+void Shard::OnLease(const OrderSent &sent, uint64_t noted, const LeaseAnswer &answer)
 {
-	const auto it = this->boxes.find(life);
+	const auto it = this->boxes.find(sent.life);
 	if (it == this->boxes.end()) {
 		return;
 	}
 	ShardBox &box = it->second;
 	box.asking = false;
-	if (!this->TakeOutcome(life, sent, answer.order.outcome)) {
+	if (!this->TakeOutcome(sent, answer.order)) {
 		return;
 	}
 	if (answer.order.outcome != OrderOutcome::OO_DONE) {
@@ -239,7 +258,6 @@
 		return;
 	}
 	const Millis now = this->scheduler.Now();
-	this->NoteGoneBack(box, noted, answer);
 	box.listed_at = now;
 	box.ends_told = std::max(box.ends_told, noted);
 	if (answer.order.box_clock) {
@@ -250,44 +268,28 @@
 	this->NoteListed(answer.running);
 	this->NoteListed(answer.ended);
 	const bool was_on_trial = this->TrialOn(box).has_value();
-	this->TakeRunning(box, answer.running, sent);
+	this->TakeRunning(box, answer.running, sent.at);
 	const bool new_ends = this->TakeEnded(box, answer.ended);
 	if (answer.ended.size() < ENDS_AT_ONCE) {
-		this->TakeMissing(box, sent);
+		this->TakeMissing(box, sent.at);
+		this->LoseHeld(sent.life.id, "not_there");
 	}
 	if (!box.adopted) {
 		this->Adopt(box);
 	}
 	/* With ends to be recorded, OnCommitted() asks on; when the log can't be reached, this timer does. */
 	const bool waits_for_record = new_ends || box.ends_seen > box.ends_durable;
-	this->PumpAfter(life, waits_for_record ? UNRECORDED_GAP : Millis(0));
+	this->PumpAfter(sent.life, waits_for_record ? UNRECORDED_GAP : Millis(0));
 	if (new_ends || was_on_trial) {
 		this->Wake();
 	}
 }
 
-void Shard::NoteGoneBack(const ShardBox &box, uint64_t noted, const LeaseAnswer &answer)
-{
-	const bool clock_back = box.clock && answer.order.box_clock && *answer.order.box_clock < *box.clock;
-	const bool ends_back = !answer.ended.empty() && answer.ended.front().number <= noted;
-	if (!clock_back && !ends_back) {
-		return;
-	}
-	this->log.Write("box_went_back",
-					{{"life", box.report.life.Value()},
-					 {"born", answer.born ? std::to_string(answer.born->Value()) : "none"},
-					 {"reported_born", box.report.born ? std::to_string(box.report.born->Value()) : "none"},
-					 {"clock", std::to_string(answer.order.box_clock.value_or(Millis(-1)).Value())},
-					 {"clock_before", std::to_string(box.clock.value_or(Millis(-1)).Value())},
-					 {"first_end", answer.ended.empty() ? "none" : std::to_string(answer.ended.front().number)},
-					 {"ends_noted", std::to_string(noted)},
-					 {"placed", std::to_string(box.placed.size())}});
-}
-
 void Shard::Adopt(ShardBox &box)
 {
 	box.adopted = true;
-	this->log.Write("box_adopted", {{"life", box.report.life.Value()}, {"placed", std::to_string(box.placed.size())}});
+	this->log.Write("box_adopted",
+					{{"life", LifeText(box.report.life)}, {"placed", std::to_string(box.placed.size())}});
 	if (box.report.leaving) {
 		this->Evacuate(box);
 	}
@@ -296,7 +298,7 @@
 
 void Shard::OnNoLease(ShardBox &box, OrderOutcome outcome)
 {
-	this->log.Write("box_silent", {{"life", box.report.life.Value()},
+	this->log.Write("box_silent", {{"life", LifeText(box.report.life)},
 								   {"outcome", NameOf(outcome)},
 								   {"silent", box.silent ? "yes" : "no"},
 								   {"placed", std::to_string(box.placed.size())},
@@ -309,8 +311,7 @@
 	box.strangers = false;
 	for (const RunningRow &row : rows) {
 		ShardTask *task = this->FindTask(row.task);
-		const bool ours = task != nullptr && task->phase == TaskPhase::TP_PLACED && task->run == row.run &&
-						  task->box == box.report.life;
+		const bool ours = task != nullptr && this->TakeRun(box, row.task, *task, row.run);
 		if (!ours) {
 			box.strangers = true;
 			this->StopStranger(box, row);
@@ -336,7 +337,7 @@
 {
 	this->log.Write("stranger", {{"job", row.task.job.Value()},
 								 {"run", std::to_string(row.run.Value())},
-								 {"box", box.report.life.Value()}});
+								 {"box", LifeText(box.report.life)}});
 	this->counters.stops++;
 	this->orders.Stop(box.report, row.task, row.run, this->fence, [](const OrderAnswer &) {
 		/* The next list tells whether it is gone; it is stopped again until then. */
@@ -356,9 +357,7 @@
 		if (task == nullptr) {
 			continue;
 		}
-		const bool current =
-				task->phase == TaskPhase::TP_PLACED && task->run == row.run && task->box == box.report.life;
-		if (current) {
+		if (this->TakeRun(box, row.task, *task, row.run)) {
 			this->Resolve(row.task, row.ending, row.saved, "listed");
 		} else if (task->phase == TaskPhase::TP_WAITING && row.ending == RunEnding::RE_DONE) {
 			/* A run taken for lost had ended well. */
@@ -403,47 +402,6 @@
 	}
 }
 
-void Shard::LoseTasks(ShardBox &box, const char *why, CrashEvidence evidence)
-{
-	/* All are judged before any of them is taken off the box. */
-	std::set<JobId> guilty;
-	for (const TaskId &id : box.placed) {
-		if (this->NoteCrash(box, id, evidence)) {
-			guilty.insert(id.job);
-		}
-	}
-	for (const TaskId &id : std::set<TaskId>(box.placed)) {
-		this->Resolve(id, RunEnding::RE_LAPSED, {}, why);
-	}
-	for (const JobId &id : guilty) {
-		if (ShardJob &job = this->jobs.at(id); !job.Over()) {
-			this->counters.given_up++;
-			this->EndJob(job, JobPhase::JP_FAILED, "crashes_boxes");
-		}
-	}
-}
-
-void Shard::EndLife(ShardBox &box, const char *why)
-{
-	if (box.over) {
-		return;
-	}
-	box.over = true;
-	this->scheduler.Cancel(box.timer);
-	this->log.Write("box_over", {{"life", box.report.life.Value()}, {"why", why}});
-	this->LoseTasks(box, why, this->EvidenceOf(box));
-	this->Wake();
-}
-
-void Shard::NoteEnded(const std::set<BoxLife> &lives)
-{
-	for (const BoxLife &life : lives) {
-		if (const auto it = this->boxes.find(life); it != this->boxes.end()) {
-			this->EndLife(it->second, "machine_down");
-		}
-	}
-}
-
 void Shard::SetLookGap(size_t busy)
 {
 	const Millis spread(static_cast<int64_t>(busy) * MS_PER_SECOND / LOOKS_MOST);
@@ -458,9 +416,11 @@
 	std::vector<BoxLife> forget;
 	for (auto &[life, box] : this->boxes) {
 		busy += box.placed.empty() ? 0 : 1;
-		const bool lapsed = now >= box.lapse_at && now - box.answered_at > this->limits.lease_wait;
+		const bool lapsed = !box.over && now >= box.lapse_at && now - box.answered_at > this->limits.lease_wait;
 		if (lapsed && !box.placed.empty()) {
 			this->LoseTasks(box, "lease_lapsed", CrashEvidence::CE_POSSIBLE);
+		} else if (box.over && !box.placed.empty()) {
+			this->LoseRuns(box, "never_carried_out");
 		}
 		const bool useless = !box.listed && box.placed.empty() && !box.asking;
 		if (useless && (box.over || now - box.answered_at > FORGET_AFTER)) {
--- a/src/jobs/shard_crashes.cpp
+++ b/src/jobs/shard_crashes.cpp
@@ -129,7 +129,7 @@
 		});
 		this->trial_box = box->box->report.life;
 		this->log.Write("trial_box",
-						{{"life", this->trial_box->Value()}, {"placed", std::to_string(box->box->placed.size())}});
+						{{"life", LifeText(*this->trial_box)}, {"placed", std::to_string(box->box->placed.size())}});
 	}
 	/* All that wait start there in one round: in a later one, some would already have begun. */
 	if (this->CountLasting(*box->box) == std::ssize(box->box->placed)) {
@@ -205,7 +205,7 @@
 	this->log.Write("crashed_under", {{"job", id.job.Value()},
 									  {"task", std::to_string(job.IndexOf(id))},
 									  {"run", std::to_string(task.run.Value())},
-									  {"life", box.report.life.Value()},
+									  {"life", LifeText(box.report.life)},
 									  {"lived_ms", std::to_string((box.answered_at - task.ordered_at).Value())},
 									  {"last_start", last_start ? "yes" : "no"},
 									  {"crashes", std::to_string(task.crashes)},
@@ -255,9 +255,9 @@
 	/* The look at the box that is under way may be answered seconds later: then nobody knows whether a box that crashes
 	 * by itself did so 10 ms or 2 s after the start. A pace that the run has already changes nothing. */
 	this->orders.Pace(box->second.report, id, run, FULL_PACE, this->fence,
-					  [this, life = task->box, sent = this->scheduler.Now(),
+					  [this, sent = this->Sent(box->second),
 					   still = std::weak_ptr<bool>(this->alive)](const OrderAnswer &answer) {
-						  if (!still.expired() && this->TakeOutcome(life, sent, answer.outcome)) {
+						  if (!still.expired() && this->TakeOutcome(sent, answer)) {
 							  this->Wake();
 						  }
 					  });
--- a/src/jobs/shard_drain.cpp
+++ b/src/jobs/shard_drain.cpp
@@ -49,7 +49,8 @@
 {
 	const auto it = this->boxes.find(life);
 	const Millis within = this->limits.lease_wait + OVERDUE;
-	return it != this->boxes.end() && !it->second.silent && this->scheduler.Now() - it->second.listed_at <= within;
+	return it != this->boxes.end() && !it->second.over && !it->second.silent &&
+		   this->scheduler.Now() - it->second.listed_at <= within;
 }
 
 bool Shard::MayStop(const ShardJob &job, const TaskId &id) const
@@ -89,7 +90,7 @@
 	this->counters.boxes_walked += this->boxes.size();
 	for (ShardBox &box : this->boxes | std::views::values) {
 		const bool gone = this->Gone(box, now);
-		if (box.drain_until <= now && !gone) {
+		if (box.over || (box.drain_until <= now && !gone)) {
 			continue;
 		}
 		for (const TaskId &id : std::set<TaskId>(box.placed)) {
--- a/src/jobs/shard_owner.cpp
+++ b/src/jobs/shard_owner.cpp
@@ -263,26 +263,34 @@
 
 void ShardOwner::OnReport(const BoxReport &report)
 {
+	const auto known = this->reports.find(report.life.id);
 	if (report.service != this->service) {
-		/* A life keeps its service: what names another one now was written by somebody else. */
-		if (this->reports.contains(report.life)) {
-			this->OnReportGone(report.life);
+		if (known != this->reports.end()) {
+			/* A life keeps its service: what names another one now is a later life, or was written by somebody else. */
+			const BoxLife before = known->second.life;
+			if (this->shard && before < report.life) {
+				this->shard->NoteEnded({before});
+			}
+			this->OnReportGone(report.life.id);
 		}
 		return;
 	}
-	this->reports[report.life] = report;
+	if (known != this->reports.end() && known->second.life != report.life) {
+		this->gone.push_back(known->second);
+	}
+	this->reports[report.life.id] = report;
 	if (this->shard) {
 		this->shard->OnReport(report);
 	}
 }
 
-void ShardOwner::OnReportGone(const BoxLife &life)
+void ShardOwner::OnReportGone(const BoxId &id)
 {
-	if (const auto it = this->reports.find(life); it != this->reports.end()) {
+	if (const auto it = this->reports.find(id); it != this->reports.end()) {
 		this->gone.push_back(it->second);
 		this->reports.erase(it);
 	}
 	if (this->shard) {
-		this->shard->OnReportGone(life);
+		this->shard->OnReportGone(id);
 	}
 }
--- a/src/jobs/shard_owner.h
+++ b/src/jobs/shard_owner.h
@@ -61,8 +61,8 @@
 	void Accept(const KeyedRecord &record, std::function<void(ResultCode)> done);
 	/** Takes a box's report. @param report It. */
 	void OnReport(const BoxReport &report);
-	/** A box's report is gone. @param life The box's life. */
-	void OnReportGone(const BoxLife &life);
+	/** The report under an id is gone. @param id The id. */
+	void OnReportGone(const BoxId &id);
 	/** Tells where a life answered whose report has gone, before this owner has claimed. @param report Its last report.
 	 */
 	void KnowGone(const BoxReport &report) { this->gone.push_back(report); }
@@ -89,7 +89,7 @@
 	uint64_t epoch = 0;                                         ///< Of the claim.
 	std::unique_ptr<PartitionClaim> claim;                      ///< The claim.
 	JobConfig config;                                           ///< The configuration in force.
-	std::map<BoxLife, BoxReport> reports;                       ///< Reports of the service's boxes.
+	std::map<BoxId, BoxReport> reports;                         ///< Reports of the service's boxes.
 	std::vector<BoxReport> gone;                                ///< Last reports of lives whose report has gone.
 	std::unique_ptr<PairedJournal> journal;                     ///< Records, once claimed.
 	std::unique_ptr<Shard> shard;                               ///< Once claimed.
--- a/src/jobs/shard_place.cpp
+++ b/src/jobs/shard_place.cpp
@@ -304,6 +304,9 @@
 		return; /* Answered or listed meanwhile, or being stopped. */
 	}
 	const auto it = this->boxes.find(task->box);
+	if (it != this->boxes.end() && it->second.over && task->uncertain) {
+		return; /* Held: what the box's next life lists decides. */
+	}
 	const std::optional<Millis> until = it == this->boxes.end() ? std::nullopt : this->LeaseEnd(it->second);
 	if (task->stop_wanted || !until || it->second.over || it->second.report.leaving) {
 		this->GiveUpStart(start.task, *task, RunEnding::RE_STOPPED, "not_ordered");
@@ -347,18 +350,18 @@
 	this->log.Write("run_ordered", {{"job", start.task.job.Value()},
 									{"task", std::to_string(job.IndexOf(start.task))},
 									{"run", std::to_string(start.run.Value())},
-									{"box", task->box.Value()},
+									{"box", LifeText(task->box)},
 									{"repeated", task->uncertain ? "yes" : "no"},
 									{"waited_ms", std::to_string((this->scheduler.Now() - job.taken_at).Value())}});
 	this->orders.Start(it->second.report, order,
-					   [this, start, life = task->box, sent = this->scheduler.Now(),
+					   [this, start, sent = this->Sent(it->second),
 						still = std::weak_ptr<bool>(this->alive)](const OrderAnswer &answer) {
 						   if (still.expired()) {
 							   return;
 						   }
 						   this->starts_under_way--;
-						   if (this->TakeOutcome(life, sent, answer.outcome)) {
-							   this->OnStarted(start.task, start.run, life, answer);
+						   if (this->TakeOutcome(sent, answer)) {
+							   this->OnStarted(start.task, start.run, sent.life, answer);
 						   }
 						   this->PumpStarts();
 					   });
@@ -393,7 +396,7 @@
 	}
 	this->log.Write("start_failed", {{"job", id.job.Value()},
 									 {"run", std::to_string(run.Value())},
-									 {"box", life.Value()},
+									 {"box", LifeText(life)},
 									 {"outcome", NameOf(answer.outcome)}});
 	if (answer.outcome == OrderOutcome::OO_UNKNOWN) {
 		this->OnStartUnknown(id, *task);
--- a/src/jobs/shard_runs.cpp
+++ b/src/jobs/shard_runs.cpp
@@ -37,7 +37,7 @@
 	this->log.Write("run_ended", {{"job", id.job.Value()},
 								  {"task", std::to_string(job.IndexOf(id))},
 								  {"run", std::to_string(task.run.Value())},
-								  {"box", task.box.Value()},
+								  {"box", LifeText(task.box)},
 								  {"ending", NameOf(ending)},
 								  {"why", why},
 								  {"ran_ms", std::to_string(ran.Value())}});
@@ -134,7 +134,7 @@
 	this->log.Write("run_stopping", {{"job", id.job.Value()},
 									 {"task", std::to_string(this->jobs.at(id.job).IndexOf(id))},
 									 {"run", std::to_string(task.run.Value())},
-									 {"box", task.box.Value()},
+									 {"box", LifeText(task.box)},
 									 {"why", why}});
 	if (task.run_state != RunState::RS_RECORDING) {
 		this->SendStop(id);
@@ -183,29 +183,47 @@
 	task->stop_sent = true;
 	this->counters.stops++;
 	this->orders.Stop(it->second.report, id, task->run, this->fence,
-					  [this, id, run = task->run, life = task->box, sent = this->scheduler.Now(),
+					  [this, id, run = task->run, sent = this->Sent(it->second),
 					   still = std::weak_ptr<bool>(this->alive)](const OrderAnswer &answer) {
-						  if (!still.expired() && this->TakeOutcome(life, sent, answer.outcome)) {
-							  this->OnStopped(id, run, life, answer);
+						  if (!still.expired() && this->TakeOutcome(sent, answer)) {
+							  this->OnStopped(id, run, sent.life, answer);
 						  }
 					  });
 }
 
-bool Shard::TakeOutcome(const BoxLife &life, Millis sent, OrderOutcome outcome)
+OrderSent Shard::Sent(const ShardBox &box) const
 {
-	if (outcome == OrderOutcome::OO_FENCED) {
+	return OrderSent{box.report.life, this->scheduler.Now(), box.clock};
+}
+
+bool Shard::OfOtherLife(const OrderSent &sent, const OrderAnswer &answer)
+{
+	const bool clock_back = sent.clock && answer.box_clock && *answer.box_clock < *sent.clock;
+	return clock_back || (answer.life && *answer.life != sent.life);
+}
+
+bool Shard::TakeOutcome(const OrderSent &sent, const OrderAnswer &answer)
+{
+	if (answer.outcome == OrderOutcome::OO_FENCED) {
 		this->Depose();
 		return false;
 	}
-	const auto box = this->boxes.find(life);
+	const auto box = this->boxes.find(sent.life);
 	if (box == this->boxes.end()) {
 		return true;
 	}
-	if (outcome == OrderOutcome::OO_OTHER_LIFE) {
+	if (answer.outcome == OrderOutcome::OO_OTHER_LIFE) {
 		this->EndLife(box->second, "other_life");
+		this->LoseHeld(sent.life.id, "other_life");
+	} else if (OfOtherLife(sent, answer)) {
+		/* What its next life lists is taken in once that life is asked itself. */
+		box->second.followed = true;
+		this->EndLife(box->second, "started_again");
+	}
+	if (box->second.over) {
 		return false;
 	}
-	this->NoteOutcome(box->second, sent, outcome);
+	this->NoteOutcome(box->second, sent.at, answer.outcome);
 	return true;
 }
 
--- a/src/jobs/shard_type.h
+++ b/src/jobs/shard_type.h
@@ -143,7 +143,8 @@
 	uint32_t lost = 0;              ///< Orders without an answer since the last answer.
 	Millis lost_at{-1000000};       ///< When the last order without an answer was given up.
 	Millis lost_again_at{-1000000}; ///< When that last happened twice within a short time.
-	bool over = false;              ///< This life has ended for certain.
+	bool over = false;              ///< This life has ended for certain; what is placed there is held.
+	bool followed = false;          ///< Its agent is known to run again under its id.
 	std::optional<Millis> clock;    ///< Its clock at `clock_at`.
 	Millis clock_at;                ///< When `clock` was heard.
 	Millis lapse_at;                ///< From then on no lease can hold there any more, by our clock.
@@ -170,6 +171,13 @@
 	TimerId timer; ///< Next lease order.
 };
 
+/** An order to a box that is under way: who it was meant for, and what was known then. */
+struct OrderSent {
+	BoxLife life;                ///< The life that it was sent to.
+	Millis at;                   ///< When.
+	std::optional<Millis> clock; ///< The life's clock told last by then: it never goes back.
+};
+
 /** What a job can still be, in the order in which jobs are served. */
 enum class JobHope : uint8_t {
 	JH_LASTING = 0,  ///< Its tasks last: they are to run at all times.
--- a/src/jobs/site_feed.h
+++ b/src/jobs/site_feed.h
@@ -19,7 +19,7 @@
 	virtual void OnConfig(const JobConfig &config) = 0; ///< A configuration, newer than the last one told.
 	virtual void OnWave(const WaveOrder &wave) = 0;     ///< A maintenance wave.
 	virtual void OnReport(const BoxReport &report) = 0; ///< A box's report.
-	virtual void OnReportGone(const BoxLife &life) = 0; ///< A box's report was removed.
+	virtual void OnReportGone(const BoxId &id) = 0;     ///< The report under an id was removed.
 };
 
 /** Follows what is published. */
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -27,12 +27,22 @@
 	return out;
 }
 
+std::set<BoxLife> LivesOf(const glade::wire::PoolQuestionT &in)
+{
+	std::set<BoxLife> out;
+	for (size_t n = 0; n < std::min(in.ended.size(), in.ended_born.size()); n++) {
+		out.insert(BoxLife{BoxId(in.ended[n]), Millis(in.ended_born[n])});
+	}
+	return out;
+}
+
 PoolStatus StatusOf(const glade::wire::PoolAnswerT &in)
 {
 	PoolStatus out;
 	out.waiting_cpu = in.waiting_cpu;
 	std::ranges::transform(in.boxes, std::back_inserter(out.boxes), [](const auto &it) {
-		return PoolBox{BoxName(it->box), BoxLife(it->life), it->tasks, it->used_cpu, it->cpu, it->placing};
+		return PoolBox{BoxName(it->box), BoxLife{BoxId(it->life), Millis(it->born)}, it->tasks, it->used_cpu, it->cpu,
+					   it->placing};
 	});
 	return out;
 }
@@ -177,9 +187,9 @@
 	this->host.OnReport(report);
 }
 
-void NodeCore::OnReportGone(const BoxLife &life)
+void NodeCore::OnReportGone(const BoxId &id)
 {
-	this->host.OnReportGone(life);
+	this->host.OnReportGone(id);
 }
 
 std::optional<PoolStatus> NodeCore::PoolHere(const ServiceName &service, const PoolRequest &request)
@@ -205,13 +215,16 @@
 		return;
 	}
 	const auto make = [service, drain = NamesOf(request.drain), due = NamesOf(request.due),
-					   ended = NamesOf(request.ended)](uint64_t number) {
+					   ended = request.ended](uint64_t number) {
 		glade::wire::PoolQuestionT out;
 		out.number = number;
 		out.service = service.Value();
 		out.drain = drain;
 		out.due = due;
-		out.ended = ended;
+		for (const BoxLife &it : ended) {
+			out.ended.push_back(it.id.Value());
+			out.ended_born.push_back(it.born.Value());
+		}
 		return MakeMessage(std::move(out));
 	};
 	this->lookup.Ask(PartitionId{TopicOf(service), PROGRESS_PART}, service.Value(), this->scheduler.Now() + POOL_WAIT,
@@ -272,9 +285,8 @@
 
 void NodeCore::OnPoolQuestion(FrameLink &link, const glade::wire::PoolQuestionT &in)
 {
-	const std::optional<PoolStatus> status =
-			this->PoolHere(ServiceName(in.service),
-						   PoolRequest{SetOf<BoxName>(in.drain), SetOf<BoxName>(in.due), SetOf<BoxLife>(in.ended)});
+	const std::optional<PoolStatus> status = this->PoolHere(
+			ServiceName(in.service), PoolRequest{SetOf<BoxName>(in.drain), SetOf<BoxName>(in.due), LivesOf(in)});
 	glade::wire::PoolAnswerT out;
 	out.number = in.number;
 	out.code = static_cast<uint32_t>(status ? ResultCode::RC_OK : ResultCode::RC_PEER_UNAVAILABLE);
@@ -283,7 +295,8 @@
 		for (const PoolBox &box : status->boxes) {
 			auto row = std::make_unique<glade::wire::PoolBoxT>();
 			row->box = box.box.Value();
-			row->life = box.life.Value();
+			row->life = box.life.id.Value();
+			row->born = box.life.born.Value();
 			row->tasks = box.tasks;
 			row->used_cpu = box.used_cpu;
 			row->cpu = box.cpu;
--- a/src/node/shard_host.cpp
+++ b/src/node/shard_host.cpp
@@ -148,20 +148,29 @@
 
 void ShardHost::OnReport(const BoxReport &report)
 {
-	this->reports[report.life] = report;
+	const auto known = this->reports.find(report.life.id);
+	if (known != this->reports.end() && known->second.life != report.life) {
+		this->KeepGone(known->second);
+	}
+	this->reports[report.life.id] = report;
 	std::ranges::for_each(this->owners | std::views::values, [&report](const auto &it) { it->OnReport(report); });
 }
 
-void ShardHost::OnReportGone(const BoxLife &life)
+void ShardHost::KeepGone(const BoxReport &report)
 {
-	if (const auto it = this->reports.find(life); it != this->reports.end()) {
-		this->gone.push_back(it->second);
-		this->reports.erase(it);
-	}
+	this->gone.push_back(report);
 	while (this->gone.size() > GONE_KEPT) {
 		this->gone.pop_front();
 	}
-	std::ranges::for_each(this->owners | std::views::values, [&life](const auto &it) { it->OnReportGone(life); });
+}
+
+void ShardHost::OnReportGone(const BoxId &id)
+{
+	if (const auto it = this->reports.find(id); it != this->reports.end()) {
+		this->KeepGone(it->second);
+		this->reports.erase(it);
+	}
+	std::ranges::for_each(this->owners | std::views::values, [&id](const auto &it) { it->OnReportGone(id); });
 }
 
 void ShardHost::Clear()
--- a/src/node/shard_host.h
+++ b/src/node/shard_host.h
@@ -47,8 +47,8 @@
 	void OnMembership();
 	/** Takes a box's report. @param report It. */
 	void OnReport(const BoxReport &report);
-	/** A box's report is gone. @param life The box's life. */
-	void OnReportGone(const BoxLife &life);
+	/** The report under an id is gone. @param id The id. */
+	void OnReportGone(const BoxId &id);
 	/** Lets go of everything, for good: the node stops. */
 	void Clear();
 
@@ -65,13 +65,14 @@
 	SiteFeed &feed;                                            ///< For boxes' reports.
 	uint32_t partitions;                                       ///< Partitions of a topic.
 	JobConfig config;                                          ///< The configuration in force.
-	std::map<BoxLife, BoxReport> reports;                      ///< Boxes' reports.
+	std::map<BoxId, BoxReport> reports;                        ///< Boxes' reports.
 	std::deque<BoxReport> gone;                                ///< Last reports of lives whose report has gone.
 	std::map<ServiceName, std::unique_ptr<ShardOwner>> owners; ///< Shards owned, being claimed, or waited for.
 	Millis looked_at{-1000000};                                ///< When the owners of all services were last looked at.
 	std::vector<std::unique_ptr<ShardOwner>> releasing;        ///< Shards being let go.
 	bool stopped = false;                                      ///< Whether nothing is claimed any more.
 
+	void KeepGone(const BoxReport &report);
 	[[nodiscard]] bool Dealt(const ServiceName &service) const;
 	[[nodiscard]] bool Watched(const ServiceName &service) const;
 	[[nodiscard]] size_t Claimed() const;
--- a/src/upkeep/fleet_owner.cpp
+++ b/src/upkeep/fleet_owner.cpp
@@ -145,6 +145,7 @@
 
 void FleetOwner::Look()
 {
+	this->lives.NoteKnown(this->view.pools);
 	this->view.pools.clear();
 	this->view.reserves.clear();
 	this->pending = 1;
@@ -309,7 +310,7 @@
 
 void FleetOwner::Maintain(const MachineRow &row, uint64_t wave)
 {
-	this->desk.Ordered(row.box, wave, row.life, this->parts.scheduler.Now());
+	this->desk.Ordered(row.box, wave, row.id, this->parts.scheduler.Now());
 	this->parts.events.Write("maintenance_ordered", {{"box", row.box.Value()},
 													 {"wave", std::to_string(wave)},
 													 {"pool", row.pool.Value()},
--- a/src/upkeep/fleet_view.cpp
+++ b/src/upkeep/fleet_view.cpp
@@ -9,7 +9,7 @@
 	}
 	for (const auto &[pool, status] : view.pools) {
 		for (const PoolBox &box : status.boxes) {
-			this->statuses.emplace(box.life.Value(), Told{&pool, &box});
+			this->statuses.emplace(box.life.id.Value(), Told{&pool, &box});
 		}
 	}
 }
@@ -22,7 +22,7 @@
 
 const PoolBox *FleetIndex::Status(const MachineRow &row) const
 {
-	const auto it = this->statuses.find(row.life.Value());
+	const auto it = this->statuses.find(row.id.Value());
 	return it == this->statuses.end() || *it->second.pool != row.pool ? nullptr : it->second.box;
 }
 
--- a/src/upkeep/fleet_view.h
+++ b/src/upkeep/fleet_view.h
@@ -40,7 +40,7 @@
 	};
 
 	std::unordered_map<std::string_view, const MachineRow *> rows; ///< By name.
-	std::unordered_map<std::string_view, Told> statuses;           ///< By life: each is in one pool.
+	std::unordered_map<std::string_view, Told> statuses;           ///< By id: each is in one pool.
 	std::map<ServiceName, size_t> sizes;                           ///< By pool.
 };
 
--- a/src/upkeep/life_watch.cpp
+++ b/src/upkeep/life_watch.cpp
@@ -11,25 +11,37 @@
 
 } // namespace
 
+void LifeWatch::NoteKnown(const std::map<ServiceName, PoolStatus> &pools)
+{
+	this->known.clear();
+	for (const PoolStatus &pool : pools | std::views::values) {
+		std::ranges::for_each(pool.boxes, [this](const PoolBox &it) {
+			BoxLife &newest = this->known[it.life.id];
+			newest = std::max(newest, it.life);
+		});
+	}
+}
+
 std::set<ServiceName> LifeWatch::Take(const std::vector<MachineRow> &rows, Millis now)
 {
-	std::erase_if(this->ended, [now](const Listed &it) { return now - it.ended_at > TOLD_FOR; });
+	std::erase_if(this->ended, [now](const Ended &it) { return now - it.at > TOLD_FOR; });
 	std::set<ServiceName> fresh;
 	for (const MachineRow &row : rows) {
-		const bool lives = !row.life.Value().empty();
-		/* A machine on its way, or listed without a life while it is up, says nothing of the one before. */
-		if (!lives && row.state != MachineState::MS_DOWN) {
+		const bool runs = !row.id.Value().empty();
+		/* A machine on its way, or listed without an agent while it is up, says nothing of the one before. */
+		if (!runs && row.state != MachineState::MS_DOWN) {
 			continue;
 		}
-		const auto known = this->last.find(row.box);
-		if (known != this->last.end() && known->second.life != row.life) {
-			known->second.ended_at = now;
-			fresh.insert(known->second.pool);
-			this->ended.push_back(std::move(known->second));
-			this->last.erase(known);
+		const auto before = this->last.find(row.box);
+		if (before != this->last.end() && before->second.id != row.id) {
+			if (const auto life = this->known.find(before->second.id); life != this->known.end()) {
+				fresh.insert(before->second.pool);
+				this->ended.push_back(Ended{life->second, before->second.pool, now});
+			}
+			this->last.erase(before);
 		}
-		if (lives) {
-			this->last[row.box] = Listed{row.life, row.pool, Millis(0)};
+		if (runs) {
+			this->last[row.box] = Listed{row.id, row.pool};
 		}
 	}
 	return fresh;
@@ -38,7 +50,7 @@
 std::set<BoxLife> LifeWatch::EndedIn(const ServiceName &pool) const
 {
 	std::set<BoxLife> out;
-	for (const Listed &it : this->ended) {
+	for (const Ended &it : this->ended) {
 		if (it.pool == pool) {
 			out.insert(it.life);
 		}
--- a/src/upkeep/life_watch.h
+++ b/src/upkeep/life_watch.h
@@ -2,6 +2,7 @@
 #ifndef LIFE_WATCH_H
 #define LIFE_WATCH_H
 
+#include "../jobs/shard_type.h"
 #include "machine_control.h"
 
 #include <map>
@@ -10,10 +11,13 @@
 /**
  * Compares each list of machines with the one before it. A box that has crashed is away for seconds, and until it is
  * back, or its lease has lapsed, its owner can't know that nothing runs there any more. A list that was asked for later
- * tells it at once: a machine that is down runs nothing, and a life doesn't come back.
+ * tells it at once: a machine that is down runs nothing. The list names agents by their ids alone, and an agent may
+ * start again under its id: so only the life that its owner knew before the list was asked for is told to have ended.
  */
 class LifeWatch {
 public:
+	/** Takes the lives that owners know, before the next list is asked for. @param pools As they have told. */
+	void NoteKnown(const std::map<ServiceName, PoolStatus> &pools);
 	/** Takes a list. @param rows The machines, asked for after the list before was answered. @param now The time.
 	 * @return Pools of the lives that have ended since. */
 	std::set<ServiceName> Take(const std::vector<MachineRow> &rows, Millis now);
@@ -21,15 +25,22 @@
 	[[nodiscard]] std::set<BoxLife> EndedIn(const ServiceName &pool) const;
 
 private:
-	/** A life that was listed. */
+	/** An agent that was listed. */
 	struct Listed {
+		BoxId id;         ///< Its id.
+		ServiceName pool; ///< Pool that its machine was in.
+	};
+
+	/** A life that has ended. */
+	struct Ended {
 		BoxLife life;     ///< It.
 		ServiceName pool; ///< Pool that its machine was in.
-		Millis ended_at;  ///< When it was first missed, once it was.
+		Millis at;        ///< When it was first missed.
 	};
 
-	std::map<BoxName, Listed> last; ///< Life listed last, by machine.
-	std::vector<Listed> ended;      ///< Lives that have ended lately.
+	std::map<BoxName, Listed> last; ///< Agent listed last, by machine.
+	std::map<BoxId, BoxLife> known; ///< Lives that owners knew before the last list was asked for.
+	std::vector<Ended> ended;       ///< Lives that have ended lately.
 };
 
 #endif /* LIFE_WATCH_H */
--- a/src/upkeep/machine_control.h
+++ b/src/upkeep/machine_control.h
@@ -19,7 +19,7 @@
 	MachineState state = MachineState::MS_DOWN; ///< What it does.
 	ZoneName zone;                              ///< Its availability zone.
 	Resources capacity;                         ///< What it has.
-	BoxLife life;                               ///< Its current life; empty when it has none.
+	BoxId id;                                   ///< Of its agent, which may have kept it; empty when none runs.
 };
 
 /** How an order to a machine ended. */
--- a/src/upkeep/pool_desk.cpp
+++ b/src/upkeep/pool_desk.cpp
@@ -57,7 +57,7 @@
 	for (const PoolBox &box : status.boxes) {
 		/* The report of a box that has moved away stands for a while. */
 		const MachineRow *row = index.Row(box.box);
-		const bool here = row != nullptr && row->pool == pool && row->life == box.life;
+		const bool here = row != nullptr && row->pool == pool && row->id == box.life.id;
 		if (here && box.placing && !this->leaving.contains(box.box) && !taken.contains(box.box)) {
 			balance.have += box.cpu;
 			if (box.tasks == 0) {
--- a/src/upkeep/wave_desk.cpp
+++ b/src/upkeep/wave_desk.cpp
@@ -42,7 +42,7 @@
 		if (row == nullptr) {
 			return true;
 		}
-		const bool back = row->state == MachineState::MS_UP && (it.second.seen || row->life != it.second.before);
+		const bool back = row->state == MachineState::MS_UP && (it.second.seen || row->id != it.second.before);
 		/* An order without an answer may never come; the box is tried again then. */
 		return back || (row->state == MachineState::MS_UP && now - it.second.at > this->limits.forget_down);
 	});
@@ -51,7 +51,7 @@
 		if (row.state == MachineState::MS_UPKEEP && !this->down.contains(row.box)) {
 			for (const auto &[number, wave] : this->waves) {
 				if (std::ranges::count(wave.order.boxes, row.box) > 0) {
-					this->down[row.box] = Down{number, row.life, now, true};
+					this->down[row.box] = Down{number, row.id, now, true};
 				}
 			}
 		}
@@ -172,10 +172,10 @@
 	return out;
 }
 
-void WaveDesk::Ordered(const BoxName &box, uint64_t wave, const BoxLife &life, Millis now)
+void WaveDesk::Ordered(const BoxName &box, uint64_t wave, const BoxId &id, Millis now)
 {
 	this->draining.erase(box);
-	this->down[box] = Down{wave, life, now, false};
+	this->down[box] = Down{wave, id, now, false};
 }
 
 void WaveDesk::Answered(const BoxName &box, uint64_t wave, ControlOutcome outcome)
--- a/src/upkeep/wave_desk.h
+++ b/src/upkeep/wave_desk.h
@@ -36,9 +36,9 @@
 
 	/** @return What to do now. @param view The fleet. @param now The time. */
 	WaveActions Decide(const FleetView &view, Millis now);
-	/** An order is about to leave. @param box The box. @param wave Its wave. @param life Its life. @param now The time.
-	 */
-	void Ordered(const BoxName &box, uint64_t wave, const BoxLife &life, Millis now);
+	/** An order is about to leave. @param box The box. @param wave Its wave. @param id Its agent's id. @param now The
+	 * time. */
+	void Ordered(const BoxName &box, uint64_t wave, const BoxId &id, Millis now);
 	/** An order has ended. @param box The box. @param wave Its wave. @param outcome How. */
 	void Answered(const BoxName &box, uint64_t wave, ControlOutcome outcome);
 	/** A wave was reported as completed. @param wave The wave. */
@@ -63,7 +63,7 @@
 	/** A box that was ordered down. */
 	struct Down {
 		uint64_t wave = 0; ///< For which wave.
-		BoxLife before;    ///< Its life before.
+		BoxId before;      ///< Its agent's id before; one that comes back may have the same.
 		Millis at;         ///< When it was ordered.
 		bool seen = false; ///< Whether it was seen down.
 	};
