Each life of a box has its own token, and one that may have started unseen is not told to forget ends

Cause: the first lease order that reached the next life named the ends noted of the one before, so it forgot its first ends; and late orders to the life before (starts, stops, leases) found a box that had seen no token.

Now each life that an owner learns of gets a higher token than those before, within the numbers of its ownership; after the first list of a life nothing meant for an earlier one is carried out. A box that left an order unanswered since it last listed its runs is asked with "no ends noted".

--- a/src/jobs/shard_base.h
+++ b/src/jobs/shard_base.h
@@ -135,7 +135,8 @@
 	BoxOrders &orders;                           ///< Boxes.
 	EventLog &log;                               ///< Lines.
 	ServiceName service;                         ///< The service.
-	FenceToken fence;                            ///< Token of this ownership.
+	FenceToken fence;                            ///< Number of this ownership: see NextFence().
+	uint64_t lives_seen = 0;                     ///< Lives of boxes that this owner has learned of.
 	ShardLimits limits;                          ///< Figures.
 	Millis owned_since;                          ///< When this ownership began.
 	Millis other_owner_until;                    ///< Until then an earlier owner may prolong leases.
@@ -290,6 +291,7 @@
 	void Depose();
 
 	/* shard_lives.cpp */
+	FenceToken NextFence();
 	[[nodiscard]] std::vector<ShardBox *> LivesOf(const BoxId &id);
 	void EndEarlierLives(const BoxId &id);
 	void EndLife(ShardBox &box, const char *why);
--- a/src/jobs/shard_boxes.cpp
+++ b/src/jobs/shard_boxes.cpp
@@ -56,6 +56,7 @@
 			added || was_leaving != report.leaving || box.report.capacity != report.capacity || !box.listed;
 	box.report = report;
 	if (added) {
+		box.fence = this->NextFence();
 		/* Nothing of ours runs there, but an earlier owner may have placed what we can't see yet. */
 		box.lapse_at = this->FirstLapse();
 		box.answered_at = box.listed_at = this->scheduler.Now();
@@ -187,6 +188,7 @@
 	if (answered ? box.lost > 0 : outcome == OrderOutcome::OO_UNKNOWN && box.answered_at >= sent) {
 		this->order_lost_at = now;
 	}
+	box.unsure = box.unsure || !answered;
 	if (outcome == OrderOutcome::OO_NOT_SENT) {
 		box.silent = true;
 	} else if (answered) {
@@ -222,8 +224,9 @@
 		return;
 	}
 	LeaseOrder order;
-	order.fence = this->fence;
-	order.ends_noted = box.ends_durable;
+	order.fence = box.fence;
+	/* A life that has started unseen would forget ends of its own that have the numbers of the one before. */
+	order.ends_noted = box.unsure ? 0 : box.ends_durable;
 	order.lease_until = this->LeaseEnd(box);
 	order.wait = box.wait = this->LeaseWait(box);
 	if (order.lease_until) {
@@ -259,6 +262,7 @@
 	}
 	const Millis now = this->scheduler.Now();
 	box.listed_at = now;
+	box.unsure = false;
 	box.ends_told = std::max(box.ends_told, noted);
 	if (answer.order.box_clock) {
 		box.clock = answer.order.box_clock;
@@ -339,7 +343,7 @@
 								 {"run", std::to_string(row.run.Value())},
 								 {"box", LifeText(box.report.life)}});
 	this->counters.stops++;
-	this->orders.Stop(box.report, row.task, row.run, this->fence, [](const OrderAnswer &) {
+	this->orders.Stop(box.report, row.task, row.run, box.fence, [](const OrderAnswer &) {
 		/* The next list tells whether it is gone; it is stopped again until then. */
 	});
 }
--- a/src/jobs/shard_crashes.cpp
+++ b/src/jobs/shard_crashes.cpp
@@ -254,7 +254,7 @@
 	}
 	/* The look at the box that is under way may be answered seconds later: then nobody knows whether a box that crashes
 	 * by itself did so 10 ms or 2 s after the start. A pace that the run has already changes nothing. */
-	this->orders.Pace(box->second.report, id, run, FULL_PACE, this->fence,
+	this->orders.Pace(box->second.report, id, run, FULL_PACE, box->second.fence,
 					  [this, sent = this->Sent(box->second),
 					   still = std::weak_ptr<bool>(this->alive)](const OrderAnswer &answer) {
 						  if (!still.expired() && this->TakeOutcome(sent, answer)) {
--- a/src/jobs/shard_jobs.cpp
+++ b/src/jobs/shard_jobs.cpp
@@ -118,6 +118,7 @@
 		if (added) {
 			/* Its report has not come (yet). */
 			it->second.report.life = task.box;
+			it->second.fence = this->NextFence();
 			it->second.listed = false;
 			it->second.lapse_at = this->FirstLapse();
 		}
--- a/src/jobs/shard_lives.cpp
+++ b/src/jobs/shard_lives.cpp
@@ -15,8 +15,18 @@
  * to start a run are repeated for 2 s. */
 constexpr Millis ORDERS_COME_WITHIN(14000);
 
+constexpr uint64_t LIVES_MOST = 1ULL << 20U; ///< Tokens of an ownership, so that the next one's are higher.
+
 } // namespace
 
+FenceToken Shard::NextFence()
+{
+	/* Each life gets a higher token than those before: once it has seen that, orders that were meant for the life
+	 * before, under the same id, can't be carried out any more. */
+	this->lives_seen = std::min(this->lives_seen + 1, LIVES_MOST - 1);
+	return FenceToken(this->fence.Value() * LIVES_MOST + this->lives_seen);
+}
+
 std::vector<ShardBox *> Shard::LivesOf(const BoxId &id)
 {
 	std::vector<ShardBox *> out;
--- a/src/jobs/shard_place.cpp
+++ b/src/jobs/shard_place.cpp
@@ -329,7 +329,7 @@
 	order.payload = job.spec.payload;
 	order.saved = task->saved;
 	order.lease_until = *until;
-	order.fence = this->fence;
+	order.fence = it->second.fence;
 	if (const std::string *ticket =
 				this->tickets.Find(StepId{start.task.job, start.task.occurrence, start.task.step}, task->box);
 		ticket != nullptr) {
--- a/src/jobs/shard_runs.cpp
+++ b/src/jobs/shard_runs.cpp
@@ -182,7 +182,7 @@
 	}
 	task->stop_sent = true;
 	this->counters.stops++;
-	this->orders.Stop(it->second.report, id, task->run, this->fence,
+	this->orders.Stop(it->second.report, id, task->run, it->second.fence,
 					  [this, id, run = task->run, sent = this->Sent(it->second),
 					   still = std::weak_ptr<bool>(this->alive)](const OrderAnswer &answer) {
 						  if (!still.expired() && this->TakeOutcome(sent, answer)) {
@@ -193,7 +193,7 @@
 
 OrderSent Shard::Sent(const ShardBox &box) const
 {
-	return OrderSent{box.report.life, this->scheduler.Now(), box.clock};
+	return OrderSent{box.report.life, box.fence, this->scheduler.Now(), box.clock};
 }
 
 bool Shard::OfOtherLife(const OrderSent &sent, const OrderAnswer &answer)
@@ -204,11 +204,14 @@
 
 bool Shard::TakeOutcome(const OrderSent &sent, const OrderAnswer &answer)
 {
+	const auto box = this->boxes.find(sent.life);
 	if (answer.outcome == OrderOutcome::OO_FENCED) {
-		this->Depose();
+		/* A life that is over may have been followed by one that has seen our own, higher token. */
+		if (box != this->boxes.end() && !box->second.over) {
+			this->Depose();
+		}
 		return false;
 	}
-	const auto box = this->boxes.find(sent.life);
 	if (box == this->boxes.end()) {
 		return true;
 	}
--- a/src/jobs/shard_type.h
+++ b/src/jobs/shard_type.h
@@ -136,6 +136,7 @@
 /** A box of the service. */
 struct ShardBox {
 	BoxReport report;               ///< What its agent says of itself.
+	FenceToken fence;               ///< Token of orders to this life: see Shard::NextFence().
 	bool listed = true;             ///< Whether its report stands.
 	bool adopted = false;           ///< It has answered this owner: orders of earlier owners can't come any more.
 	bool asking = false;            ///< A lease order is under way.
@@ -153,6 +154,8 @@
 	Millis answered_at;             ///< When the last answer to any order came.
 	Millis listed_at;               ///< When it last listed its runs.
 	Millis avoid_until;             ///< Nothing is placed there before.
+	/** An order to it got no answer since it last listed its runs: its agent may have started again. */
+	bool unsure = false;
 	uint64_t ends_seen = 0;         ///< Ends up to this number are taken in.
 	uint64_t ends_durable = 0;      ///< Ends up to this number are recorded.
 	uint64_t ends_told = 0;         ///< Ends up to this number, the box has heard, are recorded.
@@ -174,6 +177,7 @@
 /** An order to a box that is under way: who it was meant for, and what was known then. */
 struct OrderSent {
 	BoxLife life;                ///< The life that it was sent to.
+	FenceToken fence;            ///< Its token.
 	Millis at;                   ///< When.
 	std::optional<Millis> clock; ///< The life's clock told last by then: it never goes back.
 };
--- a/src/standin/memory/box_site.h
+++ b/src/standin/memory/box_site.h
@@ -80,7 +80,7 @@
 	uint64_t starts = 0;                                                     ///< Runs begun.
 	uint64_t crashes = 0;                                                    ///< Crashes of boxes.
 	Millis back_after = Millis(3000);                                        ///< A crashed box is back after this.
-	bool keeps_id = false;                                                   ///< Whether boxes keep their ids.
+	bool keeps_id = true;                                                    ///< Whether boxes keep their ids.
 	bool guarded = true; ///< Whether boxes refuse what doesn't fit; otherwise they start all that they are told.
 
 private:
--- a/tests/test_same_id.cpp
+++ b/tests/test_same_id.cpp
@@ -32,7 +32,6 @@
 CrashDayEnd Play(const CrashDay &day)
 {
 	JobWorld world;
-	world.site.keeps_id = true;
 	world.site.back_after = day.back_after;
 	if (day.listed) {
 		world.TellEndedLives();
@@ -91,3 +90,35 @@
 {
 	PlayAll(true);
 }
+
+TEST_CASE("an order that was meant for a box's life before is not carried out by the next one, however late it comes")
+{
+	constexpr Millis LOSSY_FROM(1500);
+	constexpr Millis LOSSY_TO(4000);
+	constexpr Millis CRASHED_AT(4100);
+	constexpr Millis BACK_AFTER(100);
+	JobWorld world;
+	world.site.back_after = BACK_AFTER;
+	const auto lose = [&world](uint32_t every) {
+		for (const BoxReport &it : world.site.Reports()) {
+			world.site.faults[it.box].lose_every = every;
+			world.site.faults[it.box].late = true;
+		}
+	};
+	world.clock.After(LOSSY_FROM, [&lose] { lose(2); });
+	world.clock.After(LOSSY_TO, [&lose] { lose(0); });
+	world.clock.After(CRASHED_AT, [&world] {
+		for (const BoxReport &it : world.site.Reports()) {
+			world.site.Crash(it.box);
+		}
+	});
+	for (int n = 0; n < 20; n++) {
+		world.Plan(Millis(1000 + n * 120), "calc", JobWorld::Chain(2), Millis(300));
+	}
+	world.clock.RunUntil(Millis(30000));
+	CAPTURE(world.site.violations.empty() ? std::string() : world.site.violations.front());
+	CHECK(world.site.violations.size() == 0);
+	for (const auto &it : world.jobs) {
+		CHECK(world.ViewOf(*it).phase == JobPhase::JP_COMPLETED);
+	}
+}
