A box that has started again is taken to hold the longest lease there is until its own would have lapsed

What callers would have seen: two runs of one task at once, when a box was cut off within 10 s after it had started again under its id (read in the code, no report). Cause: orders that were meant for the life before carry times of its clock; by the clock that began anew they lie far ahead, so the box takes the longest lease (10 s), while its owner reckoned with 4.6 s.

--- a/src/jobs/shard_base.h
+++ b/src/jobs/shard_base.h
@@ -286,6 +286,7 @@
 	[[nodiscard]] std::optional<Millis> LeaseEnd(const ShardBox &box) const;
 	[[nodiscard]] Millis FirstLapse() const;
 	void NoteLeaseAsked(ShardBox &box, Millis until);
+	void NoteLongestLease(ShardBox &box) const;
 	void LapseBoxes();
 	void SetLookGap(size_t busy);
 	void Depose();
--- a/src/jobs/shard_boxes.cpp
+++ b/src/jobs/shard_boxes.cpp
@@ -121,6 +121,14 @@
 	box.lapse_at = std::max(box.lapse_at, box.clock_at + Millis(static_cast<int64_t>(span)) + LAPSE_SLACK);
 }
 
+void Shard::NoteLongestLease(ShardBox &box) const
+{
+	/* By its own clock, which began anew, the times of orders to the life before lie far ahead. */
+	const auto span = static_cast<double>(this->limits.lease_max.Value()) / CLOCK_RATE_MIN;
+	const Millis end = this->scheduler.Now() + Millis(static_cast<int64_t>(span)) + LAPSE_SLACK;
+	box.lapse_at = std::max(box.lapse_at, end);
+}
+
 void Shard::PumpAfter(const BoxLife &life, Millis delay)
 {
 	ShardBox &box = this->boxes.at(life);
@@ -292,6 +300,9 @@
 void Shard::Adopt(ShardBox &box)
 {
 	box.adopted = true;
+	if (box.follows) {
+		this->NoteLongestLease(box);
+	}
 	this->log.Write("box_adopted",
 					{{"life", LifeText(box.report.life)}, {"placed", std::to_string(box.placed.size())}});
 	if (box.report.leaving) {
--- a/src/jobs/shard_lives.cpp
+++ b/src/jobs/shard_lives.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <ranges>
+#include <utility>
 
 namespace {
 
@@ -40,7 +41,11 @@
 void Shard::EndEarlierLives(const BoxId &id)
 {
 	std::vector<ShardBox *> lives = this->LivesOf(id);
+	ShardBox &newest = *lives.back();
 	lives.pop_back();
+	if (!lives.empty() && !std::exchange(newest.follows, true)) {
+		this->NoteLongestLease(newest);
+	}
 	for (ShardBox *box : lives) {
 		box->followed = true;
 		this->EndLife(*box, "started_again");
--- a/src/jobs/shard_type.h
+++ b/src/jobs/shard_type.h
@@ -146,6 +146,7 @@
 	Millis lost_again_at{-1000000}; ///< When that last happened twice within a short time.
 	bool over = false;              ///< This life has ended for certain; what is placed there is held.
 	bool followed = false;          ///< Its agent is known to run again under its id.
+	bool follows = false;           ///< Another life had its id before: orders to that one may have come here.
 	std::optional<Millis> clock;    ///< Its clock at `clock_at`.
 	Millis clock_at;                ///< When `clock` was heard.
 	Millis lapse_at;                ///< From then on no lease can hold there any more, by our clock.
--- a/tests/test_same_id.cpp
+++ b/tests/test_same_id.cpp
@@ -122,3 +122,31 @@
 		CHECK(world.ViewOf(*it).phase == JobPhase::JP_COMPLETED);
 	}
 }
+
+TEST_CASE("runs of a box that was cut off just after it had started again are not started elsewhere while they go on")
+{
+	constexpr Millis RUN_TIME(9000); ///< Longer than the leases that owners ask for.
+	constexpr Millis CRASHED_AT(6000);
+	constexpr Millis CUT_FOR(12000);
+	for (const int64_t back : {20, 60, 150}) {
+		for (int64_t cut_after = 5; cut_after < 1500; cut_after += 65) {
+			JobWorld world;
+			world.site.back_after = Millis(back);
+			for (int n = 0; n < 40; n++) {
+				world.Plan(Millis(3000 + n * 100), "calc", JobWorld::Chain(1), RUN_TIME);
+			}
+			for (const BoxReport &it : world.site.Reports()) {
+				world.clock.After(CRASHED_AT, [&world, box = it.box] { world.site.Crash(box); });
+				world.clock.After(CRASHED_AT + Millis(back + cut_after),
+								  [&world, box = it.box] { world.site.faults[box].dark = box.Value() != "calc-box3"; });
+				world.clock.After(CRASHED_AT + Millis(back + cut_after) + CUT_FOR,
+								  [&world, box = it.box] { world.site.faults[box].dark = false; });
+			}
+			world.clock.RunUntil(Millis(60000));
+			CAPTURE(back);
+			CAPTURE(cut_after);
+			CAPTURE(world.site.violations.empty() ? std::string() : world.site.violations.front());
+			CHECK(world.site.violations.size() == 0);
+		}
+	}
+}
