--- a/tests/soak/soak_boxes.cpp
+++ b/tests/soak/soak_boxes.cpp
@@ -166,12 +166,13 @@
 	}
 	QJsonArray rows;
 	for (const BoxReport &it : this->site.Reports()) {
+		const bool down = this->site.Down(it.box);
 		rows.append(QJsonObject{{"machine", QString::fromStdString(it.box.Value())},
 								{"pool", QString::fromStdString(it.service.Value())},
-								{"state", "up"},
+								{"state", down ? "down" : "up"},
 								{"zone", QString::fromStdString(it.zone.Value())},
 								{"capacity", QJsonObject{{"cpu", static_cast<qint64>(it.capacity.cpu)}}},
-								{"id", QString::fromStdString(it.life.id.Value())}});
+								{"id", QString::fromStdString(down ? std::string() : it.life.id.Value())}});
 	}
 	answer->Answer(200, QJsonObject{{"machines", rows}});
 }
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -11,6 +11,12 @@
 constexpr uint32_t PARTITIONS = 12;   ///< Of a topic.
 constexpr Millis REPORT_EVERY(500);   ///< Boxes report so often.
 constexpr Millis ROOM_EVERY(700);     ///< A box's room changes so often.
+constexpr Millis CRASHES_EVERY(1900); ///< Boxes crash so often,
+constexpr uint32_t CRASHES_MOST = 3;  ///< so many at a time at most;
+constexpr int64_t BACK_LEAST = 50;    ///< ms until one is back at least,
+constexpr uint32_t BACK_SOON = 300;   ///< and at most so much more for half of them,
+constexpr uint32_t BACK_MOST = 4400;  ///< or for the others.
+constexpr uint32_t OTHER_ID_OF = 4;   ///< One of so many comes back under another id.
 constexpr Millis BACK_AFTER(1200);    ///< A box that a task has crashed is back after this.
 constexpr Millis WARM_UP(3000);       ///< Nodes start and claim.
 constexpr Millis FAULT_MIN(300);      ///< Shortest fault.
@@ -29,8 +35,9 @@
 } // namespace
 
 SoakWorld::SoakWorld(const SoakPlan &plan)
-		: plan(plan), random(plan.seed), rooms(plan.seed), store(this->scheduler, PARTITIONS, plan.seed),
-		  boxes(this->scheduler, plan.seed), caller(this->scheduler, DialLimits{Millis(500), Millis(60000), 8})
+		: plan(plan), random(plan.seed), rooms(plan.seed), crashes(plan.seed),
+		  store(this->scheduler, PARTITIONS, plan.seed), boxes(this->scheduler, plan.seed),
+		  caller(this->scheduler, DialLimits{Millis(500), Millis(60000), 8})
 {
 }
 
@@ -69,6 +76,7 @@
 		if (!this->plan.calm) {
 			this->NextFault();
 			this->NextRoom();
+			this->NextCrashes();
 		}
 		this->scheduler.After(this->plan.faults_for, [this] { this->Heal(); });
 	});
@@ -195,6 +203,25 @@
 	this->scheduler.After(ROOM_EVERY, [this] { this->NextRoom(); });
 }
 
+void SoakWorld::NextCrashes()
+{
+	if (this->calm) {
+		return;
+	}
+	/* Mostly back under the id that they had, before anybody has missed them or long after. */
+	BoxSite &site = this->boxes.site;
+	const std::vector<BoxReport> all = site.Reports();
+	const Millis usual = site.back_after;
+	for (uint32_t n = 0; n < 1 + this->crashes() % CRASHES_MOST; n++) {
+		const bool soon = this->crashes() % 2 == 0;
+		site.back_after = Millis(BACK_LEAST + static_cast<int64_t>(this->crashes() % (soon ? BACK_SOON : BACK_MOST)));
+		site.keeps_id = this->crashes() % OTHER_ID_OF != 0;
+		site.Crash(all[this->crashes() % all.size()].box);
+	}
+	site.back_after = usual;
+	this->scheduler.After(CRASHES_EVERY, [this] { this->NextCrashes(); });
+}
+
 bool SoakWorld::AllSettled()
 {
 	return std::ranges::all_of(this->jobs, [this](const auto &job) {
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -60,6 +60,7 @@
 	QtScheduler scheduler;                            ///< Clock.
 	std::mt19937 random;                              ///< Chooses everything.
 	std::minstd_rand rooms;                           ///< Chooses boxes whose room changes.
+	std::minstd_rand crashes;                         ///< Chooses boxes that crash.
 	SoakStore store;                                  ///< The store.
 	SoakBoxes boxes;                                  ///< The boxes.
 	std::vector<std::unique_ptr<SoakProxy>> box_ways; ///< Ways to the boxes' agents.
@@ -89,6 +90,7 @@
 	void Heal();
 	void Settle();
 	void NextRoom();
+	void NextCrashes();
 	[[nodiscard]] bool Right(const SoakJob &job) const;
 	bool AllSettled();
 	void CheckRemovedRoute();
