--- a/src/jobs/shard_base.h
+++ b/src/jobs/shard_base.h
@@ -299,6 +299,7 @@
 	[[nodiscard]] bool MayBeCarriedOut(const ShardBox &box, const ShardTask &task) const;
 	void LoseRuns(ShardBox &box, const char *why);
 	void LoseTasks(ShardBox &box, const char *why, CrashEvidence evidence);
+	[[nodiscard]] bool Holds(const BoxId &id);
 	void LoseHeld(const BoxId &id, const char *why);
 	void NoteOtherId(const BoxReport &report);
 	bool TakeRun(ShardBox &box, const TaskId &id, ShardTask &task, RunNumber run);
--- a/src/jobs/shard_boxes.cpp
+++ b/src/jobs/shard_boxes.cpp
@@ -443,6 +443,7 @@
 		}
 	}
 	this->SetLookGap(busy);
+	std::erase_if(this->held, [this](const BoxId &it) { return !this->Holds(it); });
 	for (const BoxLife &life : forget) {
 		this->scheduler.Cancel(this->boxes.at(life).timer);
 		this->boxes.erase(life);
--- a/src/jobs/shard_lives.cpp
+++ b/src/jobs/shard_lives.cpp
@@ -123,6 +123,11 @@
 	}
 }
 
+bool Shard::Holds(const BoxId &id)
+{
+	return std::ranges::any_of(this->LivesOf(id), [](const ShardBox *it) { return it->over && !it->placed.empty(); });
+}
+
 void Shard::LoseHeld(const BoxId &id, const char *why)
 {
 	if (this->held.erase(id) == 0) {
--- a/src/upkeep/life_watch.cpp
+++ b/src/upkeep/life_watch.cpp
@@ -13,7 +13,6 @@
 
 void LifeWatch::NoteKnown(const std::map<ServiceName, PoolStatus> &pools)
 {
-	this->known.clear();
 	for (const PoolStatus &pool : pools | std::views::values) {
 		std::ranges::for_each(pool.boxes, [this](const PoolBox &it) {
 			BoxLife &newest = this->known[it.life.id];
@@ -37,6 +36,7 @@
 			if (const auto life = this->known.find(before->second.id); life != this->known.end()) {
 				fresh.insert(before->second.pool);
 				this->ended.push_back(Ended{life->second, before->second.pool, now});
+				this->known.erase(life);
 			}
 			this->last.erase(before);
 		}
--- a/src/upkeep/life_watch.h
+++ b/src/upkeep/life_watch.h
@@ -39,7 +39,7 @@
 	};
 
 	std::map<BoxName, Listed> last; ///< Agent listed last, by machine.
-	std::map<BoxId, BoxLife> known; ///< Lives that owners knew before the last list was asked for.
+	std::map<BoxId, BoxLife> known; ///< Newest lives that owners have told of before the last list was asked for.
 	std::vector<Ended> ended;       ///< Lives that have ended lately.
 };
 
--- a/tests/test_life_watch.cpp
+++ b/tests/test_life_watch.cpp
@@ -87,6 +87,16 @@
 	CHECK(lives.EndedIn(CALC) == std::set{Life("a", 100), Life("a", 350)});
 }
 
+TEST_CASE("a life is told to have ended although its owner didn't answer the last look")
+{
+	LifeWatch lives;
+	lives.NoteKnown(Known({Life("a", 100)}));
+	lives.Take({Row("a")}, Millis(0));
+	lives.NoteKnown({});
+	CHECK(lives.Take({Row("", MachineState::MS_DOWN)}, Millis(200)) == std::set{CALC});
+	CHECK(lives.EndedIn(CALC) == std::set{Life("a", 100)});
+}
+
 TEST_CASE("a life that no owner has told of is not told to have ended")
 {
 	LifeWatch lives;
