--- a/src/jobs/job_codec.cpp
+++ b/src/jobs/job_codec.cpp
@@ -116,7 +116,7 @@
 			row->box = it->second;
 			if (added) {
 				out.boxes.push_back(task.box.id.Value());
-				out.born.push_back(task.box.born.Value());
+				out.started.push_back(task.box.started.Value());
 			}
 		}
 		out.tasks.push_back(std::move(row));
@@ -150,7 +150,7 @@
 		if (row->box > 0) {
 			const size_t place = row->box - 1U;
 			/* Earlier versions record no start: such a life counts as older than any that tells its own. */
-			task.box = BoxLife{BoxId(in->boxes[place]), Millis(place < in->born.size() ? in->born[place] : 0)};
+			task.box = BoxLife{BoxId(in->boxes[place]), Millis(place < in->started.size() ? in->started[place] : 0)};
 		}
 		progress.tasks.push_back(std::move(task));
 	}
--- a/src/jobs/job_config.cpp
+++ b/src/jobs/job_config.cpp
@@ -35,7 +35,7 @@
 
 std::string LifeText(const BoxLife &life)
 {
-	return life.born == Millis(0) ? life.id.Value() : life.id.Value() + "@" + std::to_string(life.born.Value());
+	return life.started == Millis(0) ? life.id.Value() : life.id.Value() + "@" + std::to_string(life.started.Value());
 }
 
 const char *NameOf(JobPhase phase)
--- a/src/jobs/job_type.h
+++ b/src/jobs/job_type.h
@@ -21,8 +21,8 @@
  * numbers of ends begin anew, and it has seen no token, run or stop.
  */
 struct BoxLife {
-	BoxId id;    ///< Its id.
-	Millis born; ///< Wall time of the start; 0 when it isn't told.
+	BoxId id;       ///< Its id.
+	Millis started; ///< Wall time of the start; 0 when it isn't told.
 
 	auto operator<=>(const BoxLife &) const = default;
 };
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -30,8 +30,8 @@
 std::set<BoxLife> LivesOf(const glade::wire::PoolQuestionT &in)
 {
 	std::set<BoxLife> out;
-	for (size_t n = 0; n < std::min(in.ended.size(), in.ended_born.size()); n++) {
-		out.insert(BoxLife{BoxId(in.ended[n]), Millis(in.ended_born[n])});
+	for (size_t n = 0; n < std::min(in.ended.size(), in.ended_started.size()); n++) {
+		out.insert(BoxLife{BoxId(in.ended[n]), Millis(in.ended_started[n])});
 	}
 	return out;
 }
@@ -41,8 +41,9 @@
 	PoolStatus out;
 	out.waiting_cpu = in.waiting_cpu;
 	std::ranges::transform(in.boxes, std::back_inserter(out.boxes), [](const auto &it) {
-		return PoolBox{BoxName(it->box), BoxLife{BoxId(it->life), Millis(it->born)}, it->tasks, it->used_cpu, it->cpu,
-					   it->placing};
+		return PoolBox{BoxName(it->box), BoxLife{BoxId(it->life), Millis(it->started)},
+					   it->tasks,        it->used_cpu,
+					   it->cpu,          it->placing};
 	});
 	return out;
 }
@@ -223,7 +224,7 @@
 		out.due = due;
 		for (const BoxLife &it : ended) {
 			out.ended.push_back(it.id.Value());
-			out.ended_born.push_back(it.born.Value());
+			out.ended_started.push_back(it.started.Value());
 		}
 		return MakeMessage(std::move(out));
 	};
@@ -296,7 +297,7 @@
 			auto row = std::make_unique<glade::wire::PoolBoxT>();
 			row->box = box.box.Value();
 			row->life = box.life.id.Value();
-			row->born = box.life.born.Value();
+			row->started = box.life.started.Value();
 			row->tasks = box.tasks;
 			row->used_cpu = box.used_cpu;
 			row->cpu = box.cpu;
--- a/src/standin/memory/box_site.cpp
+++ b/src/standin/memory/box_site.cpp
@@ -24,7 +24,7 @@
 	Box &box = this->boxes[report.box];
 	box.report = report;
 	box.started = this->clock.Now();
-	box.report.life.born = this->clock.WallNow();
+	box.report.life.started = this->clock.WallNow();
 }
 
 Millis BoxSite::ClockOf(const BoxName &name) const
@@ -40,7 +40,7 @@
 	if (!this->keeps_id) {
 		report.life.id = BoxId(name.Value() + "-life" + std::to_string(++this->lives));
 	}
-	report.life.born = this->clock.WallNow() - this->wall_behind;
+	report.life.started = this->clock.WallNow() - this->wall_behind;
 	box = Box{};
 	box.report = report;
 	box.started = this->clock.Now();
--- a/tests/soak/soak_boxes.cpp
+++ b/tests/soak/soak_boxes.cpp
@@ -138,7 +138,7 @@
 	}
 	int status = 0;
 	QJsonObject json = this->Written(box, seen.order, status);
-	json["born"] = static_cast<qint64>(box.life.born.Value());
+	json["born"] = static_cast<qint64>(box.life.started.Value());
 	QJsonArray running;
 	for (const RunningRow &it : seen.running) {
 		running.append(QJsonArray{TextOf(TaskText(it.task)), static_cast<qint64>(it.run.Value()), "",
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -119,7 +119,7 @@
 							   {"capacity", QJsonObject{{"cpu", static_cast<qint64>(it.capacity.cpu)},
 														{"mem-mb", static_cast<qint64>(it.capacity.memory)}}},
 							   {"labels", labels},
-							   {"born", static_cast<qint64>(it.life.born.Value())},
+							   {"born", static_cast<qint64>(it.life.started.Value())},
 							   {"state", "ready"}};
 		records.push_back(KeyedRecord{it.life.id.Value(), BodyOf(json)});
 		now.insert(it.life.id.Value());
