--- a/src/jobs/shard_base.h
+++ b/src/jobs/shard_base.h
@@ -241,7 +241,7 @@
 	void Assign(ShardJob &job, const TaskId &id, ShardBox &box, RunNumber run);
 	void PumpStarts();
 	void SendStart(const PendingStart &start);
-	void OnStarted(const TaskId &id, RunNumber run, const BoxLife &life, OrderAnswer answer);
+	void OnStarted(const TaskId &id, RunNumber run, const BoxLife &life, const OrderAnswer &answer);
 	void OnStartUnknown(const TaskId &id, ShardTask &task);
 	void RepeatStart(const TaskId &id, ShardTask &task);
 	void OnStartRefused(const TaskId &id, ShardTask &task, OrderOutcome outcome);
@@ -261,7 +261,7 @@
 	[[nodiscard]] OrderSent Sent(const ShardBox &box) const;
 	bool TakeOutcome(const OrderSent &sent, const OrderAnswer &answer);
 	[[nodiscard]] static bool OfOtherLife(const OrderSent &sent, const OrderAnswer &answer);
-	void OnStopped(const TaskId &id, RunNumber run, const BoxLife &life, OrderAnswer answer);
+	void OnStopped(const TaskId &id, RunNumber run, const BoxLife &life, const OrderAnswer &answer);
 
 	/* shard_boxes.cpp */
 	void PumpLease(ShardBox &box);
--- a/src/jobs/shard_place.cpp
+++ b/src/jobs/shard_place.cpp
@@ -377,7 +377,7 @@
 	}
 }
 
-void Shard::OnStarted(const TaskId &id, RunNumber run, const BoxLife &life, OrderAnswer answer)
+void Shard::OnStarted(const TaskId &id, RunNumber run, const BoxLife &life, const OrderAnswer &answer)
 {
 	ShardTask *task = this->FindTask(id);
 	const bool current =
--- a/src/jobs/shard_runs.cpp
+++ b/src/jobs/shard_runs.cpp
@@ -230,7 +230,7 @@
 	return true;
 }
 
-void Shard::OnStopped(const TaskId &id, RunNumber run, const BoxLife &life, OrderAnswer answer)
+void Shard::OnStopped(const TaskId &id, RunNumber run, const BoxLife &life, const OrderAnswer &answer)
 {
 	const auto box = this->boxes.find(life);
 	ShardTask *task = this->FindTask(id);
--- a/src/standin/memory/box_site.cpp
+++ b/src/standin/memory/box_site.cpp
@@ -134,7 +134,7 @@
 
 OrderAnswer BoxSite::Plain(const Box *box, OrderOutcome outcome) const
 {
-	return OrderAnswer{outcome, box == nullptr ? std::nullopt : std::optional(this->ClockOf(*box))};
+	return OrderAnswer{outcome, box == nullptr ? std::nullopt : std::optional(this->ClockOf(*box)), std::nullopt};
 }
 
 void BoxSite::Violation(const std::string &rule, const TaskId &task)
@@ -397,10 +397,10 @@
 void SiteOrders::Send(const BoxReport &box, std::function<OrderAnswer()> work, Done done)
 {
 	const BoxFaults faults = this->site.faults[box.box];
-	const auto unknown = [done] { done(OrderAnswer{OrderOutcome::OO_UNKNOWN, std::nullopt}); };
+	const auto unknown = [done] { done(OrderAnswer{}); };
 	this->orders++;
 	if (faults.deaf || !this->Reaches(box)) {
-		this->scheduler.After(PATIENCE, [done] { done(OrderAnswer{OrderOutcome::OO_UNKNOWN, std::nullopt}); });
+		this->scheduler.After(PATIENCE, [done] { done(OrderAnswer{}); });
 		return;
 	}
 	if (faults.lose_every > 0 && this->orders % faults.lose_every == 0) {
--- a/tests/test_same_id.cpp
+++ b/tests/test_same_id.cpp
@@ -164,6 +164,7 @@
 			const WorldJob &guilty = world.Plan(Millis(3000), "calc", JobWorld::Chain(1));
 			world.site.JobOf(guilty.spec.id).crashers = {0};
 			std::vector<const WorldJob *> ordinary;
+			ordinary.reserve(ORDINARY);
 			for (int n = 0; n < ORDINARY; n++) {
 				ordinary.push_back(&world.Plan(Millis(1500 + n * 200), "calc", JobWorld::Chain(4), Millis(1000)));
 			}
