An answer that waits at a box is gone with the life that took the call, in the stand-ins

Traced by its logs: the agent started again at 47.428 s; a lease order that waited there went on at the next life under the same id each 10 ms, with "ends up to 11 are noted" of the one before; a run ordered at 47.595 ended there meanwhile, its end was forgotten, and the list of 48.244 had neither.

--- a/src/standin/memory/box_site.cpp
+++ b/src/standin/memory/box_site.cpp
@@ -433,9 +433,14 @@
 			box, [&site = this->site, box, fence] { return site.Pace(box, fence); }, std::move(done));
 }
 
-void SiteOrders::Poll(const BoxReport &box, const LeaseOrder &order, Millis until,
+void SiteOrders::Poll(const BoxReport &box, const LeaseOrder &order, Millis until, const BoxLife &taken_by,
 					  const std::function<void(LeaseAnswer)> &done)
 {
+	/* An answer that waits is gone with the life that took the call. */
+	if (this->site.LifeOf(box.box) != taken_by) {
+		this->scheduler.After(PATIENCE, [done] { done(LeaseAnswer{}); });
+		return;
+	}
 	const LeaseAnswer answer = this->site.Lease(box, order);
 	const bool dark = !this->Reaches(box);
 	const bool nothing =
@@ -445,7 +450,8 @@
 	} else if (nothing) {
 		LeaseOrder later = order;
 		later.lease_until.reset();
-		this->clock.After(POLL_EVERY, [this, box, later, until, done] { this->Poll(box, later, until, done); });
+		this->clock.After(POLL_EVERY,
+						  [this, box, later, until, taken_by, done] { this->Poll(box, later, until, taken_by, done); });
 	} else {
 		this->scheduler.After(ONE_WAY, [done, answer] { done(answer); });
 	}
@@ -465,6 +471,6 @@
 		return;
 	}
 	this->clock.After(ONE_WAY, [this, box, order, done = std::move(done)] {
-		this->Poll(box, order, this->clock.Now() + order.wait, done);
+		this->Poll(box, order, this->clock.Now() + order.wait, this->site.LifeOf(box.box), done);
 	});
 }
--- a/tests/soak/soak_boxes.cpp
+++ b/tests/soak/soak_boxes.cpp
@@ -124,7 +124,8 @@
 	if (!answer->Waits()) {
 		return;
 	}
-	if (this->site.Down(box.box)) {
+	/* An answer that waits is gone with the life that took the call. */
+	if (this->site.Down(box.box) || this->site.LifeOf(box.box) != box.life) {
 		answer->Cut();
 		return;
 	}
