Callers' keys: who calls, whose jobs are whose

Change: src/account (accounts by hash of the key, key check, refusals counted); a job's record, the keys of inbox records and questions between nodes carry the account; another account's job gets 404 for GET, DELETE and a repeated id. Before a 401 the node reads the store (one question for all who wait, ten a second at most, 400 ms); 503 when it can't know. CredentialList uses the same hash; TenantName is AccountName. Tests: tests/test_accounts.cpp (11 cases; none could pass before).

--- a/src/entry/credential_list.h
+++ b/src/entry/credential_list.h
@@ -16,7 +16,7 @@
 	[[nodiscard]] const Credential *Find(const std::string *authorization) const override;
 
 private:
-	std::map<std::string, Credential> by_hash; ///< By hex SHA-256 of the token.
+	std::map<KeyHash, Credential> by_hash; ///< By hash of the token.
 };
 
 #endif /* CREDENTIAL_LIST_H */
--- a/src/error_type.h
+++ b/src/error_type.h
@@ -39,6 +39,9 @@
 	X(JOB_STATE, 1403, "job is not in a state that allows this", 0)                                                    \
 	X(QUOTA, 1404, "team quota is used up", 0)                                                                         \
 	X(NO_ROOM, 1405, "box has no room for the job", 0)                                                                 \
+	X(OTHER_ACCOUNT, 1406, "no such job of this client account", 404)                                                  \
+	X(OVER_MAXIMUM, 1407, "a step asks for more than its client account may have at once", 400)                        \
+	X(ACCOUNT_BUSY, 1408, "client account hands in more than can be done in time", 429)                                \
 	X(NOT_IDENTIFIED, 2001, "credential is missing or unknown", 401)                                                   \
 	X(BAD_REQUEST, 2002, "request is not valid HTTP", 400)                                                             \
 	X(BODY_TOO_LARGE, 2003, "request body is over the limit", 413)                                                     \
--- a/src/jobs/job_codec.cpp
+++ b/src/jobs/job_codec.cpp
@@ -59,8 +59,29 @@
 	return step;
 }
 
+constexpr char CANCEL_MARK = 'x';  ///< Before the id of a job in the key of its cancellation.
+constexpr char ACCOUNT_MARK = '/'; ///< Between the id of a job and the account.
+
 } // namespace
 
+std::string KeyOf(const InboxName &name)
+{
+	std::string key = name.cancels ? std::string(1, CANCEL_MARK) : std::string();
+	key += name.job.Value();
+	return name.account.Value().empty() ? key : key + ACCOUNT_MARK + name.account.Value();
+}
+
+InboxName InboxNameOf(std::string_view key)
+{
+	InboxName name;
+	name.cancels = key.front() == CANCEL_MARK;
+	key.remove_prefix(name.cancels ? 1 : 0);
+	const size_t mark = key.find(ACCOUNT_MARK);
+	name.job = JobId(key.substr(0, mark));
+	name.account = AccountName(mark == std::string_view::npos ? std::string() : std::string(key.substr(mark + 1)));
+	return name;
+}
+
 std::string EncodeSubmission(const JobSpec &spec)
 {
 	wire::SubmissionRecordT out;
@@ -72,6 +93,7 @@
 	out.interval = spec.interval.Value();
 	out.repeats = spec.repeats;
 	out.begun = spec.begun.Value();
+	out.account = spec.account.Value();
 	return Packed<wire::SubmissionRecord>(out);
 }
 
@@ -90,6 +112,7 @@
 	spec.interval = Millis(in->interval);
 	spec.repeats = in->repeats;
 	spec.begun = Millis(in->begun);
+	spec.account = AccountName(in->account);
 	return spec;
 }
 
--- a/src/jobs/job_codec.h
+++ b/src/jobs/job_codec.h
@@ -33,6 +33,21 @@
 	bool operator==(const StoredProgress &) const = default;
 };
 
+/** What a caller's record in the inbox is about, as its key tells. Two accounts that use one id have two keys: the
+ * newest record of a key is all that the log keeps. */
+struct InboxName {
+	JobId job;            ///< The job.
+	AccountName account;  ///< The caller's account; empty on a route without keys.
+	bool cancels = false; ///< Whether it cancels the job, rather than hands it in.
+
+	auto operator<=>(const InboxName &) const = default;
+};
+
+/** @return Key of a caller's record. @param name What it is about. */
+std::string KeyOf(const InboxName &name);
+/** @return What a caller's record is about. @param key Its key, not empty. */
+InboxName InboxNameOf(std::string_view key);
+
 /** @return Bytes of a submission, without the job's id: that is the record's key. */
 std::string EncodeSubmission(const JobSpec &spec);
 /** @return Bytes of a job's progress. */
--- a/src/jobs/job_type.h
+++ b/src/jobs/job_type.h
@@ -2,11 +2,12 @@
 #ifndef JOB_TYPE_H
 #define JOB_TYPE_H
 
+#include "../account/account_list.h"
 #include "../error_type.h"
-#include "../strong_type.h"
 #include "job_id.h"
 
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -30,37 +31,6 @@
 /** @return A life, as logs show it: the id, and when it began if that is known. @param life The life. */
 std::string LifeText(const BoxLife &life);
 
-/** What a task takes of a box, or a box has. */
-struct Resources {
-	int64_t cpu = 0;          ///< Thousandths of a core.
-	int64_t memory = 0;       ///< MB.
-	int64_t accelerators = 0; ///< Whole devices.
-
-	/** @return Whether a demand fits in here. */
-	[[nodiscard]] bool Holds(const Resources &demand) const
-	{
-		return demand.cpu <= this->cpu && demand.memory <= this->memory && demand.accelerators <= this->accelerators;
-	}
-
-	Resources &operator+=(const Resources &other)
-	{
-		this->cpu += other.cpu;
-		this->memory += other.memory;
-		this->accelerators += other.accelerators;
-		return *this;
-	}
-
-	Resources &operator-=(const Resources &other)
-	{
-		this->cpu -= other.cpu;
-		this->memory -= other.memory;
-		this->accelerators -= other.accelerators;
-		return *this;
-	}
-
-	bool operator==(const Resources &) const = default;
-};
-
 /** A step of a job: tasks that are alike. */
 struct StepSpec {
 	uint32_t count = 1;                 ///< Tasks.
@@ -87,6 +57,7 @@
 struct JobSpec {
 	JobId id;                    ///< Its name.
 	RouteName route;             ///< Queue that took it.
+	AccountName account;         ///< Client account that handed it in; empty for nobody's.
 	std::string payload;         ///< Passed to the boxes unread.
 	std::vector<StepSpec> steps; ///< Its steps.
 	Millis first_due;            ///< Wall time of the first occurrence, for repeated jobs.
@@ -136,6 +107,7 @@
 	double stretch = 1.0;      ///< Objective: this times the longest chain of work, plus `headroom`.
 	Millis headroom;           ///< Time on top of the stretched chain.
 	bool advised = false;      ///< Only boxes that a policy allows may run its steps: each start needs a ticket.
+	bool keyless = false;      ///< Callers need no key; what it runs belongs to no account.
 };
 
 /** A service, as the configuration has it. */
@@ -150,6 +122,8 @@
 	uint64_t version = 0;             ///< Rises with each change.
 	std::vector<JobRoute> routes;     ///< Routes.
 	std::vector<JobService> services; ///< Services.
+	/** Client accounts; null where callers need no key at all. Shared by the shards of a node. */
+	std::shared_ptr<const AccountList> accounts;
 
 	/** @return The route of a name, or null. */
 	[[nodiscard]] const JobRoute *FindRoute(const RouteName &name) const;
--- a/src/jobs/shard_base.h
+++ b/src/jobs/shard_base.h
@@ -62,8 +62,9 @@
 	[[nodiscard]] PoolStatus Status();
 	/** Takes a job; one that is known is ignored. @param spec The job. @param recorded Whether the log has it. */
 	void Submit(const JobSpec &spec, bool recorded = true);
-	/** Cancels a job, also one that comes later. @param id The job. */
-	void Cancel(const JobId &id);
+	/** Cancels a job, also one that comes later. @param id The job. @param account Account of the caller: another
+	 * account's job is left alone. */
+	void Cancel(const JobId &id, const AccountName &account);
 	/** Takes a submission or cancellation that is recorded with the next append, together with the placements that
 	 * follow from it. @param incoming It. */
 	void Accept(IncomingRecord incoming);
@@ -130,28 +131,28 @@
 		Millis made_at;                    ///< When it was handed to the journal.
 	};
 
-	Scheduler &scheduler;                        ///< Clock and timers.
-	PairedJournal &journal;                      ///< Records.
-	BoxOrders &orders;                           ///< Boxes.
-	EventLog &log;                               ///< Lines.
-	ServiceName service;                         ///< The service.
-	FenceToken fence;                            ///< Number of this ownership: see NextFence().
-	uint64_t lives_seen = 0;                     ///< Lives of boxes that this owner has learned of.
-	ShardLimits limits;                          ///< Figures.
-	Millis owned_since;                          ///< When this ownership began.
-	Millis other_owner_until;                    ///< Until then an earlier owner may prolong leases.
-	Millis store_away_at{-1000000};              ///< When the log had last not been heard of for long.
-	bool begun = false;                          ///< Whether Begin().
-	bool woken = false;                          ///< Whether a turn is due.
-	bool place_wanted = false;                   ///< Whether a turn came while records were under way.
-	bool deposed = false;                        ///< Whether a box has seen a higher token.
-	JobConfig config;                            ///< The configuration in force.
-	ShardJobs jobs;                              ///< Jobs, also those that are over.
-	std::map<JobId, ShardJob *> live;            ///< Jobs that are not over.
-	std::map<JobId, StoredProgress> restored;    ///< Recorded progress whose submission is not there yet.
-	std::set<JobId> cancelled;                   ///< Cancellations, also of jobs that are not there.
-	std::map<BoxLife, ShardBox> boxes;           ///< Boxes of the service.
-	std::map<BoxLife, BoxReport> gone_reports;   ///< Last reports of lives whose report has gone, until Begin().
+	Scheduler &scheduler;                              ///< Clock and timers.
+	PairedJournal &journal;                            ///< Records.
+	BoxOrders &orders;                                 ///< Boxes.
+	EventLog &log;                                     ///< Lines.
+	ServiceName service;                               ///< The service.
+	FenceToken fence;                                  ///< Number of this ownership: see NextFence().
+	uint64_t lives_seen = 0;                           ///< Lives of boxes that this owner has learned of.
+	ShardLimits limits;                                ///< Figures.
+	Millis owned_since;                                ///< When this ownership began.
+	Millis other_owner_until;                          ///< Until then an earlier owner may prolong leases.
+	Millis store_away_at{-1000000};                    ///< When the log had last not been heard of for long.
+	bool begun = false;                                ///< Whether Begin().
+	bool woken = false;                                ///< Whether a turn is due.
+	bool place_wanted = false;                         ///< Whether a turn came while records were under way.
+	bool deposed = false;                              ///< Whether a box has seen a higher token.
+	JobConfig config;                                  ///< The configuration in force.
+	ShardJobs jobs;                                    ///< Jobs, also those that are over.
+	std::map<JobId, ShardJob *> live;                  ///< Jobs that are not over.
+	std::map<JobId, StoredProgress> restored;          ///< Recorded progress whose submission is not there yet.
+	std::set<std::pair<JobId, AccountName>> cancelled; ///< Cancellations, also of jobs that are not there, by caller.
+	std::map<BoxLife, ShardBox> boxes;                 ///< Boxes of the service.
+	std::map<BoxLife, BoxReport> gone_reports;         ///< Last reports of lives whose report has gone, until Begin().
 	Millis order_lost_at{-1000000};              ///< When a box was last seen to live on after an unanswered order.
 	std::set<BoxId> held;                        ///< Ids whose next life may carry out orders to the one before.
 	std::map<BoxId, BoxReport> older_reports;    ///< Reports of lives that began before one that is known.
@@ -190,6 +191,7 @@
 	bool Take(ShardBox &box, const ShardJob &job, const TaskId &id);
 	ShardJob MakeJob(const JobSpec &spec) const;
 	void ApplyRoute(ShardJob &job) const;
+	[[nodiscard]] bool Cancelled(const JobSpec &spec) const;
 	void EndJob(ShardJob &job, JobPhase phase, const char *why);
 	void CheckCompleted(ShardJob &job);
 	ShardTask *FindTask(const TaskId &id);
@@ -201,6 +203,8 @@
 	/** @return What is known of a record that is not taken: RC_OK when the log has it, RC_OUTCOME_UNKNOWN when it may.
 	 */
 	[[nodiscard]] ResultCode FateOf(const IncomingRecord &incoming) const;
+	/** @return Whether a record is about a job that another account has handed in. */
+	[[nodiscard]] bool OfOtherAccount(const InboxName &name) const;
 	void Withdraw(uint64_t number);
 	void TakeIncoming();
 	[[nodiscard]] StoredProgress Stored(const ShardJob &job) const;
--- a/src/jobs/shard_jobs.cpp
+++ b/src/jobs/shard_jobs.cpp
@@ -82,7 +82,11 @@
 void Shard::Submit(const JobSpec &spec, bool recorded)
 {
 	if (const auto known = this->jobs.find(spec.id); known != this->jobs.end()) {
-		known->second.recorded = known->second.recorded || recorded;
+		if (known->second.spec.account == spec.account) {
+			known->second.recorded = known->second.recorded || recorded;
+		} else {
+			this->log.Write("id_of_other_account", {{"job", spec.id.Value()}, {"account", spec.account.Value()}});
+		}
 		return;
 	}
 	ShardJob job = this->MakeJob(spec);
@@ -126,6 +130,7 @@
 	}
 	this->log.Write("job_taken", {{"job", spec.id.Value()},
 								  {"route", spec.route.Value()},
+								  {"account", spec.account.Value()},
 								  {"tasks", std::to_string(kept.tasks.size())},
 								  {"age_ms", std::to_string((this->scheduler.WallNow() - spec.begun).Value())},
 								  {"image", kept.spec.steps.empty() ? "" : kept.spec.steps.front().image},
@@ -139,7 +144,7 @@
 	if (!kept.Over()) {
 		this->live.emplace(spec.id, &kept);
 	}
-	if (this->cancelled.contains(spec.id)) {
+	if (this->Cancelled(kept.spec)) {
 		this->EndJob(kept, JobPhase::JP_CANCELLED, "cancelled");
 	}
 	if (kept.Over()) {
@@ -152,13 +157,24 @@
 	this->Wake();
 }
 
-void Shard::Cancel(const JobId &id)
+bool Shard::Cancelled(const JobSpec &spec) const
+{
+	auto it = this->cancelled.lower_bound({spec.id, AccountName()});
+	for (; it != this->cancelled.end() && it->first == spec.id; ++it) {
+		if (MayHandle(spec.account, it->second)) {
+			return true;
+		}
+	}
+	return false;
+}
+
+void Shard::Cancel(const JobId &id, const AccountName &account)
 {
-	if (!this->cancelled.insert(id).second) {
+	if (!this->cancelled.emplace(id, account).second) {
 		return;
 	}
 	const auto it = this->jobs.find(id);
-	if (it != this->jobs.end() && !it->second.Over()) {
+	if (it != this->jobs.end() && !it->second.Over() && MayHandle(it->second.spec.account, account)) {
 		this->EndJob(it->second, JobPhase::JP_CANCELLED, "cancelled");
 	}
 	this->Wake();
@@ -200,10 +216,10 @@
 JobView Shard::View(const JobId &id) const
 {
 	if (const auto it = this->jobs.find(id); it != this->jobs.end()) {
-		return JobView{true, it->second.durable_phase};
+		return JobView{true, it->second.durable_phase, it->second.spec.account};
 	}
 	if (const auto it = this->restored.find(id); it != this->restored.end()) {
-		return JobView{true, it->second.phase};
+		return JobView{true, it->second.phase, AccountName()};
 	}
 	return JobView{};
 }
--- a/src/jobs/shard_owner.cpp
+++ b/src/jobs/shard_owner.cpp
@@ -141,11 +141,12 @@
 
 void ShardOwner::Take(const KeyedRecord &record)
 {
-	if (record.key.front() == CANCEL_MARK) {
-		this->shard->Cancel(JobId(record.key.substr(1)));
+	const InboxName name = InboxNameOf(record.key);
+	if (name.cancels) {
+		this->shard->Cancel(name.job, name.account);
 		return;
 	}
-	if (const std::optional<JobSpec> spec = DecodeSubmission(JobId(record.key), *record.value); spec) {
+	if (const std::optional<JobSpec> spec = DecodeSubmission(name.job, *record.value); spec) {
 		this->shard->Submit(*spec);
 	} else {
 		this->parts.events.Write("bad_record", {{"topic", this->progress.topic}, {"key", record.key}});
@@ -158,13 +159,12 @@
 		done(ResultCode::RC_PEER_UNAVAILABLE);
 		return;
 	}
-	const bool cancels = record.key.front() == CANCEL_MARK;
-	IncomingRecord incoming{KeyedRecord{TAKEN_MARK + record.key, record.value}, std::nullopt,
-							JobId(cancels ? record.key.substr(1) : record.key), std::move(done)};
-	if (!cancels) {
-		incoming.spec = DecodeSubmission(incoming.id, record.value.value_or(std::string()));
+	IncomingRecord incoming{KeyedRecord{TAKEN_MARK + record.key, record.value}, std::nullopt, InboxNameOf(record.key),
+							std::move(done)};
+	if (!incoming.name.cancels) {
+		incoming.spec = DecodeSubmission(incoming.name.job, record.value.value_or(std::string()));
 	}
-	if (!cancels && !incoming.spec) {
+	if (!incoming.name.cancels && !incoming.spec) {
 		this->parts.events.Write("bad_record", {{"topic", this->progress.topic}, {"key", record.key}});
 		incoming.done(ResultCode::RC_LOG_UNAVAILABLE);
 		return;
--- a/src/jobs/shard_owner.h
+++ b/src/jobs/shard_owner.h
@@ -10,8 +10,6 @@
 inline constexpr uint32_t PROGRESS_PART = 0;
 /** Partition of a service's topic in which any node records submissions and cancellations. */
 inline constexpr uint32_t INBOX_PART = 1;
-/** Before the id of a job in the key of its cancellation. */
-inline constexpr char CANCEL_MARK = 'x';
 
 /** Before the key of an inbox's record in the key under which the owner records it, among the progress. */
 inline constexpr char TAKEN_MARK = 'j';
--- a/src/jobs/shard_records.cpp
+++ b/src/jobs/shard_records.cpp
@@ -32,6 +32,10 @@
 {
 	const Millis now = this->scheduler.Now();
 	const bool away = now - this->journal.ConfirmedAt() > LOG_AWAY || now - this->refused_at < REFUSED_FOR;
+	if (this->OfOtherAccount(incoming.name)) {
+		incoming.done(ResultCode::RC_OTHER_ACCOUNT);
+		return;
+	}
 	if (!this->begun || this->deposed || away || this->FateOf(incoming) == ResultCode::RC_OK) {
 		incoming.done(this->FateOf(incoming));
 		return;
@@ -50,15 +54,22 @@
 {
 	/* The same may have come before: its record stands, or is in a batch that the log may yet take. */
 	if (!incoming.spec) {
-		return this->cancelled.contains(incoming.id) ? ResultCode::RC_OUTCOME_UNKNOWN : ResultCode::RC_LOG_UNAVAILABLE;
+		return this->cancelled.contains({incoming.name.job, incoming.name.account}) ? ResultCode::RC_OUTCOME_UNKNOWN
+																					: ResultCode::RC_LOG_UNAVAILABLE;
 	}
-	const auto it = this->jobs.find(incoming.id);
+	const auto it = this->jobs.find(incoming.name.job);
 	if (it == this->jobs.end()) {
 		return ResultCode::RC_LOG_UNAVAILABLE;
 	}
 	return it->second.recorded ? ResultCode::RC_OK : ResultCode::RC_OUTCOME_UNKNOWN;
 }
 
+bool Shard::OfOtherAccount(const InboxName &name) const
+{
+	const auto it = this->jobs.find(name.job);
+	return it != this->jobs.end() && !MayHandle(it->second.spec.account, name.account);
+}
+
 void Shard::Withdraw(uint64_t number)
 {
 	if (const auto node = this->incoming.extract(number); !node.empty()) {
@@ -69,13 +80,18 @@
 void Shard::TakeIncoming()
 {
 	for (IncomingRecord &it : std::exchange(this->incoming, {}) | std::views::values) {
-		const bool known = it.spec ? this->jobs.contains(it.id) : this->cancelled.contains(it.id);
+		if (this->OfOtherAccount(it.name)) {
+			it.done(ResultCode::RC_OTHER_ACCOUNT); /* Two came at once with one id. */
+			continue;
+		}
+		const bool known =
+				it.spec ? this->jobs.contains(it.name.job) : this->cancelled.contains({it.name.job, it.name.account});
 		if (known) {
 			it.record.key.clear(); /* Recorded before: no append is under way. */
 		} else if (it.spec) {
 			this->Submit(*it.spec, false);
 		} else {
-			this->Cancel(it.id);
+			this->Cancel(it.name.job, it.name.account);
 		}
 		this->accepted.push_back(std::move(it));
 	}
@@ -201,7 +217,7 @@
 
 void Shard::NoteRecorded(const IncomingRecord &incoming)
 {
-	if (const auto it = this->jobs.find(incoming.id); it != this->jobs.end() && incoming.spec) {
+	if (const auto it = this->jobs.find(incoming.name.job); it != this->jobs.end() && incoming.spec) {
 		it->second.recorded = true;
 	}
 }
@@ -213,7 +229,7 @@
 	std::ranges::copy(batch.phases | std::views::keys, std::inserter(this->dirty, this->dirty.end()));
 	std::vector<IncomingRecord> refused;
 	for (const IncomingRecord &it : batch.taken) {
-		const auto job = this->jobs.find(it.id);
+		const auto job = this->jobs.find(it.name.job);
 		const bool stays = !it.spec || (job != this->jobs.end() && job->second.recorded);
 		if (stays) {
 			/* A cancellation has had its effect already; a job that came by the inbox as well is kept. */
@@ -221,7 +237,7 @@
 			continue;
 		}
 		if (job != this->jobs.end()) {
-			this->Forget(it.id);
+			this->Forget(it.name.job);
 		}
 		refused.push_back(it);
 	}
--- a/src/jobs/shard_type.h
+++ b/src/jobs/shard_type.h
@@ -258,7 +258,7 @@
 struct IncomingRecord {
 	KeyedRecord record;                   ///< What is to be recorded, under its key in the shard's partition.
 	std::optional<JobSpec> spec;          ///< The job; none for a cancellation.
-	JobId id;                             ///< The job's id.
+	InboxName name;                       ///< What it is about.
 	std::function<void(ResultCode)> done; ///< Gets RC_OK once it is durable, RC_LOG_UNAVAILABLE when it never will be,
 										  ///< RC_OUTCOME_UNKNOWN when an earlier one of the same may be.
 };
@@ -267,6 +267,7 @@
 struct JobView {
 	bool known = false;                   ///< Whether there is such a job.
 	JobPhase phase = JobPhase::JP_QUEUED; ///< Where it stands, as recorded.
+	AccountName account;                  ///< Client account that handed it in.
 };
 
 #endif /* SHARD_TYPE_H */
--- a/src/jobs/site_feed.h
+++ b/src/jobs/site_feed.h
@@ -35,6 +35,9 @@
 	[[nodiscard]] virtual Millis FreshAt() const = 0;
 	/** @return When the last answer to such a question came. */
 	[[nodiscard]] virtual Millis HeardAt() const = 0;
+	/** Makes sure that the newest configuration has been told. @param done Gets whether all that was published by now
+	 * is known; perhaps never, when that can't be found out. */
+	virtual void Confirm(std::function<void(bool)> done) = 0;
 };
 
 #endif /* SITE_FEED_H */
--- a/src/node/job_desk.cpp
+++ b/src/node/job_desk.cpp
@@ -32,13 +32,16 @@
 
 void JobDesk::Submit(const JobSpec &spec, const ServiceName &service, Millis deadline, Done done)
 {
-	this->Record(std::make_shared<Pending>(Pending{service, KeyedRecord{spec.id.Value(), EncodeSubmission(spec)},
-												   this->scheduler.Now(), deadline, false, std::move(done)}));
+	this->Record(std::make_shared<Pending>(
+			Pending{service, KeyedRecord{KeyOf(InboxName{spec.id, spec.account}), EncodeSubmission(spec)},
+					this->scheduler.Now(), deadline, false, std::move(done)}));
 }
 
-void JobDesk::Cancel(const JobId &id, const ServiceName &service, Millis deadline, Done done)
+void JobDesk::Cancel(const JobId &id, const AccountName &account, const ServiceName &service, Millis deadline,
+					 Done done)
 {
-	this->Record(std::make_shared<Pending>(Pending{service, KeyedRecord{CANCEL_MARK + id.Value(), std::string("1")},
+	this->Record(std::make_shared<Pending>(Pending{service,
+												   KeyedRecord{KeyOf(InboxName{id, account, true}), std::string("1")},
 												   this->scheduler.Now(), deadline, false, std::move(done)}));
 }
 
@@ -90,7 +93,7 @@
 
 void JobDesk::OnOwner(const std::shared_ptr<Pending> &it, ResultCode code)
 {
-	if (code == ResultCode::RC_OK) {
+	if (code == ResultCode::RC_OK || code == ResultCode::RC_OTHER_ACCOUNT || code == ResultCode::RC_ACCOUNT_BUSY) {
 		this->Finish(it, code);
 		return;
 	}
@@ -168,6 +171,9 @@
 		return JobAnswer{ResultCode::RC_OK, JobPhase::JP_QUEUED, shard->Waiting(question.route)};
 	}
 	const JobView view = shard->View(question.job);
+	if (view.known && !MayHandle(view.account, question.account)) {
+		return JobAnswer{ResultCode::RC_OTHER_ACCOUNT, JobPhase::JP_QUEUED, 0};
+	}
 	if (view.known) {
 		return JobAnswer{ResultCode::RC_OK, view.phase, 0};
 	}
@@ -188,6 +194,7 @@
 		out.service = question.service.Value();
 		out.route = question.route.Value();
 		out.job = question.job.Value();
+		out.account = question.account.Value();
 		return MakeMessage(std::move(out));
 	};
 	const std::string what = question.job.Empty() ? question.route.Value() : question.job.Value();
--- a/src/node/job_desk.h
+++ b/src/node/job_desk.h
@@ -31,12 +31,12 @@
 	 * @param service Service that runs it.
 	 * @param deadline When the caller stops waiting.
 	 * @param done Gets RC_OK once it is durable; RC_LOG_THROTTLED or RC_LOG_UNAVAILABLE when it certainly isn't and
-	 * never will be; RC_OUTCOME_UNKNOWN when it may be.
+	 * never will be; RC_OUTCOME_UNKNOWN when it may be; RC_OTHER_ACCOUNT when the id is another account's.
 	 */
 	void Submit(const JobSpec &spec, const ServiceName &service, Millis deadline, Done done);
-	/** Cancels a job, with the same results as Submit(). @param id The job. @param service Its service. @param deadline
-	 * When the caller stops waiting. @param done Gets the result. */
-	void Cancel(const JobId &id, const ServiceName &service, Millis deadline, Done done);
+	/** Cancels a job, with the same results as Submit(). @param id The job. @param account Account of the caller.
+	 * @param service Its service. @param deadline When the caller stops waiting. @param done Gets the result. */
+	void Cancel(const JobId &id, const AccountName &account, const ServiceName &service, Millis deadline, Done done);
 	/** Looks up. @param question The question. @param deadline When the caller stops waiting. @param done Gets the
 	 * answer. */
 	void Ask(const JobQuestion &question, Millis deadline, std::function<void(const JobAnswer &)> done);
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -250,8 +250,8 @@
 
 void NodeCore::OnJobQuestion(FrameLink &link, const glade::wire::JobQuestionT &in)
 {
-	const JobAnswer answer =
-			this->desk.AnswerHere(JobQuestion{ServiceName(in.service), RouteName(in.route), JobId(in.job)});
+	const JobAnswer answer = this->desk.AnswerHere(
+			JobQuestion{ServiceName(in.service), RouteName(in.route), JobId(in.job), AccountName(in.account)});
 	glade::wire::JobAnswerT out;
 	out.number = in.number;
 	out.code = static_cast<uint32_t>(answer.code);
--- a/src/node/owner_lookup.cpp
+++ b/src/node/owner_lookup.cpp
@@ -5,6 +5,7 @@
 #include "../store/partition_claim.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace {
@@ -21,6 +22,15 @@
 constexpr Millis OWNER_VALID(3000); ///< An owner known for longer is asked for again beside a question.
 constexpr Millis REFRESH_GAP(100);  ///< Least time between two questions for an owner.
 
+/** @return Whether an answer with this code is what its owner has to say, rather than that another may know. */
+bool Decides(ResultCode code)
+{
+	constexpr std::array CODES = {
+			ResultCode::RC_OK,           ResultCode::RC_UNKNOWN_JOB,     ResultCode::RC_OTHER_ACCOUNT,
+			ResultCode::RC_ACCOUNT_BUSY, ResultCode::RC_LOG_UNAVAILABLE, ResultCode::RC_OUTCOME_UNKNOWN};
+	return std::ranges::find(CODES, code) != CODES.end();
+}
+
 } // namespace
 
 OwnerLookup::OwnerLookup(Scheduler &scheduler, KeyedLog &log, EventLog &events)
@@ -270,9 +280,7 @@
 		this->Again(number);
 		return;
 	}
-	const bool final = code == ResultCode::RC_OK || code == ResultCode::RC_UNKNOWN_JOB ||
-					   code == ResultCode::RC_LOG_UNAVAILABLE || code == ResultCode::RC_OUTCOME_UNKNOWN;
-	if (final) {
+	if (Decides(code)) {
 		const bool unknown = code == ResultCode::RC_LOG_UNAVAILABLE && it->second.lost;
 		this->Finish(number, unknown ? ResultCode::RC_OUTCOME_UNKNOWN : code, &message);
 		return;
--- a/src/node/owner_lookup.h
+++ b/src/node/owner_lookup.h
@@ -12,13 +12,15 @@
 	ServiceName service; ///< Service whose shard knows.
 	RouteName route;     ///< The route, for a count.
 	JobId job;           ///< The job; empty for a count.
+	AccountName account; ///< Account of the caller; empty on a route without keys.
 };
 
 /** Answer to a JobQuestion. */
 struct JobAnswer {
-	ResultCode code = ResultCode::RC_PEER_UNAVAILABLE; ///< RC_OK, RC_UNKNOWN_JOB or RC_PEER_UNAVAILABLE.
-	JobPhase phase = JobPhase::JP_QUEUED;              ///< Where the job stands.
-	uint32_t waiting = 0;                              ///< Jobs that wait.
+	ResultCode code =
+			ResultCode::RC_PEER_UNAVAILABLE; ///< RC_OK, RC_UNKNOWN_JOB, RC_OTHER_ACCOUNT or RC_PEER_UNAVAILABLE.
+	JobPhase phase = JobPhase::JP_QUEUED;    ///< Where the job stands.
+	uint32_t waiting = 0;                    ///< Jobs that wait.
 };
 
 /** Finds owners and asks them. */
--- a/src/request/exchange.cpp
+++ b/src/request/exchange.cpp
@@ -92,11 +92,11 @@
 	}
 	this->facts.service = ServiceName(FirstSegment(this->request.target));
 	if (this->request.from_peer) {
-		const std::string *tenant = this->request.headers.Find(HEADER_TENANT);
+		const std::string *tenant = this->request.headers.Find(HEADER_ACCOUNT);
 		if (tenant == nullptr) {
 			return {ResultCode::RC_NOT_IDENTIFIED, ""};
 		}
-		this->facts.tenant = TenantName(*tenant);
+		this->facts.account = AccountName(*tenant);
 	} else {
 		const Credential *credential = this->path.credentials.Find(this->request.headers.Find("Authorization"));
 		if (credential == nullptr) {
@@ -106,7 +106,7 @@
 		if (!credential->services.empty() && !credential->services.contains(this->facts.service)) {
 			return {ResultCode::RC_UNKNOWN_SERVICE, ""};
 		}
-		this->facts.tenant = credential->tenant;
+		this->facts.account = credential->account;
 	}
 	const std::optional<Route> found = this->path.routes.Find(this->facts.service);
 	if (!found) {
@@ -149,7 +149,7 @@
 	if (!KeyIssueTime(*key)) {
 		return {ResultCode::RC_KEY_MALFORMED, ""};
 	}
-	this->facts.key = KeyId{this->facts.tenant, this->facts.service, *key};
+	this->facts.key = KeyId{this->facts.account, this->facts.service, *key};
 	return {};
 }
 
@@ -274,11 +274,11 @@
 {
 	CallerRequest out = this->request;
 	out.headers.RemoveHopByHop();
-	for (const std::string_view name : {std::string_view("Authorization"), HEADER_TENANT, HEADER_EPOCH,
+	for (const std::string_view name : {std::string_view("Authorization"), HEADER_ACCOUNT, HEADER_EPOCH,
 										HEADER_FORWARDED, HEADER_DEADLINE, std::string_view("Expect")}) {
 		out.headers.Remove(name);
 	}
-	out.headers.Add(std::string(HEADER_TENANT), this->facts.tenant.Value());
+	out.headers.Add(std::string(HEADER_ACCOUNT), this->facts.account.Value());
 	const Millis left = std::max(this->facts.deadline - this->lane.Now(), Millis(1));
 	out.headers.Add(std::string(HEADER_DEADLINE), std::to_string(left.Value()));
 	if (this->to_peer) {
--- a/src/request/exchange.h
+++ b/src/request/exchange.h
@@ -51,7 +51,7 @@
 private:
 	/** What was found out about the request. */
 	struct Facts {
-		TenantName tenant;                           ///< Member firm of the caller.
+		AccountName account;                         ///< Client account of the caller.
 		ServiceName service;                         ///< Service asked for.
 		WorkClass work_class = WorkClass::WC_NORMAL; ///< Its class.
 		bool repeatable = false;                     ///< Whether it may run twice.
--- a/src/request/key_memory.cpp
+++ b/src/request/key_memory.cpp
@@ -43,7 +43,7 @@
 
 KeyMemory::Shard &KeyMemory::ShardOf(const KeyId &id)
 {
-	return this->shards[HashText(id.tenant.Value() + '\n' + id.service.Value() + '\n' + id.key) % SHARDS];
+	return this->shards[HashText(id.account.Value() + '\n' + id.service.Value() + '\n' + id.key) % SHARDS];
 }
 
 void KeyMemory::Expire(Shard &shard, Millis now) const
--- a/src/request/key_memory.h
+++ b/src/request/key_memory.h
@@ -10,7 +10,7 @@
 
 /** A key, in the scope of the member firm and service that used it. */
 struct KeyId {
-	TenantName tenant;   ///< Member firm.
+	AccountName account; ///< Client account.
 	ServiceName service; ///< Service.
 	std::string key;     ///< The caller's key.
 
--- a/src/request/request_path.h
+++ b/src/request/request_path.h
@@ -19,8 +19,8 @@
 
 /** A member firm's credential, as a hash: the token itself is never kept. */
 struct Credential {
-	TenantName tenant;              ///< Member firm.
-	std::string token_hash;         ///< Hex SHA-256 of its bearer token.
+	AccountName account;            ///< Client account.
+	KeyHash token_hash;             ///< Hash of its bearer token.
 	std::set<ServiceName> services; ///< Services that it may use; empty for all.
 };
 
--- a/src/request/route_table.cpp
+++ b/src/request/route_table.cpp
@@ -278,7 +278,7 @@
 KeyOwner RouteTable::OwnerOf(const KeyId &id, Millis issued, Millis skew, Millis now) const
 {
 	const std::shared_lock guard(this->lock);
-	const std::string text = id.tenant.Value() + '\n' + id.service.Value() + '\n' + id.key;
+	const std::string text = id.account.Value() + '\n' + id.service.Value() + '\n' + id.key;
 	KeyOwner owner;
 	const ZoneName zone = this->zones.empty() ? this->self.zone : OwnerZone(text, this->zones);
 	const std::vector<Peer> entries = this->EntriesOf(zone);
--- a/src/standin/endpoint/endpoint_standin.cpp
+++ b/src/standin/endpoint/endpoint_standin.cpp
@@ -78,7 +78,7 @@
 
 	[[nodiscard]] std::string Body() const
 	{
-		const std::string *tenant = this->request.headers.Find(HEADER_TENANT);
+		const std::string *tenant = this->request.headers.Find(HEADER_ACCOUNT);
 		return "{\"box\":\"" + this->endpoint.settings.Text("name") + "\",\"tenant\":\"" +
 			   (tenant == nullptr ? "" : *tenant) + "\",\"target\":\"" + this->request.target +
 			   "\",\"bytes\":" + std::to_string(this->request.body.size()) + "}\n";
--- a/src/standin/memory/request_world.cpp
+++ b/src/standin/memory/request_world.cpp
@@ -314,7 +314,7 @@
 		return nullptr;
 	}
 	Credential &it = this->made[*authorization];
-	it.tenant = TenantName(*authorization);
+	it.account = AccountName(*authorization);
 	return &it;
 }
 
--- a/src/standin/memory/simple_view.h
+++ b/src/standin/memory/simple_view.h
@@ -26,7 +26,7 @@
 /** Everybody may call, as one tenant. */
 class AnyCaller : public Credentials {
 public:
-	AnyCaller() { this->one.tenant = TenantName("t"); }
+	AnyCaller() { this->one.account = AccountName("t"); }
 	[[nodiscard]] const Credential *Find(const std::string *) const override { return &this->one; }
 
 private:
--- a/src/strong_type.h
+++ b/src/strong_type.h
@@ -34,10 +34,10 @@
 using RackName = Strong<struct RackNameTag, std::string>;       ///< A rack, unique within its availability zone.
 using RegionName = Strong<struct RegionNameTag, std::string>;   ///< A region: availability zones planned together.
 using MemberName = Strong<struct MemberNameTag, std::string>;   ///< A process of the system (entry or keeper).
-using TenantName =
-		Strong<struct TenantNameTag, std::string>; ///< A member firm of a shared platform; callers belong to one.
-using TeamName = Strong<struct TeamNameTag, std::string>; ///< A team with a quota of job units.
-using JobName = Strong<struct JobNameTag, std::string>;   ///< A job, named by its owner.
+using AccountName = Strong<struct AccountNameTag, std::string>; ///< A client account: callers belong to one.
+using KeyHash = Strong<struct KeyHashTag, std::string>;         ///< Hex SHA-256 of a caller's key; never the key.
+using TeamName = Strong<struct TeamNameTag, std::string>;       ///< A team with a quota of job units.
+using JobName = Strong<struct JobNameTag, std::string>;         ///< A job, named by its owner.
 
 using LogOffset = Strong<struct LogOffsetTag, uint64_t>; ///< Offset of a record in the platform's log; the first is 1.
 using BoxEpoch = Strong<struct BoxEpochTag, uint64_t>;   ///< Raised whenever a box changes its pool or fails.
--- a/tests/job_world.h
+++ b/tests/job_world.h
@@ -18,6 +18,7 @@
 	void WatchBoxes(bool) override {}
 	[[nodiscard]] Millis FreshAt() const override { return Millis(0); }
 	[[nodiscard]] Millis HeardAt() const override { return Millis(0); }
+	void Confirm(std::function<void(bool)> done) override { done(true); }
 };
 
 /** A policy: the first box of a service may run its steps. Its tickets hold for a while. */
@@ -220,7 +221,7 @@
 				return;
 			}
 			this->site.JobOf(job.spec.id).cancel_sent = true;
-			(*node)->desk.Cancel(job.spec.id, job.service, (*node)->scheduler.Now() + Millis(3000),
+			(*node)->desk.Cancel(job.spec.id, job.spec.account, job.service, (*node)->scheduler.Now() + Millis(3000),
 								 [this, &job](ResultCode rc) {
 									 if (rc == ResultCode::RC_OK && !job.cancelled) {
 										 job.cancelled = true;
--- /dev/null
+++ b/tests/test_accounts.cpp
@@ -0,0 +1,289 @@
+/** @file test_accounts.cpp Callers' keys and whose jobs are whose. */
+#include "../platform/job_front.h"
+#include "../platform/platform_feed.h"
+#include "account/key_hash.h"
+#include "job_world.h"
+#include "status_sink.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <array>
+
+namespace {
+
+constexpr const char *JOB = "00112233445566aa";  ///< A job's id.
+constexpr const char *KEY_A = "key-of-oyo";      ///< A key of one account.
+constexpr const char *KEY_B = "key-of-kaduna";   ///< A key of another.
+constexpr const char *KEY_BAD = "key-of-nobody"; ///< A key of none.
+
+std::shared_ptr<const AccountList> Accounts(std::initializer_list<std::pair<const char *, const char *>> keys)
+{
+	std::vector<ClientAccount> out;
+	for (const auto &[name, key] : keys) {
+		ClientAccount account;
+		account.name = AccountName(name);
+		account.keys = {HashOfKey(key)};
+		out.push_back(account);
+	}
+	return std::make_shared<const AccountList>(std::move(out));
+}
+
+/** A feed that says, some time later, whether the configuration at hand is the newest. */
+class SlowFeed : public WorldFeed {
+public:
+	explicit SlowFeed(Scheduler &scheduler) : scheduler(scheduler) {}
+
+	void Confirm(std::function<void(bool)> done) override
+	{
+		this->asked++;
+		if (this->answers) {
+			this->scheduler.After(Millis(20), [done = std::move(done)] { done(true); });
+		}
+	}
+
+	bool answers = true; ///< Whether it can find out.
+	int asked = 0;       ///< Questions.
+
+private:
+	Scheduler &scheduler; ///< Clock.
+};
+
+/** One node whose callers need keys. */
+class KeyWorld {
+public:
+	KeyWorld()
+			: world(1), node(*world.nodes.front()), feed(node.scheduler),
+			  front(
+					  node.scheduler, node.desk, feed, [] { return Millis(-1000000); }, node.events)
+	{
+		SiteJob known;
+		known.spec.id = JobId(JOB);
+		known.spec.route = RouteName("r-calc");
+		known.spec.payload = "t";
+		known.spec.steps = {StepSpec{}};
+		known.spec.steps.front().demand = Resources{5, 0, 0};
+		known.spec.steps.front().lasting = true;
+		known.service = ServiceName("calc");
+		this->world.site.Know(known);
+		this->Publish(Accounts({{"oyo", KEY_A}, {"kaduna", KEY_B}}));
+		this->world.clock.RunUntil(Millis(3000));
+	}
+
+	void Publish(std::shared_ptr<const AccountList> accounts)
+	{
+		this->world.config.version++;
+		this->world.config.accounts = std::move(accounts);
+		this->node.desk.Configure(this->world.config);
+	}
+
+	/** @return Status of a call's answer, or 0 when there is none after half a second. */
+	int Call(const char *method, const char *key, const std::string &job)
+	{
+		CallerRequest request;
+		request.method = method;
+		request.target = "/r-calc/" + job;
+		request.headers.Add("Host", "h");
+		if (key != nullptr) {
+			request.headers.Add("Authorization", std::string("Token ") + key);
+		}
+		request.body = R"({"spec":"t","steps":[{"count":1,"cpu":5,"long-running":true}]})";
+		StatusSink sink;
+		const auto served = this->front.Serve(sink, request);
+		this->world.clock.RunUntil(this->world.clock.Now() + Millis(500));
+		if (served) {
+			served->OnCallerGone();
+		}
+		return sink.status;
+	}
+
+	JobWorld world;  ///< The world.
+	WorldNode &node; ///< Its node.
+	SlowFeed feed;   ///< Tells whether its configuration is the newest.
+	JobFront front;  ///< Its callers.
+};
+
+} // namespace
+
+TEST_CASE("accounts: a call without a known key is refused at once, and nothing runs")
+{
+	KeyWorld it;
+	CHECK(it.Call("POST", nullptr, JOB) == 401);
+	CHECK(it.Call("POST", KEY_BAD, JOB) == 401);
+	CHECK(it.Call("DELETE", KEY_BAD, JOB) == 401);
+	CHECK(it.Call("GET", KEY_BAD, JOB) == 401);
+	CHECK(it.node.host.Find(ServiceName("calc"))->Running()->Jobs().empty());
+	CHECK(it.Call("POST", KEY_A, JOB) == 200);
+}
+
+TEST_CASE("accounts: a key of a newer configuration is not refused")
+{
+	KeyWorld it;
+	it.node.scheduler.After(Millis(10), [&it] { it.Publish(Accounts({{"oyo", KEY_A}, {"kaduna", KEY_BAD}})); });
+	CHECK(it.Call("POST", KEY_BAD, JOB) == 200);
+}
+
+TEST_CASE("accounts: a key that may have come unseen gets 503, not 401")
+{
+	KeyWorld it;
+	it.feed.answers = false;
+	CHECK(it.Call("POST", KEY_BAD, JOB) == 503);
+	CHECK(it.Call("POST", KEY_A, JOB) == 200);
+}
+
+TEST_CASE("accounts: a key that was taken away is refused; its jobs stay and end")
+{
+	KeyWorld it;
+	REQUIRE(it.Call("POST", KEY_A, JOB) == 200);
+	it.Publish(Accounts({{"oyo", "another-key"}, {"kaduna", KEY_B}}));
+	CHECK(it.Call("GET", KEY_A, JOB) == 401);
+	CHECK(it.Call("GET", "another-key", JOB) == 200);
+	CHECK(it.node.host.Find(ServiceName("calc"))->Running()->View(JobId(JOB)).phase == JobPhase::JP_RUNNING);
+}
+
+TEST_CASE("accounts: another account's job is neither shown, nor cancelled, nor taken over by its id")
+{
+	KeyWorld it;
+	REQUIRE(it.Call("POST", KEY_A, JOB) == 200);
+	CHECK(it.Call("GET", KEY_B, JOB) == 404);
+	CHECK(it.Call("DELETE", KEY_B, JOB) == 404);
+	CHECK(it.Call("POST", KEY_B, JOB) == 404);
+	CHECK(it.Call("POST", KEY_A, JOB) == 200);
+	CHECK(it.Call("GET", KEY_A, JOB) == 200);
+	const auto &jobs = it.node.host.Find(ServiceName("calc"))->Running()->Jobs();
+	REQUIRE(jobs.size() == 1);
+	CHECK(jobs.begin()->second.spec.account == AccountName("oyo"));
+	CHECK(!jobs.begin()->second.Over());
+	CHECK(it.Call("DELETE", KEY_A, JOB) == 200);
+	CHECK(jobs.begin()->second.Over());
+}
+
+TEST_CASE("accounts: a cancellation that another account has left in the inbox touches nothing, also for a new owner")
+{
+	KeyWorld it;
+	REQUIRE(it.Call("POST", KEY_A, JOB) == 200);
+	const PartitionId inbox{TopicOf(ServiceName("calc")), INBOX_PART};
+	const std::string key = KeyOf(InboxName{JobId(JOB), AccountName("kaduna"), true});
+	it.node.log.Append(inbox, {KeyedRecord{key, std::string("1")}}, AppendCondition{}, Millis(500),
+					   [](const KeyedAppendAnswer &) { /* Looked at below. */ });
+	it.world.clock.RunUntil(it.world.clock.Now() + Millis(1500));
+	JobWorld::Kill(it.node);
+	WorldNode &next = it.world.Boot("node-next");
+	it.world.clock.RunUntil(it.world.clock.Now() + Millis(8000));
+	const ShardOwner *owner = std::as_const(next.host).Find(ServiceName("calc"));
+	REQUIRE(owner != nullptr);
+	REQUIRE(owner->Running() != nullptr);
+	REQUIRE(owner->Running()->Jobs().contains(JobId(JOB)));
+	CHECK(!owner->Running()->Jobs().at(JobId(JOB)).Over());
+	CHECK(owner->Running()->Jobs().at(JobId(JOB)).spec.account == AccountName("oyo"));
+}
+
+TEST_CASE("accounts: a route without keys takes calls without one; what it runs belongs to nobody")
+{
+	KeyWorld it;
+	it.world.config.routes.front().keyless = true;
+	it.Publish(it.world.config.accounts);
+	CHECK(it.Call("POST", nullptr, JOB) == 200);
+	CHECK(it.Call("GET", nullptr, JOB) == 200);
+	CHECK(it.node.host.Find(ServiceName("calc"))->Running()->Jobs().begin()->second.spec.account == AccountName());
+}
+
+TEST_CASE("accounts: a flood of bad keys costs few questions, and known keys don't wait for it")
+{
+	VirtualScheduler clock{Millis(0)};
+	int asked = 0;
+	const auto accounts = Accounts({{"oyo", KEY_A}});
+	KeyCheck keys(
+			clock, [&] { return accounts; },
+			[&](std::function<void(bool)> done) {
+				asked++;
+				clock.After(Millis(5), [done = std::move(done)] { done(true); });
+			});
+	int refused = 0;
+	for (int n = 0; n < 3000; n++) {
+		clock.After(Millis(n), [&, n] {
+			/* Half of the callers come with the same bad key, half with a fresh one each. */
+			const KeyHash key = HashOfKey(n % 2 == 0 ? KEY_BAD : "bad-" + std::to_string(n));
+			keys.Ask(key, [&](KeyVerdict it) { refused += it == KeyVerdict::KV_UNKNOWN ? 1 : 0; });
+			CHECK(keys.Find(HashOfKey(KEY_A)) != nullptr);
+		});
+	}
+	clock.RunUntil(Millis(4000));
+	CHECK(refused == 3000);
+	/* Ten a second. */
+	CHECK(asked <= 31);
+}
+
+TEST_CASE("accounts: a refused key works from the version on that brings it")
+{
+	VirtualScheduler clock{Millis(0)};
+	auto accounts = Accounts({{"oyo", KEY_A}});
+	KeyCheck keys(
+			clock, [&] { return accounts; }, [&](std::function<void(bool)> done) { done(true); });
+	KeyVerdict verdict = KeyVerdict::KV_KNOWN;
+	keys.Ask(HashOfKey(KEY_B), [&](KeyVerdict it) { verdict = it; });
+	CHECK(verdict == KeyVerdict::KV_UNKNOWN);
+	accounts = Accounts({{"oyo", KEY_B}});
+	keys.Ask(HashOfKey(KEY_B), [&](KeyVerdict it) { verdict = it; });
+	CHECK(verdict == KeyVerdict::KV_KNOWN);
+}
+
+TEST_CASE("accounts: a job's record keeps its account; one from before there were accounts has none")
+{
+	JobSpec spec;
+	spec.id = JobId(JOB);
+	spec.route = RouteName("r");
+	spec.steps = JobWorld::Chain(1);
+	const auto before = DecodeSubmission(spec.id, EncodeSubmission(spec));
+	REQUIRE(before);
+	CHECK(before->account == AccountName());
+	CHECK(MayHandle(before->account, AccountName("oyo")));
+	spec.account = AccountName("oyo");
+	const auto after = DecodeSubmission(spec.id, EncodeSubmission(spec));
+	REQUIRE(after);
+	CHECK(*after == spec);
+	for (const InboxName &it : {InboxName{spec.id}, InboxName{spec.id, spec.account}, InboxName{spec.id, {}, true},
+								InboxName{spec.id, AccountName("a/b x"), true}}) {
+		CHECK(InboxNameOf(KeyOf(it)) == it);
+	}
+}
+
+TEST_CASE("accounts: a configuration whose accounts can't be taken is no configuration")
+{
+	const auto config = [](const std::string &accounts) {
+		return R"({"version":7,"routes":[],"services":[],"tenants":)" + accounts + "}";
+	};
+	const auto whole = DecodeConfig(config(
+			R"([{"name":"a","api-keys":["k1","k2"],"weight":2.5,"maximum":{"cpu":100,"mem-mb":200}},{"name":"b","api-keys":[]}])"));
+	REQUIRE(whole);
+	REQUIRE(whole->accounts);
+	const ClientAccount *a = whole->accounts->FindByKey(HashOfKey("k2"));
+	REQUIRE(a != nullptr);
+	CHECK(a->name == AccountName("a"));
+	CHECK(a->weight == 2.5);
+	CHECK(a->maximum == Resources{100, 200, 0});
+	CHECK(whole->accounts->FindByKey(HashOfKey("k3")) == nullptr);
+	CHECK(DecodeConfig(config("[]"))->accounts);
+	CHECK(!DecodeConfig(R"({"version":7,"routes":[],"services":[]})")->accounts);
+	const std::array bad = {
+			R"({})",
+			R"(7)",
+			R"([7])",
+			R"([{"api-keys":[]}])",
+			R"([{"name":"a"}])",
+			R"([{"name":7,"api-keys":[]}])",
+			R"([{"name":"a","api-keys":["k",7]}])",
+			R"([{"name":"a","api-keys":[""]}])",
+			R"([{"name":"a","api-keys":["k"]},{"name":"b","api-keys":["k"]}])",
+			R"([{"name":"a","api-keys":["k"]},{"name":"a","api-keys":["l"]}])",
+			R"([{"name":"a","api-keys":[],"weight":-1}])",
+			R"([{"name":"a","api-keys":[],"weight":"1"}])",
+			R"([{"name":"a","api-keys":[],"maximum":7}])",
+			R"([{"name":"a","api-keys":[],"maximum":{"cpu":-1}}])",
+			R"([{"name":"a","api-keys":[],"maximum":{"mem-mb":1e30}}])",
+	};
+	for (const char *it : bad) {
+		CAPTURE(it);
+		CHECK(!DecodeConfig(config(it)));
+	}
+}
--- a/tests/test_cancel_unseen.cpp
+++ b/tests/test_cancel_unseen.cpp
@@ -23,10 +23,11 @@
 	owner->log.faults.silent = true;
 	const auto other = std::ranges::find_if(world.nodes, [owner](const auto &it) { return it.get() != owner; });
 	world.site.JobOf(job.spec.id).cancel_sent = true;
-	(*other)->desk.Cancel(job.spec.id, CALC, (*other)->scheduler.Now() + Millis(3000), [&world, &job](ResultCode code) {
-		job.cancelled = code == ResultCode::RC_OK;
-		world.site.JobOf(job.spec.id).cancelled_at = world.clock.Now();
-	});
+	(*other)->desk.Cancel(job.spec.id, job.spec.account, CALC, (*other)->scheduler.Now() + Millis(3000),
+						  [&world, &job](ResultCode code) {
+							  job.cancelled = code == ResultCode::RC_OK;
+							  world.site.JobOf(job.spec.id).cancelled_at = world.clock.Now();
+						  });
 	const Millis cancelled = cut_at + Millis(100);
 	world.clock.RunUntil(cancelled);
 	REQUIRE(job.cancelled);
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -4,6 +4,7 @@
 #include "job_world.h"
 #include "jobs/job_codec.h"
 #include "net/http_caller.h"
+#include "status_sink.h"
 #include "store/owner_record.h"
 
 #include <doctest/doctest.h>
@@ -199,28 +200,14 @@
 	CHECK(static_cast<int>(call.reply.result) == static_cast<int>(CallResult::CR_ANSWERED));
 }
 
-namespace {
-
-/** A caller's end that keeps the status. */
-class StatusSink : public CallerSink {
-public:
-	void Begin(const AnswerHead &head) override { this->status = head.status; }
-	void Body(std::string_view) override {}
-	void End() override {}
-	void Break() override {}
-	[[nodiscard]] bool Congested() const override { return false; }
-	int status = 0; ///< Status of the answer; 0 before.
-};
-
-} // namespace
-
 TEST_CASE("a request that came during a pause is answered by the configuration of after it")
 {
 	JobWorld world(1);
 	WorldNode &node = *world.nodes.front();
 	world.clock.RunUntil(Millis(3000));
 	Millis paused(-1000000);
-	JobFront front(node.scheduler, node.desk, node.feed, [&paused] { return paused; });
+	JobFront front(
+			node.scheduler, node.desk, node.feed, [&paused] { return paused; }, node.events);
 	CallerRequest request;
 	request.method = "POST";
 	request.target = "/r-new/0011223344556677";
@@ -247,7 +234,8 @@
 	JobWorld world(1);
 	WorldNode &node = *world.nodes.front();
 	world.clock.RunUntil(Millis(3000));
-	JobFront front(node.scheduler, node.desk, node.feed, [] { return Millis(-1000000); });
+	JobFront front(
+			node.scheduler, node.desk, node.feed, [] { return Millis(-1000000); }, node.events);
 	const auto make = [](const char *id, const char *wait) {
 		CallerRequest request;
 		request.method = "POST";
--- a/tests/test_request_matrix.cpp
+++ b/tests/test_request_matrix.cpp
@@ -94,7 +94,7 @@
 		const EntryNode &owner = *this->world.entries[this->kind.owner];
 		for (int i = 0;; i++) {
 			std::string candidate = this->world.FreshKey(std::to_string(i));
-			const KeyId id{TenantName("oyo"), ServiceName("misting"), candidate};
+			const KeyId id{AccountName("oyo"), ServiceName("misting"), candidate};
 			const KeyOwner found =
 					owner.path.routes.OwnerOf(id, *KeyIssueTime(candidate), Millis(0), this->world.clock.Now());
 			if (found.name.Value() == owner.name) {
