Nodes tell each other the configuration while the store tells them nothing

Cause: a node learned the configuration from the store alone; one that the store turns away goes on with revoked keys, and refuses new ones, until it is let in again. Change: src/node/config_exchange: once the store has said nothing for 1.3 s, a node asks two others each 0.2 s (holders of partitions, seeds), and takes what is newer and valid. Before a 401 such a node asks three to make sure. A node that hears the store asks nobody. Pushing the version with each frame was weighed, not built: weak nodes have no frames to others open.

--- a/src/jobs/site_feed.h
+++ b/src/jobs/site_feed.h
@@ -38,6 +38,13 @@
 	/** Makes sure that the newest configuration has been told. @param done Gets whether all that was published by now
 	 * is known; perhaps never, when that can't be found out. */
 	virtual void Confirm(std::function<void(bool)> done) = 0;
+	/** @return Version of the configuration told last; 0 before the first. */
+	[[nodiscard]] virtual uint64_t ConfigVersion() const = 0;
+	/** @return That configuration as it was published: other nodes read it by TakeConfig(). */
+	[[nodiscard]] virtual const std::string &ConfigBody() const = 0;
+	/** Takes a configuration that another node has read; told if it is valid and newer. @param body It, as published.
+	 */
+	virtual void TakeConfig(const std::string &body) = 0;
 };
 
 #endif /* SITE_FEED_H */
--- a/src/node/metrics_page.cpp
+++ b/src/node/metrics_page.cpp
@@ -46,6 +46,8 @@
 	QJsonObject out{{"config", static_cast<qint64>(core.Desk().Config().version)},
 					{"ready", core.Ready()},
 					{"appends_open", static_cast<qint64>(core.Desk().Open())}};
+	out["config_questions"] = static_cast<qint64>(core.Configs().Questions());
+	out["configs_from_nodes"] = static_cast<qint64>(core.Configs().Learned());
 	QJsonArray shards;
 	for (const auto &[service, owner] : core.Host().Owners()) {
 		QJsonObject row{{"service", QString::fromStdString(service.Value())}, {"running", owner->Running() != nullptr}};
@@ -67,7 +69,9 @@
 std::shared_ptr<ServedRequest> MetricsPage::Serve(CallerSink &sink, CallerRequest)
 {
 	std::string text = "glade_config_version " + std::to_string(this->core.Desk().Config().version) + "\nglade_ready " +
-					   (this->core.Ready() ? "1" : "0") + "\n";
+					   (this->core.Ready() ? "1" : "0") + "\nglade_config_questions " +
+					   std::to_string(this->core.Configs().Questions()) + "\nglade_configs_from_nodes " +
+					   std::to_string(this->core.Configs().Learned()) + "\n";
 	for (const auto &[service, owner] : this->core.Host().Owners()) {
 		const Shard *shard = owner->Running();
 		const std::string label = "{service=\"" + service.Value() + "\"} ";
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -9,6 +9,7 @@
 constexpr Millis STORE_SEEN_WITHIN(2600); ///< A node that has not reached the store for so long asks for no new
 										  ///< callers: two polls of a second each may fail.
 constexpr Millis LOOK_EVERY(5000);        ///< Who holds the fleet is looked at so often, when it is not dealt here.
+constexpr Millis PEERS_EVERY(5000);       ///< Who holds partitions, and may be asked for the configuration, the same.
 constexpr Millis POOL_WAIT(600);          ///< Time that the owner of a pool has to answer the fleet's owner.
 
 template <class Id>
@@ -58,7 +59,8 @@
 						  NODE_GROUP},
 			   this->member, links.feed, self.partitions),
 		  lookup(scheduler, links.log, links.events),
-		  desk(scheduler, links.log, this->host, this->lookup, links.events),
+		  desk(scheduler, links.log, this->host, this->lookup, links.events), peers(scheduler),
+		  configs(scheduler, links.feed, this->peers, links.events, self.frames),
 		  frames([this](FrameLink &link, const MessageUnion &message) { this->OnFrame(link, message); },
 				 [this](FrameLink &link) { this->recording.erase(&link); })
 {
@@ -71,6 +73,8 @@
 	if (!address || !this->frames.Listen(*address)) {
 		return false;
 	}
+	std::ranges::for_each(this->self.seeds, [this](const std::string &it) { this->configs.NotePeer(it); });
+	this->configs.Start();
 	this->links.feed.Start(*this);
 	this->member.Start();
 	return true;
@@ -102,8 +106,25 @@
 	return this->member.Holds((2 * this->self.partitions - 2) % this->self.partitions);
 }
 
+void NodeCore::ReadPeers()
+{
+	const Millis now = this->scheduler.Now();
+	if (now - this->peers_read_at < PEERS_EVERY) {
+		return;
+	}
+	this->peers_read_at = now;
+	this->links.log.Holders(NODE_GROUP, [this, still = std::weak_ptr<bool>(this->alive)](
+												ResultCode, const std::vector<PartitionHolder> &rows) {
+		if (!still.expired()) {
+			std::ranges::for_each(
+					rows, [this](const PartitionHolder &it) { this->configs.NotePeer(PeerOf(it.member).address); });
+		}
+	});
+}
+
 void NodeCore::OnMembership()
 {
+	this->ReadPeers();
 	this->host.OnMembership();
 	if (this->desk.Config().version == 0 || this->leaving) {
 		return;
@@ -243,6 +264,8 @@
 		this->OnPoolQuestion(link, *pool);
 	} else if (const auto *record = message.AsRecordQuestion(); record != nullptr) {
 		this->OnRecordQuestion(link, *record);
+	} else if (const auto *config = message.AsConfigQuestion(); config != nullptr) {
+		this->OnConfigQuestion(link, *config);
 	} else {
 		this->links.events.Write("bad_frame", {{"kind", std::to_string(static_cast<int>(message.type))}});
 	}
@@ -284,6 +307,23 @@
 	});
 }
 
+void NodeCore::OnConfigQuestion(FrameLink &link, const glade::wire::ConfigQuestionT &in)
+{
+	this->recording.insert(&link);
+	this->configs.Answer(ConfigQuestion{in.version, in.confirm},
+						 [this, to = &link, number = in.number](const PeerConfig &answer) {
+							 if (!this->recording.contains(to)) {
+								 return;
+							 }
+							 glade::wire::ConfigAnswerT out;
+							 out.number = number;
+							 out.version = answer.version;
+							 out.age_ms = answer.age.Value();
+							 out.body.assign(answer.body.begin(), answer.body.end());
+							 to->Send(MakeMessage(std::move(out)));
+						 });
+}
+
 void NodeCore::OnPoolQuestion(FrameLink &link, const glade::wire::PoolQuestionT &in)
 {
 	const std::optional<PoolStatus> status = this->PoolHere(
--- a/src/node/node_core.h
+++ b/src/node/node_core.h
@@ -3,6 +3,7 @@
 #define NODE_CORE_H
 
 #include "../upkeep/fleet_owner.h"
+#include "config_peers.h"
 #include "job_desk.h"
 
 #include <list>
@@ -16,6 +17,8 @@
 	Millis silence;          ///< A node not heard of for so long loses its shards.
 	ShardLimits limits;      ///< Figures of shards.
 	Millis turn_gap;         ///< Time between the orders to machines of two nodes.
+	/** Frames' addresses of some other nodes, which may be gone. */
+	std::vector<std::string> seeds;
 };
 
 /** What a node speaks to. All outlive it. */
@@ -54,6 +57,12 @@
 	void Ask(const ServiceName &service, const PoolRequest &request,
 			 std::function<void(std::optional<PoolStatus>)> done) override;
 
+	/** Makes sure that this node has the newest configuration. @param done Gets whether it is known to; perhaps never.
+	 */
+	void ConfirmConfig(const std::function<void(bool)> &done) { this->configs.Confirm(done); }
+
+	/** @return The exchange of configurations with other nodes. */
+	[[nodiscard]] const ConfigExchange &Configs() const { return this->configs; }
 	JobDesk &Desk() { return this->desk; }                             ///< Answers to callers.
 	[[nodiscard]] const ShardHost &Host() const { return this->host; } ///< Shards owned.
 	[[nodiscard]] const JobDesk &Desk() const { return this->desk; }   ///< Answers to callers.
@@ -66,13 +75,17 @@
 	ShardHost host;                                   ///< Shards owned.
 	OwnerLookup lookup;                               ///< Owners elsewhere.
 	JobDesk desk;                                     ///< Answers.
+	FramePeers peers;                                 ///< Other nodes, for the configuration.
+	ConfigExchange configs;                           ///< What they tell of it.
+	Millis peers_read_at{-1000000};                   ///< When the group's members were last read.
 	FrameServer frames;                               ///< Other nodes ask here.
-	std::set<FrameLink *> recording;                  ///< Connections that wait for the result of an append.
+	std::set<FrameLink *> recording;                  ///< Connections that wait for an answer.
 	bool leaving = false;                             ///< Whether Leave() was called.
 	std::map<uint64_t, WaveOrder> waves;              ///< Waves heard of.
 	std::unique_ptr<FleetOwner> fleet;                ///< While this node gives orders to machines, or waits to.
 	Millis fleet_looked_at{-1000000};                 ///< When the fleet's holder was last looked at.
 	std::list<std::unique_ptr<FleetOwner>> releasing; ///< Those whose letting go is being recorded.
+	std::shared_ptr<bool> alive = std::make_shared<bool>(true); ///< Expires with this.
 
 	[[nodiscard]] bool FleetDealt() const;
 	[[nodiscard]] bool FleetWatched() const;
@@ -83,6 +96,8 @@
 	void OnJobQuestion(FrameLink &link, const glade::wire::JobQuestionT &in);
 	void OnPoolQuestion(FrameLink &link, const glade::wire::PoolQuestionT &in);
 	void OnRecordQuestion(FrameLink &link, const glade::wire::RecordQuestionT &in);
+	void OnConfigQuestion(FrameLink &link, const glade::wire::ConfigQuestionT &in);
+	void ReadPeers();
 	std::optional<PoolStatus> PoolHere(const ServiceName &service, const PoolRequest &request);
 };
 
--- a/src/program/settings_tables.cpp
+++ b/src/program/settings_tables.cpp
@@ -115,6 +115,9 @@
 		SettingSpec{"metrics", SK_ADDRESS, nullptr, 0, 0, "", "Where counters and histograms are read as text."},
 		SettingSpec{"store", SK_ADDRESS, nullptr, 0, 0, "", "The platform's keyed log."},
 		SettingSpec{"machines", SK_ADDRESS, nullptr, 0, 0, "", "Control of boxes as machines."},
+		SettingSpec{"seeds", SK_ADDRESSES, "", 0, 0, "",
+					"Hosts of some other nodes, asked for the configuration while the store says nothing; they may be "
+					"gone."},
 		SettingSpec{"advisor", SK_ADDRESSES, "", 0, 0, "",
 					"Service that knows which boxes a route's policy allows; none when no route has one."},
 		SettingSpec{"turn_gap", SK_DURATION, "3300ms", 0, ONE_DAY, "",
--- a/tests/job_world.h
+++ b/tests/job_world.h
@@ -19,6 +19,11 @@
 	[[nodiscard]] Millis FreshAt() const override { return Millis(0); }
 	[[nodiscard]] Millis HeardAt() const override { return Millis(0); }
 	void Confirm(std::function<void(bool)> done) override { done(true); }
+	[[nodiscard]] uint64_t ConfigVersion() const override { return 0; }
+	[[nodiscard]] const std::string &ConfigBody() const override { return this->body; }
+	void TakeConfig(const std::string &) override {}
+
+	std::string body; ///< Configuration as published; none here.
 };
 
 /** A policy: the first box of a service may run its steps. Its tickets hold for a while. */
--- a/tests/test_accounts.cpp
+++ b/tests/test_accounts.cpp
@@ -55,7 +55,8 @@
 	KeyWorld()
 			: world(1), node(*world.nodes.front()), feed(node.scheduler),
 			  front(
-					  node.scheduler, node.desk, feed, [] { return Millis(-1000000); }, node.events)
+					  node.scheduler, node.desk, feed, [] { return Millis(-1000000); },
+					  [this](std::function<void(bool)> done) { this->feed.Confirm(std::move(done)); }, node.events)
 	{
 		SiteJob known;
 		known.spec.id = JobId(JOB);
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -207,7 +207,8 @@
 	world.clock.RunUntil(Millis(3000));
 	Millis paused(-1000000);
 	JobFront front(
-			node.scheduler, node.desk, node.feed, [&paused] { return paused; }, node.events);
+			node.scheduler, node.desk, node.feed, [&paused] { return paused; },
+			[](const std::function<void(bool)> &done) { done(true); }, node.events);
 	CallerRequest request;
 	request.method = "POST";
 	request.target = "/r-new/0011223344556677";
@@ -235,7 +236,8 @@
 	WorldNode &node = *world.nodes.front();
 	world.clock.RunUntil(Millis(3000));
 	JobFront front(
-			node.scheduler, node.desk, node.feed, [] { return Millis(-1000000); }, node.events);
+			node.scheduler, node.desk, node.feed, [] { return Millis(-1000000); },
+			[](const std::function<void(bool)> &done) { done(true); }, node.events);
 	const auto make = [](const char *id, const char *wait) {
 		CallerRequest request;
 		request.method = "POST";
