A client account's maximum holds over all services

A maximum that falls stops starts until all services have reckoned by it; so does a new owner until it has heard the ledger.

--- /dev/null
+++ b/src/account/account_book.cpp
@@ -0,0 +1,168 @@
+/** @file account_book.cpp What each account has running at one service. */
+#include "account_book.h"
+
+#include <algorithm>
+#include <array>
+#include <limits>
+#include <tuple>
+#include <utility>
+
+namespace {
+
+constexpr std::array KINDS = {&Resources::cpu, &Resources::memory, &Resources::accelerators};
+
+/** @return An amount times a ratio of parts, without losing digits. */
+int64_t PartOf(int64_t amount, uint64_t parts)
+{
+	return static_cast<int64_t>(static_cast<long double>(amount) * static_cast<long double>(parts) / SHARE_WHOLE);
+}
+
+} // namespace
+
+AccountBook::Use &AccountBook::UseOf(const AccountName &account)
+{
+	const auto it = this->uses.find(account);
+	return it != this->uses.end() ? it->second : this->uses.emplace(account, this->FreshUse(account)).first->second;
+}
+
+AccountBook::Use AccountBook::FreshUse(const AccountName &account) const
+{
+	const ClientAccount *known = this->accounts ? this->accounts->Find(account) : nullptr;
+	Use use;
+	use.maximum = known == nullptr ? Resources{} : known->maximum;
+	use.version = this->first_version;
+	return use;
+}
+
+void AccountBook::NoteFalls(const AccountList &before, const AccountList &now)
+{
+	for (const ClientAccount &it : now.All()) {
+		const ClientAccount *old = before.Find(it.name);
+		const bool falls = std::ranges::any_of(KINDS, [&](int64_t Resources::*kind) {
+			const int64_t limit = it.maximum.*kind;
+			return limit > 0 && (old == nullptr || old->maximum.*kind == 0 || old->maximum.*kind > limit);
+		});
+		if (falls) {
+			this->UseOf(it.name).version = this->version;
+		}
+	}
+}
+
+void AccountBook::Configure(std::shared_ptr<const AccountList> accounts, size_t services, uint64_t version)
+{
+	const std::shared_ptr<const AccountList> before = std::exchange(this->accounts, std::move(accounts));
+	this->fixed = FixedShare(services);
+	this->version = version;
+	if (this->first_version == 0) {
+		this->first_version = version;
+	} else if (before && this->accounts) {
+		this->NoteFalls(*before, *this->accounts);
+	}
+	for (auto &[name, use] : this->uses) {
+		/* One that is gone keeps its last figures for the jobs that it handed in. */
+		if (const ClientAccount *known = this->accounts ? this->accounts->Find(name) : nullptr; known != nullptr) {
+			use.maximum = known->maximum;
+		}
+	}
+}
+
+void AccountBook::Add(const AccountName &account, const Resources &demand)
+{
+	if (!account.Value().empty()) {
+		this->UseOf(account).used += demand;
+	}
+}
+
+void AccountBook::Remove(const AccountName &account, const Resources &demand)
+{
+	if (!account.Value().empty()) {
+		this->UseOf(account).used -= demand;
+	}
+}
+
+bool AccountBook::Fits(const AccountName &account, const Resources &demand) const
+{
+	if (account.Value().empty()) {
+		return true;
+	}
+	const auto it = this->uses.find(account);
+	const Use use = it == this->uses.end() ? this->FreshUse(account) : it->second;
+	if (use.maximum == Resources{}) {
+		return true;
+	}
+	if (use.over || this->version_of_all < use.version) {
+		return false;
+	}
+	const uint64_t parts = uint64_t{this->fixed} + use.lent;
+	return std::ranges::all_of(KINDS, [&](int64_t Resources::*kind) {
+		return use.maximum.*kind == 0 || demand.*kind == 0 ||
+			   use.used.*kind + demand.*kind <= PartOf(use.maximum.*kind, parts);
+	});
+}
+
+double AccountBook::RoomFor(const AccountName &account, const Resources &ready) const
+{
+	const auto it = this->uses.find(account);
+	if (it == this->uses.end()) {
+		return 1;
+	}
+	double part = 1;
+	for (int64_t Resources::*kind : KINDS) {
+		const int64_t room = it->second.maximum.*kind - it->second.used.*kind;
+		if (it->second.maximum.*kind > 0 && ready.*kind > 0) {
+			part = std::min(part, static_cast<double>(std::max<int64_t>(room, 0)) / static_cast<double>(ready.*kind));
+		}
+	}
+	return part;
+}
+
+void AccountBook::Take(const ShareLoan &loan)
+{
+	if (std::tuple(loan.ledger_epoch, loan.sequence) < std::tuple(this->ledger_epoch, this->sequence)) {
+		return;
+	}
+	this->ledger_epoch = loan.ledger_epoch;
+	this->sequence = loan.sequence;
+	this->version_of_all = loan.config;
+	for (const ShareGrant &it : loan.grants) {
+		Use &use = this->UseOf(it.account);
+		use.lent = it.parts;
+		use.over = it.over;
+	}
+}
+
+uint32_t AccountBook::PartsOf(const Resources &amount, const Resources &maximum)
+{
+	double most = 0;
+	for (int64_t Resources::*kind : KINDS) {
+		if (maximum.*kind > 0) {
+			most = std::max(most, static_cast<double>(amount.*kind) / static_cast<double>(maximum.*kind));
+		}
+	}
+	return static_cast<uint32_t>(std::min(most * SHARE_WHOLE + 1, double{SHARE_WHOLE}));
+}
+
+ShareReport AccountBook::Report(const std::map<AccountName, Resources> &ready)
+{
+	ShareReport report{0, this->ledger_epoch, this->sequence, this->version, {}};
+	for (const auto &[account, amount] : ready) {
+		this->UseOf(account);
+	}
+	const auto beyond = [this](uint32_t parts) { return parts > this->fixed ? parts - this->fixed : 0; };
+	for (auto &[account, use] : this->uses) {
+		if (account.Value().empty() || use.maximum == Resources{}) {
+			continue;
+		}
+		Resources all = use.used;
+		if (const auto it = ready.find(account); it != ready.end()) {
+			all += it->second;
+		}
+		const uint32_t used = beyond(PartsOf(use.used, use.maximum));
+		const uint32_t want = beyond(PartsOf(all, use.maximum));
+		const uint32_t hold = std::max(use.lent, used);
+		if (hold > 0 || want > 0) {
+			report.statements.push_back(ShareStatement{account, hold, want});
+		}
+	}
+	return report;
+}
--- /dev/null
+++ b/src/account/fair_split.cpp
@@ -0,0 +1,20 @@
+/** @file fair_split.cpp Splits what there is over those who want some. */
+#include "fair_split.h"
+
+#include <algorithm>
+#include <numeric>
+
+std::vector<uint32_t> FairSplit(const std::vector<uint32_t> &wants, uint32_t whole)
+{
+	std::vector<size_t> order(wants.size());
+	std::iota(order.begin(), order.end(), size_t{0});
+	std::ranges::sort(order, {}, [&wants](size_t it) { return wants[it]; });
+	std::vector<uint32_t> out(wants.size());
+	uint32_t left = whole;
+	for (size_t n = 0; n < order.size(); n++) {
+		const auto others = static_cast<uint32_t>(order.size() - n);
+		out[order[n]] = std::min(wants[order[n]], left / others);
+		left -= out[order[n]];
+	}
+	return out;
+}
--- /dev/null
+++ b/src/account/share_ledger.cpp
@@ -0,0 +1,165 @@
+/** @file share_ledger.cpp Lends the parts of accounts' maxima to services. */
+#include "share_ledger.h"
+
+#include "../store/record_codec.h"
+#include "fair_split.h"
+
+#include <algorithm>
+#include <limits>
+#include <numeric>
+#include <ranges>
+
+namespace wire = glade::shard;
+
+namespace {
+
+constexpr std::string_view PREFIX = "share/";            ///< Before an account's name in the key of its record.
+constexpr uint32_t LENDABLE = SHARE_WHOLE - SHARE_FIXED; ///< Parts that are lent.
+
+} // namespace
+
+bool ShareLedger::Owns(const std::string &key)
+{
+	return key.starts_with(PREFIX);
+}
+
+bool ShareLedger::Restore(const std::string &key, const std::string &value)
+{
+	const auto in = Unpacked<wire::ShareRecord>(value);
+	if (!in || in->services.size() != in->parts.size()) {
+		return false;
+	}
+	Rows &rows = this->accounts[AccountName(key.substr(PREFIX.size()))];
+	for (size_t n = 0; n < in->services.size(); n++) {
+		Row &row = rows[ServiceName(in->services[n])];
+		const uint32_t parts = std::max(row.held, in->parts[n]);
+		/* Until its owner speaks it goes on as it was. */
+		row = Row{parts, parts, parts, parts, parts, 0, false};
+	}
+	return true;
+}
+
+void ShareLedger::Take(const ServiceName &service, const ShareReport &report)
+{
+	Owner &owner = this->owners[service];
+	if (report.owner_epoch < owner.epoch) {
+		return; /* Another owner has taken over: what this one says is over. */
+	}
+	const bool current = report.ledger_epoch == this->epoch && report.sequence == this->sequence;
+	owner.epoch = report.owner_epoch;
+	owner.config = current ? report.config : owner.config;
+	std::map<AccountName, ShareStatement> said;
+	std::ranges::for_each(report.statements, [&said](const ShareStatement &it) { said[it.account] = it; });
+	for (const AccountName &account : said | std::views::keys) {
+		this->accounts[account][service];
+	}
+	for (auto &[account, rows] : this->accounts) {
+		const bool over = HeldOf(rows) > LENDABLE;
+		const auto row = rows.find(service);
+		if (row == rows.end()) {
+			continue;
+		}
+		const ShareStatement &it = said[account];
+		row->second.want = it.want;
+		if (current) {
+			row->second.taken = row->second.lent;
+			row->second.told_over = over;
+			row->second.held = row->second.stated = it.hold;
+		}
+	}
+}
+
+uint64_t ShareLedger::HeldOf(const Rows &rows)
+{
+	return std::accumulate(rows.begin(), rows.end(), uint64_t{0},
+						   [](uint64_t sum, const auto &it) { return sum + it.second.held; });
+}
+
+uint64_t ShareLedger::ConfigOfAll() const
+{
+	uint64_t least = std::numeric_limits<uint64_t>::max();
+	for (const ServiceName &it : this->services) {
+		const auto owner = this->owners.find(it);
+		least = std::min(least, owner == this->owners.end() ? 0 : owner->second.config);
+	}
+	return least;
+}
+
+bool ShareLedger::Share(Rows &rows)
+{
+	const uint64_t held = HeldOf(rows);
+	const bool short_of = std::ranges::any_of(rows | std::views::values, [](const Row &it) { return it.want > it.held; });
+	if (!short_of && held <= LENDABLE) {
+		std::ranges::for_each(rows | std::views::values, [](Row &it) { it.decided = it.held; });
+		return false;
+	}
+	std::vector<uint32_t> wants;
+	std::ranges::transform(rows | std::views::values, std::back_inserter(wants), [](const Row &it) { return it.want; });
+	const std::vector<uint32_t> targets = FairSplit(wants, LENDABLE);
+	/* What nobody wants now is lent all the same: a queue whose turn comes then begins without asking. */
+	const auto spare = LENDABLE - std::accumulate(targets.begin(), targets.end(), uint32_t{0});
+	const auto ahead = spare / static_cast<uint32_t>(targets.size());
+	uint64_t free = held < LENDABLE ? LENDABLE - held : 0;
+	bool raised = false;
+	for (size_t n = 0; auto &[service, row] : rows) {
+		const uint32_t target = targets[n++] + ahead;
+		row.decided = static_cast<uint32_t>(std::min<uint64_t>(target, row.held + free));
+		if (row.decided > row.held) {
+			free -= row.decided - row.held;
+			row.held = row.decided;
+			raised = true;
+		}
+	}
+	return raised;
+}
+
+std::vector<KeyedRecord> ShareLedger::Decide()
+{
+	std::vector<KeyedRecord> records;
+	for (auto &[account, rows] : this->accounts) {
+		if (!this->Share(rows)) {
+			continue;
+		}
+		wire::ShareRecordT out;
+		out.format = RECORD_FORMAT;
+		for (const auto &[service, row] : rows) {
+			if (row.held > 0) {
+				out.services.push_back(service.Value());
+				out.parts.push_back(row.held);
+			}
+		}
+		records.push_back(KeyedRecord{std::string(PREFIX) + account.Value(), Packed<wire::ShareRecord>(out)});
+	}
+	return records;
+}
+
+void ShareLedger::Commit()
+{
+	this->sequence++;
+	for (Rows &rows : this->accounts | std::views::values) {
+		std::ranges::for_each(rows | std::views::values, [](Row &it) { it.lent = it.decided; });
+	}
+}
+
+ShareLoan ShareLedger::LoanOf(const ServiceName &service) const
+{
+	ShareLoan loan{this->epoch, this->sequence, this->ConfigOfAll(), {}};
+	for (const auto &[account, rows] : this->accounts) {
+		const bool over = HeldOf(rows) > LENDABLE;
+		const auto it = rows.find(service);
+		const Row row = it == rows.end() ? Row{} : it->second;
+		if (row.lent != row.taken || row.lent != row.stated || over || row.told_over) {
+			loan.grants.push_back(ShareGrant{account, row.lent, over});
+		}
+	}
+	return loan;
+}
+
+uint64_t ShareLedger::Lent(const AccountName &account) const
+{
+	const auto it = this->accounts.find(account);
+	if (it == this->accounts.end()) {
+		return 0;
+	}
+	return HeldOf(it->second);
+}
--- a/src/jobs/job_config.cpp
+++ b/src/jobs/job_config.cpp
@@ -28,6 +28,16 @@
 	return it == this->services.end() ? nullptr : &*it;
 }
 
+bool FitsMaximum(const JobSpec &spec, const Resources &maximum)
+{
+	return std::ranges::all_of(spec.steps, [&maximum](const StepSpec &it) {
+		const Resources least = it.gang ? it.demand.Times(it.count) : it.demand;
+		return (maximum.cpu == 0 || least.cpu <= maximum.cpu) &&
+			   (maximum.memory == 0 || least.memory <= maximum.memory) &&
+			   (maximum.accelerators == 0 || least.accelerators <= maximum.accelerators);
+	});
+}
+
 bool BoxReport::HasLabel(const std::string &label) const
 {
 	return std::ranges::find(this->labels, label) != this->labels.end();
--- a/src/jobs/job_type.h
+++ b/src/jobs/job_type.h
@@ -70,6 +70,10 @@
 	bool operator==(const JobSpec &) const = default;
 };
 
+/** @return Whether each step of a job could run within what its account may have at once. @param spec The job. @param
+ * maximum That; 0 of a kind for no limit. */
+bool FitsMaximum(const JobSpec &spec, const Resources &maximum);
+
 /** Where a job stands; the numbers are stored. */
 enum class JobPhase : uint8_t {
 	JP_QUEUED = 0,    ///< No task was started yet.
--- a/src/jobs/shard_base.h
+++ b/src/jobs/shard_base.h
@@ -2,6 +2,7 @@
 #ifndef SHARD_BASE_H
 #define SHARD_BASE_H
 
+#include "../account/account_book.h"
 #include "../event_log.h"
 #include "../store/paired_journal.h"
 #include "shard_type.h"
@@ -58,6 +59,8 @@
 	/** @return Whether the log has confirmed this ownership lately: another owner may place tasks otherwise, and what
 	 * is said of boxes here may be over. */
 	[[nodiscard]] bool Confirmed() const;
+	/** Takes what the ledger of shares lends this service. @param loan It. */
+	void TakeLoan(const ShareLoan &loan);
 	/** @return How the pool stands. */
 	[[nodiscard]] PoolStatus Status();
 	/** Takes a job; one that is known is ignored. @param spec The job. @param recorded Whether the log has it. */
@@ -151,6 +154,7 @@
 	std::map<JobId, ShardJob *> live;                  ///< Jobs that are not over.
 	std::map<JobId, StoredProgress> restored;          ///< Recorded progress whose submission is not there yet.
 	std::set<std::pair<JobId, AccountName>> cancelled; ///< Cancellations, also of jobs that are not there, by caller.
+	AccountBook book;                                  ///< What accounts have running here.
 	std::map<BoxLife, ShardBox> boxes;                 ///< Boxes of the service.
 	std::map<BoxLife, BoxReport> gone_reports;         ///< Last reports of lives whose report has gone, until Begin().
 	Millis order_lost_at{-1000000};              ///< When a box was last seen to live on after an unanswered order.
@@ -224,7 +228,7 @@
 	[[nodiscard]] JobOutlook MakeOutlook(const ShardJob &job) const;
 	[[nodiscard]] bool StepReady(const ShardJob &job, uint32_t occurrence, uint32_t step) const;
 	[[nodiscard]] bool Due(const ShardJob &job, uint32_t occurrence) const;
-	[[nodiscard]] int64_t ReadyCpu(const ShardJob &job) const;
+	[[nodiscard]] Resources Ready(const ShardJob &job) const;
 
 	/* shard_place.cpp */
 	void Place();
--- a/src/jobs/shard_drain.cpp
+++ b/src/jobs/shard_drain.cpp
@@ -130,6 +130,14 @@
 	return out;
 }
 
+void Shard::TakeLoan(const ShareLoan &loan)
+{
+	this->book.Take(loan);
+	if (!loan.grants.empty()) {
+		this->Wake();
+	}
+}
+
 PoolStatus Shard::Status()
 {
 	const Millis now = this->scheduler.Now();
@@ -140,9 +148,15 @@
 										box.report.capacity.cpu, Placing(box, now)});
 		}
 	}
+	std::map<AccountName, Resources> ready;
 	for (ShardJob *job : this->live | std::views::values) {
 		this->RefreshOutlook(*job, now);
-		out.waiting_cpu += job->outlook.ready_cpu;
+		ready[job->spec.account] += job->outlook.ready;
+	}
+	for (const auto &[account, amount] : ready) {
+		out.waiting_cpu += static_cast<int64_t>(static_cast<double>(amount.cpu) * this->book.RoomFor(account, amount));
 	}
+	out.shares = this->book.Report(ready);
+	out.shares.owner_epoch = this->fence.Value();
 	return out;
 }
--- a/src/jobs/shard_jobs.cpp
+++ b/src/jobs/shard_jobs.cpp
@@ -127,6 +127,7 @@
 			it->second.lapse_at = this->FirstLapse();
 		}
 		this->Put(it->second, kept, kept.TaskAt(place));
+		this->book.Add(spec.account, spec.steps[kept.TaskAt(place).step].demand);
 	}
 	this->log.Write("job_taken", {{"job", spec.id.Value()},
 								  {"route", spec.route.Value()},
@@ -183,6 +184,8 @@
 void Shard::Configure(const JobConfig &config)
 {
 	this->config = config;
+	const auto services = std::ranges::count(config.services, false, &JobService::reserve);
+	this->book.Configure(config.accounts, static_cast<size_t>(services), config.version);
 	std::ranges::for_each(this->jobs | std::views::values, [this](ShardJob &it) {
 		this->ApplyRoute(it);
 		it.outlook.stale = true;
--- a/src/jobs/shard_place.cpp
+++ b/src/jobs/shard_place.cpp
@@ -184,6 +184,9 @@
 		if (!Startable(task) || (kind != StartKind::SK_BLAMED && round.Hopeless(spec.demand))) {
 			continue;
 		}
+		if (!this->book.Fits(job.spec.account, spec.demand)) {
+			return; /* Its others ask for as much. */
+		}
 		OpenBox *it = this->Choose(round.open, job, first, kind);
 		if (it == nullptr) {
 			if (job.route.advised) {
@@ -229,7 +232,7 @@
 	const StepSpec &spec = job.spec.steps[step];
 	const TaskId first{job.spec.id, occurrence, step, 0};
 	const auto members = job.tasks | std::views::drop(job.IndexOf(first)) | std::views::take(spec.count);
-	if (!std::ranges::all_of(members, Startable)) {
+	if (!std::ranges::all_of(members, Startable) || !this->book.Fits(job.spec.account, spec.demand.Times(spec.count))) {
 		return;
 	}
 	const uint32_t last_run =
@@ -274,6 +277,7 @@
 	box.last_start = id.job;
 	box.last_start_at = task.since;
 	this->Put(box, job, id);
+	this->book.Add(job.spec.account, job.spec.steps[id.step].demand);
 	if (job.phase == JobPhase::JP_QUEUED) {
 		job.phase = JobPhase::JP_RUNNING;
 	}
--- a/src/jobs/shard_rank.cpp
+++ b/src/jobs/shard_rank.cpp
@@ -63,7 +63,7 @@
 		/* Only the waiting work of the first occurrence was counted: enough to know that there may be some. */
 		out.waiting_work = std::max(out.waiting_work, 1.0);
 	}
-	out.ready_cpu = this->ReadyCpu(job);
+	out.ready = this->Ready(job);
 	return out;
 }
 
@@ -118,16 +118,16 @@
 	return job.spec.repeats == 0 || this->scheduler.WallNow().Value() >= due;
 }
 
-int64_t Shard::ReadyCpu(const ShardJob &job) const
+Resources Shard::Ready(const ShardJob &job) const
 {
-	int64_t sum = 0;
+	Resources sum;
 	for (const uint32_t occurrence : std::views::iota(0U, job.spec.Occurrences())) {
 		for (uint32_t step = 0; step < job.spec.steps.size() && this->Due(job, occurrence); step++) {
 			const size_t first = job.IndexOf(TaskId{job.spec.id, occurrence, step, 0});
 			const auto tasks = job.tasks | std::views::drop(first) | std::views::take(job.spec.steps[step].count);
 			const auto waiting = std::ranges::count_if(tasks, Startable);
 			if (waiting > 0 && this->StepReady(job, occurrence, step)) {
-				sum += waiting * job.spec.steps[step].demand.cpu;
+				sum += job.spec.steps[step].demand.Times(waiting);
 			}
 		}
 	}
--- a/src/jobs/shard_records.cpp
+++ b/src/jobs/shard_records.cpp
@@ -257,6 +257,9 @@
 		if (box != this->boxes.end()) {
 			this->Take(box->second, job, job.TaskAt(place));
 		}
+		if (job.tasks[place].phase == TaskPhase::TP_PLACED) {
+			this->book.Remove(job.spec.account, job.spec.steps[job.TaskAt(place).step].demand);
+		}
 	}
 	this->tickets.Forget(id);
 	this->dirty.erase(id);
--- a/src/jobs/shard_runs.cpp
+++ b/src/jobs/shard_runs.cpp
@@ -15,8 +15,12 @@
 
 void Shard::Release(const TaskId &id, ShardTask &task)
 {
+	const ShardJob &job = this->jobs.at(id.job);
 	if (const auto it = this->boxes.find(task.box); it != this->boxes.end()) {
-		this->Take(it->second, this->jobs.at(id.job), id);
+		this->Take(it->second, job, id);
+	}
+	if (task.phase == TaskPhase::TP_PLACED) {
+		this->book.Remove(job.spec.account, job.spec.steps[id.step].demand);
 	}
 	task.box = BoxLife();
 	task.phase = TaskPhase::TP_WAITING;
--- a/src/jobs/shard_type.h
+++ b/src/jobs/shard_type.h
@@ -2,6 +2,7 @@
 #ifndef SHARD_TYPE_H
 #define SHARD_TYPE_H
 
+#include "../account/share_type.h"
 #include "../scheduler_type.h"
 #include "../store/keyed_log.h"
 #include "job_codec.h"
@@ -98,7 +99,7 @@
 	double chain_all = 0;    ///< ms that its longest chain of steps takes.
 	double chain_left = 0;   ///< The same of the steps that have tasks left.
 	double waiting_work = 0; ///< Thousandths of a core times ms of its waiting tasks.
-	int64_t ready_cpu = 0;   ///< Thousandths of a core that its waiting tasks ask for whose turn has come.
+	Resources ready;         ///< What its waiting tasks ask for whose turn has come.
 	bool lasting = false;    ///< Whether it has tasks that last.
 };
 
@@ -251,7 +252,9 @@
 /** How a pool stands. */
 struct PoolStatus {
 	std::vector<PoolBox> boxes; ///< Its boxes.
-	int64_t waiting_cpu = 0;    ///< Thousandths of a core that waiting tasks ask for, whose turn has come.
+	/** Thousandths of a core that waiting tasks ask for, whose turn has come and for which their accounts have room. */
+	int64_t waiting_cpu = 0;
+	ShareReport shares; ///< What accounts hold and want of their maxima.
 };
 
 /** A submission or cancellation that a caller waits for. */
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -37,10 +37,75 @@
 	return out;
 }
 
+std::unique_ptr<glade::wire::LoanT> NativeLoan(const ShareLoan &loan)
+{
+	auto out = std::make_unique<glade::wire::LoanT>();
+	out->ledger_epoch = loan.ledger_epoch;
+	out->sequence = loan.sequence;
+	out->config = loan.config;
+	for (const ShareGrant &it : loan.grants) {
+		out->accounts.push_back(it.account.Value());
+		out->parts.push_back(it.parts);
+		out->over.push_back(it.over ? 1 : 0);
+	}
+	return out;
+}
+
+/** @return The loan; of epoch 0, which nobody takes, when there is none. @param in Its frame, or null. */
+ShareLoan LoanOf(const glade::wire::LoanT *in)
+{
+	ShareLoan out;
+	if (in == nullptr) {
+		return out;
+	}
+	out.ledger_epoch = in->ledger_epoch;
+	out.sequence = in->sequence;
+	out.config = in->config;
+	const size_t count = std::min({in->accounts.size(), in->parts.size(), in->over.size()});
+	for (size_t n = 0; n < count; n++) {
+		out.grants.push_back(ShareGrant{AccountName(in->accounts[n]), in->parts[n], in->over[n] != 0});
+	}
+	return out;
+}
+
+std::unique_ptr<glade::wire::LoanReportT> NativeReport(const ShareReport &report)
+{
+	auto out = std::make_unique<glade::wire::LoanReportT>();
+	out->owner_epoch = report.owner_epoch;
+	out->ledger_epoch = report.ledger_epoch;
+	out->sequence = report.sequence;
+	out->config = report.config;
+	for (const ShareStatement &it : report.statements) {
+		out->accounts.push_back(it.account.Value());
+		out->holds.push_back(it.hold);
+		out->wants.push_back(it.want);
+	}
+	return out;
+}
+
+/** @return The report; of epoch 0, which lowers nothing, when there is none. @param in Its frame, or null. */
+ShareReport ReportOf(const glade::wire::LoanReportT *in)
+{
+	ShareReport out;
+	if (in == nullptr) {
+		return out;
+	}
+	out.owner_epoch = in->owner_epoch;
+	out.ledger_epoch = in->ledger_epoch;
+	out.sequence = in->sequence;
+	out.config = in->config;
+	const size_t count = std::min({in->accounts.size(), in->holds.size(), in->wants.size()});
+	for (size_t n = 0; n < count; n++) {
+		out.statements.push_back(ShareStatement{AccountName(in->accounts[n]), in->holds[n], in->wants[n]});
+	}
+	return out;
+}
+
 PoolStatus StatusOf(const glade::wire::PoolAnswerT &in)
 {
 	PoolStatus out;
 	out.waiting_cpu = in.waiting_cpu;
+	out.shares = ReportOf(in.shares.get());
 	std::ranges::transform(in.boxes, std::back_inserter(out.boxes), [](const auto &it) {
 		return PoolBox{BoxName(it->box), BoxLife{BoxId(it->life), Millis(it->started)},
 					   it->tasks,        it->used_cpu,
@@ -225,6 +290,7 @@
 	if (!shard->Confirmed()) {
 		return std::nullopt;
 	}
+	shard->TakeLoan(request.loan);
 	shard->Drain(request.drain, request.due);
 	return shard->Status();
 }
@@ -236,13 +302,14 @@
 		done(std::move(here));
 		return;
 	}
-	const auto make = [service, drain = NamesOf(request.drain), due = NamesOf(request.due),
-					   ended = request.ended](uint64_t number) {
+	const auto make = [service, drain = NamesOf(request.drain), due = NamesOf(request.due), ended = request.ended,
+					   loan = request.loan](uint64_t number) {
 		glade::wire::PoolQuestionT out;
 		out.number = number;
 		out.service = service.Value();
 		out.drain = drain;
 		out.due = due;
+		out.loan = NativeLoan(loan);
 		for (const BoxLife &it : ended) {
 			out.ended.push_back(it.id.Value());
 			out.ended_started.push_back(it.started.Value());
@@ -326,13 +393,15 @@
 
 void NodeCore::OnPoolQuestion(FrameLink &link, const glade::wire::PoolQuestionT &in)
 {
-	const std::optional<PoolStatus> status = this->PoolHere(
-			ServiceName(in.service), PoolRequest{SetOf<BoxName>(in.drain), SetOf<BoxName>(in.due), LivesOf(in)});
+	const std::optional<PoolStatus> status =
+			this->PoolHere(ServiceName(in.service), PoolRequest{SetOf<BoxName>(in.drain), SetOf<BoxName>(in.due),
+																LivesOf(in), LoanOf(in.loan.get())});
 	glade::wire::PoolAnswerT out;
 	out.number = in.number;
 	out.code = static_cast<uint32_t>(status ? ResultCode::RC_OK : ResultCode::RC_PEER_UNAVAILABLE);
 	if (status) {
 		out.waiting_cpu = status->waiting_cpu;
+		out.shares = NativeReport(status->shares);
 		for (const PoolBox &box : status->boxes) {
 			auto row = std::make_unique<glade::wire::PoolBoxT>();
 			row->box = box.box.Value();
--- a/src/resources_type.h
+++ b/src/resources_type.h
@@ -32,6 +32,12 @@
 		return *this;
 	}
 
+	/** @return What so many of these take together. @param count How many. */
+	[[nodiscard]] Resources Times(int64_t count) const
+	{
+		return Resources{this->cpu * count, this->memory * count, this->accelerators * count};
+	}
+
 	bool operator==(const Resources &) const = default;
 };
 
--- a/src/upkeep/fleet_owner.cpp
+++ b/src/upkeep/fleet_owner.cpp
@@ -51,6 +51,7 @@
 	std::ranges::for_each(claimed.spare, [this](const auto &it) { this->Restore(it.first, it.second); });
 	this->epoch = claimed.number.epoch;
 	this->fence = FenceToken(claimed.number.epoch);
+	this->ledger.Begin(this->epoch);
 	this->journal = std::make_unique<PairedJournal>(this->parts.scheduler, this->parts.log, this->parts.events,
 													JournalPair{FLEET, SpareOf(FLEET),
 																[](const std::string &key) {
@@ -67,6 +68,12 @@
 		this->turns.Inherit(key, value, this->parts.scheduler.Now());
 		return;
 	}
+	if (ShareLedger::Owns(key)) {
+		if (!this->ledger.Restore(key, value)) {
+			this->parts.events.Write("bad_record", {{"topic", FLEET.topic}, {"key", key}});
+		}
+		return;
+	}
 	uint64_t wave = 0;
 	const char *end = key.data() + key.size();
 	const auto [rest, ec] = std::from_chars(key.data(), end, wave);
@@ -140,7 +147,8 @@
 		const auto it = all.find(pool);
 		return it == all.end() ? std::set<BoxName>() : it->second;
 	};
-	return PoolRequest{of(this->actions.drain), of(this->actions.due), this->lives.EndedIn(pool)};
+	return PoolRequest{of(this->actions.drain), of(this->actions.due), this->lives.EndedIn(pool),
+					   this->ledger.LoanOf(pool)};
 }
 
 void FleetOwner::Look()
@@ -162,6 +170,7 @@
 									  return;
 								  }
 								  if (status) {
+									  this->ledger.Take(name, status->shares);
 									  this->view.pools[name] = *status;
 								  }
 								  this->Answered();
@@ -197,6 +206,7 @@
 	if (--this->pending > 0) {
 		return;
 	}
+	this->Lend();
 	if (!this->view.machines.empty()) {
 		this->Act();
 	}
@@ -204,6 +214,37 @@
 	this->KeepConfirmed();
 }
 
+void FleetOwner::Configure(const JobConfig &config)
+{
+	this->config = config;
+	std::vector<ServiceName> services;
+	for (const JobService &it : config.services) {
+		if (!it.reserve) {
+			services.push_back(it.name);
+		}
+	}
+	this->ledger.Configure(std::move(services));
+}
+
+void FleetOwner::Lend()
+{
+	if (this->lending) {
+		return; /* What was decided before is neither lent nor free yet. */
+	}
+	std::vector<KeyedRecord> records = this->ledger.Decide();
+	if (records.empty()) {
+		this->ledger.Commit();
+		return;
+	}
+	this->lending = true;
+	this->journal->Append(std::move(records), [this, still = std::weak_ptr<bool>(this->alive)] {
+		if (!still.expired()) {
+			this->lending = false;
+			this->ledger.Commit();
+		}
+	});
+}
+
 void FleetOwner::NotePools() const
 {
 	for (const auto &[service, pool] : this->view.pools) {
--- a/src/upkeep/fleet_owner.h
+++ b/src/upkeep/fleet_owner.h
@@ -3,6 +3,7 @@
 #ifndef FLEET_OWNER_H
 #define FLEET_OWNER_H
 
+#include "../account/share_ledger.h"
 #include "../store/partition_claim.h"
 #include "life_watch.h"
 #include "pool_desk.h"
@@ -14,6 +15,7 @@
 	std::set<BoxName> drain; ///< Boxes to be emptied, until the next question or for a short time.
 	std::set<BoxName> due;   ///< Boxes that will be emptied later.
 	std::set<BoxLife> ended; ///< Lives that have ended for certain.
+	ShareLoan loan;          ///< What the ledger of shares lends the service.
 };
 
 /** Asks the owners of pools. */
@@ -55,7 +57,7 @@
 	/** Begins to claim. */
 	void Start();
 	/** Takes a configuration. @param config It. */
-	void Configure(const JobConfig &config) { this->config = config; }
+	void Configure(const JobConfig &config);
 	/** Takes a wave. @param wave It. */
 	void OnWave(const WaveOrder &wave);
 	/** @return Whether another node holds the fleet. */
@@ -86,6 +88,8 @@
 	FenceToken fence;                                           ///< Token of this ownership.
 	uint64_t epoch = 0;                                         ///< Of the claim.
 	TurnLog turns;                                              ///< Boxes with recent orders.
+	ShareLedger ledger;                                         ///< What services may use of accounts' maxima.
+	bool lending = false;                                       ///< Whether what it decided is being recorded.
 	bool recording = false;                                     ///< Whether orders wait for their record.
 	bool lost = false;                                          ///< Whether another holder has come.
 	size_t pending = 0;                                         ///< Questions of this tick that are not answered.
@@ -102,6 +106,7 @@
 	[[nodiscard]] PoolRequest RequestFor(const ServiceName &pool) const;
 	void OnMachines(ResultCode code, const std::vector<MachineRow> &rows);
 	void Answered();
+	void Lend();
 	void Act();
 	void Plan(std::vector<PlannedOrder> &planned, const BoxName &box, std::optional<uint64_t> wave,
 			  const ServiceName &to) const;
