Boxes go to jobs that can be on time before those that nobody gains by any more

Change: a pool tells waiting and placed work of jobs that are too late apart; it is counted after all that can be on time, and boxes that run nothing else are emptied for a pool in need. Test: tests/test_late_work.cpp.

--- a/src/jobs/shard_base.h
+++ b/src/jobs/shard_base.h
@@ -222,6 +222,8 @@
 
 	/* shard_rank.cpp */
 	[[nodiscard]] std::vector<ShardJob *> JobsInOrder();
+	/** @return Thousandths of a core that jobs that nobody gains by any more take on a box. */
+	[[nodiscard]] int64_t LateCpuOn(const ShardBox &box, Millis wall_now);
 	[[nodiscard]] static JobRank RankOf(const ShardJob &job, Millis wall_now);
 	[[nodiscard]] double RunTimeOf(const ShardJob &job, const StepSpec &step) const;
 	void RefreshOutlook(ShardJob &job, Millis now) const;
--- a/src/jobs/shard_drain.cpp
+++ b/src/jobs/shard_drain.cpp
@@ -138,23 +138,50 @@
 	}
 }
 
+int64_t Shard::LateCpuOn(const ShardBox &box, Millis wall_now)
+{
+	this->counters.tasks_walked += box.placed.size();
+	int64_t cpu = 0;
+	for (const TaskId &it : box.placed) {
+		const ShardJob &job = this->jobs.at(it.job);
+		const bool late = RankOf(job, wall_now).hope == JobHope::JH_TOO_LATE;
+		cpu += late ? job.spec.steps[it.step].demand.cpu : 0;
+	}
+	return cpu;
+}
+
 PoolStatus Shard::Status()
 {
 	const Millis now = this->scheduler.Now();
+	const Millis wall_now = this->scheduler.WallNow();
 	PoolStatus out;
+	std::map<AccountName, Resources> ready;
+	std::map<AccountName, Resources> late;
+	bool any_late = false;
+	for (ShardJob *job : this->live | std::views::values) {
+		this->RefreshOutlook(*job, now);
+		const bool too_late = RankOf(*job, wall_now).hope == JobHope::JH_TOO_LATE;
+		any_late = any_late || too_late;
+		(too_late ? late : ready)[job->spec.account] += job->outlook.ready;
+	}
+	const auto cpu_of = [this](const std::map<AccountName, Resources> &all) {
+		int64_t cpu = 0;
+		for (const auto &[account, amount] : all) {
+			cpu += static_cast<int64_t>(static_cast<double>(amount.cpu) * this->book.RoomFor(account, amount));
+		}
+		return cpu;
+	};
+	out.waiting_cpu = cpu_of(ready);
+	out.late_cpu = cpu_of(late);
 	for (const auto &[life, box] : this->boxes) {
 		if (box.listed && !box.over) {
 			out.boxes.push_back(PoolBox{box.report.box, life, static_cast<uint32_t>(box.placed.size()), box.used.cpu,
-										box.report.capacity.cpu, Placing(box, now)});
+										box.report.capacity.cpu, Placing(box, now),
+										any_late ? this->LateCpuOn(box, wall_now) : 0});
 		}
 	}
-	std::map<AccountName, Resources> ready;
-	for (ShardJob *job : this->live | std::views::values) {
-		this->RefreshOutlook(*job, now);
-		ready[job->spec.account] += job->outlook.ready;
-	}
-	for (const auto &[account, amount] : ready) {
-		out.waiting_cpu += static_cast<int64_t>(static_cast<double>(amount.cpu) * this->book.RoomFor(account, amount));
+	for (const auto &[account, amount] : late) {
+		ready[account] += amount;
 	}
 	out.shares = this->book.Report(ready);
 	out.shares.owner_epoch = this->fence.Value();
--- a/src/jobs/shard_type.h
+++ b/src/jobs/shard_type.h
@@ -247,6 +247,7 @@
 	int64_t used_cpu = 0; ///< Thousandths of a core taken.
 	int64_t cpu = 0;      ///< Thousandths of a core that it has.
 	bool placing = false; ///< Whether tasks may be placed there.
+	int64_t late_cpu = 0; ///< The part of `used_cpu` that is taken by jobs that nobody gains by any more.
 };
 
 /** How a pool stands. */
@@ -254,7 +255,8 @@
 	std::vector<PoolBox> boxes; ///< Its boxes.
 	/** Thousandths of a core that waiting tasks ask for, whose turn has come and for which their accounts have room. */
 	int64_t waiting_cpu = 0;
-	ShareReport shares; ///< What accounts hold and want of their maxima.
+	int64_t late_cpu = 0; ///< The same of jobs that nobody gains by any more; not in `waiting_cpu`.
+	ShareReport shares;   ///< What accounts hold and want of their maxima.
 };
 
 /** A submission or cancellation that a caller waits for. */
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -105,11 +105,13 @@
 {
 	PoolStatus out;
 	out.waiting_cpu = in.waiting_cpu;
+	out.late_cpu = in.late_cpu;
 	out.shares = ReportOf(in.shares.get());
 	std::ranges::transform(in.boxes, std::back_inserter(out.boxes), [](const auto &it) {
 		return PoolBox{BoxName(it->box), BoxLife{BoxId(it->life), Millis(it->started)},
 					   it->tasks,        it->used_cpu,
-					   it->cpu,          it->placing};
+					   it->cpu,          it->placing,
+					   it->late_cpu};
 	});
 	return out;
 }
@@ -401,6 +403,7 @@
 	out.code = static_cast<uint32_t>(status ? ResultCode::RC_OK : ResultCode::RC_PEER_UNAVAILABLE);
 	if (status) {
 		out.waiting_cpu = status->waiting_cpu;
+		out.late_cpu = status->late_cpu;
 		out.shares = NativeReport(status->shares);
 		for (const PoolBox &box : status->boxes) {
 			auto row = std::make_unique<glade::wire::PoolBoxT>();
@@ -409,6 +412,7 @@
 			row->started = box.life.started.Value();
 			row->tasks = box.tasks;
 			row->used_cpu = box.used_cpu;
+			row->late_cpu = box.late_cpu;
 			row->cpu = box.cpu;
 			row->placing = box.placing;
 			out.boxes.push_back(std::move(row));
--- a/src/upkeep/pool_desk.cpp
+++ b/src/upkeep/pool_desk.cpp
@@ -62,6 +62,8 @@
 			balance.have += box.cpu;
 			if (box.tasks == 0) {
 				balance.empty.push_back(&box);
+			} else if (box.used_cpu == box.late_cpu) {
+				balance.loose.push_back(&box);
 			}
 		}
 	}
@@ -79,12 +81,17 @@
 	for (const auto &[service, status] : view.pools) {
 		Balance balance = this->BalanceOf(service, status, index, taken);
 		int64_t used = 0;
-		std::ranges::for_each(status.boxes, [&used](const PoolBox &it) { used += it.used_cpu; });
+		int64_t late = 0;
+		for (const PoolBox &it : status.boxes) {
+			used += it.used_cpu - it.late_cpu;
+			late += it.late_cpu;
+		}
 		const double asks =
 				static_cast<double>(used) + static_cast<double>(status.waiting_cpu) * this->limits.waiting_weight;
 		const double ahead = this->GrowthOf(service, asks, now) * static_cast<double>(this->limits.ahead.Value());
 		const double room = static_cast<double>(used) * (this->limits.used_headroom - 1.0);
 		balance.want = std::max(static_cast<int64_t>(asks + ahead + room), this->FloorOf(view));
+		balance.late = late + status.late_cpu;
 		out.push_back(std::move(balance));
 	}
 	return out;
@@ -95,6 +102,25 @@
 	this->leaving[box] = Leaving{to, now, false};
 }
 
+bool PoolDesk::MayGive(const Balance &other, const Balance &needy, const PoolBox &box)
+{
+	/* What nobody gains by any more is done where there is room: it keeps no box from jobs that can be on time, and
+	 * gets none that another pool has use for. */
+	const bool on_time = needy.have < needy.want;
+	return other.have - box.cpu >= other.want + (on_time ? 0 : other.late);
+}
+
+void PoolDesk::TakeFrom(Balance &other, std::vector<const PoolBox *> &boxes, Balance &needy, Millis now)
+{
+	while (!boxes.empty() && needy.have < needy.want + needy.late && MayGive(other, needy, *boxes.back())) {
+		const PoolBox *box = boxes.back();
+		boxes.pop_back();
+		other.have -= box->cpu;
+		needy.have += box->cpu;
+		this->Choose(box->box, needy.pool, now);
+	}
+}
+
 void PoolDesk::Supply(Balance &needy, std::vector<Balance> &all, const FleetView &view, const std::set<BoxName> &taken,
 					  Millis now)
 {
@@ -103,22 +129,20 @@
 		const bool free = view.reserves.contains(row.pool) && row.state == MachineState::MS_UP &&
 						  !taken.contains(row.box) && !this->leaving.contains(row.box) &&
 						  !this->refused.contains({row.pool, needy.pool});
-		if (free && needy.have < needy.want) {
+		if (free && needy.have < needy.want + needy.late) {
 			this->Choose(row.box, needy.pool, now);
 			needy.have += row.capacity.cpu;
 		}
 	}
 	for (Balance &other : all) {
-		while (other.pool != needy.pool && needy.have < needy.want && !other.empty.empty() &&
-			   !this->refused.contains({other.pool, needy.pool})) {
-			const PoolBox *box = other.empty.back();
-			if (other.have - box->cpu < other.want) {
-				break;
-			}
-			other.empty.pop_back();
-			other.have -= box->cpu;
-			needy.have += box->cpu;
-			this->Choose(box->box, needy.pool, now);
+		if (other.pool != needy.pool && !this->refused.contains({other.pool, needy.pool})) {
+			this->TakeFrom(other, other.empty, needy, now);
+		}
+	}
+	for (Balance &other : all) {
+		const bool on_time = needy.have < needy.want;
+		if (on_time && other.pool != needy.pool && !this->refused.contains({other.pool, needy.pool})) {
+			this->TakeFrom(other, other.loose, needy, now);
 		}
 	}
 }
@@ -129,7 +153,7 @@
 	int64_t need = 0;
 	for (const Balance &it : all) {
 		have += it.have;
-		need += it.want;
+		need += it.want + it.late;
 	}
 	this->watched_since = this->watched_since.value_or(now);
 	/* Looks that asked for less than a later one can't be the most any more. */
@@ -151,7 +175,8 @@
 	}
 	const ServiceName reserve = *view.reserves.begin();
 	while (!rich.empty.empty() && rich.empty.back()->cpu <= unneeded &&
-		   rich.have - rich.empty.back()->cpu >= rich.want && !this->refused.contains({rich.pool, reserve})) {
+		   rich.have - rich.empty.back()->cpu >= rich.want + rich.late &&
+		   !this->refused.contains({rich.pool, reserve})) {
 		rich.have -= rich.empty.back()->cpu;
 		unneeded -= rich.empty.back()->cpu;
 		this->Choose(rich.empty.back()->box, reserve, now);
@@ -167,7 +192,7 @@
 	/* The neediest first. */
 	std::ranges::sort(all, std::ranges::greater{}, [](const Balance &it) { return it.want - it.have; });
 	for (Balance &it : all) {
-		if (it.have < it.want) {
+		if (it.have < it.want + it.late) {
 			this->Supply(it, all, view, taken, now);
 		}
 	}
--- a/src/upkeep/pool_desk.h
+++ b/src/upkeep/pool_desk.h
@@ -62,7 +62,10 @@
 		ServiceName pool;                   ///< The pool.
 		int64_t have = 0;                   ///< Thousandths of a core that it has or will have before long.
 		int64_t want = 0;                   ///< Thousandths of a core that it should have.
+		int64_t late = 0;                   ///< The same on top, for jobs that nobody gains by any more.
 		std::vector<const PoolBox *> empty; ///< Boxes that run nothing.
+		/** Boxes that run only what nobody gains by any more: they are emptied for a pool whose jobs can be on time. */
+		std::vector<const PoolBox *> loose;
 	};
 
 	/** What a pool asked for at the last look. */
@@ -92,6 +95,8 @@
 					  const std::set<BoxName> &taken);
 	[[nodiscard]] int64_t FloorOf(const FleetView &view) const;
 	double GrowthOf(const ServiceName &pool, double cpu, Millis now);
+	static bool MayGive(const Balance &other, const Balance &needy, const PoolBox &box);
+	void TakeFrom(Balance &other, std::vector<const PoolBox *> &boxes, Balance &needy, Millis now);
 	void Supply(Balance &needy, std::vector<Balance> &all, const FleetView &view, const std::set<BoxName> &taken,
 				Millis now);
 	[[nodiscard]] int64_t Unneeded(const std::vector<Balance> &all, Millis now);
--- /dev/null
+++ b/tests/test_late_work.cpp
@@ -0,0 +1,43 @@
+/** @file test_late_work.cpp Boxes while one queue works off what nobody gains by any more. */
+#include "upkeep/pool_desk.h"
+
+#include <doctest/doctest.h>
+
+/* Guards against a queue whose backlog is too late holding all boxes while the next queue's turn has come: each second
+ * from the eighth after a flood on earned 0.16 to 0.33 of its worth. */
+TEST_CASE("late work: boxes go to jobs that can be on time before those that nobody gains by any more")
+{
+	FleetView view;
+	constexpr int64_t CPU = 16000;
+	for (const char *pool : {"late", "turn"}) {
+		for (int n = 0; n < 10; n++) {
+			const std::string name = pool + std::to_string(n);
+			const BoxLife life{BoxId(name + "-1"), Millis(1)};
+			view.machines.push_back(MachineRow{BoxName(name), ServiceName(pool), MachineState::MS_UP, ZoneName("z"),
+											   Resources{CPU, 1000, 0}, life.id});
+			view.pools[ServiceName(pool)].boxes.push_back(PoolBox{BoxName(name), life, 4, CPU, CPU, true});
+		}
+	}
+	PoolStatus &late = view.pools[ServiceName("late")];
+	PoolStatus &turn = view.pools[ServiceName("turn")];
+	for (PoolBox &it : late.boxes) {
+		it.late_cpu = it.used_cpu;
+	}
+	late.late_cpu = 100 * CPU;
+	turn.waiting_cpu = 4 * CPU;
+	PoolDesk desk{PoolLimits{}};
+	const PoolActions actions = desk.Decide(view, {}, Millis(0));
+	REQUIRE(actions.drain.contains(ServiceName("late")));
+	CHECK(actions.drain.at(ServiceName("late")).size() >= 4);
+	CHECK(!actions.drain.contains(ServiceName("turn")));
+	/* With nothing on time to do elsewhere, empty boxes are its. */
+	for (PoolBox &it : turn.boxes) {
+		it.tasks = 0;
+		it.used_cpu = 0;
+	}
+	turn.waiting_cpu = 0;
+	PoolDesk other{PoolLimits{}};
+	const PoolActions idle = other.Decide(view, {}, Millis(0));
+	CHECK(idle.drain.contains(ServiceName("turn")));
+	CHECK(!idle.drain.contains(ServiceName("late")));
+}
