In a full pool, accounts within their share of it come first

Change: when what waits finds no room, what each account has and asks for is split by weights (max-min) over what the pool has for accounts; jobs beyond their account's part go behind the others of the same priority and hope. Spare room is anybody's.

--- a/src/account/account_book.cpp
+++ b/src/account/account_book.cpp
@@ -100,6 +100,29 @@
 	});
 }
 
+Resources AccountBook::UsedBy(const AccountName &account) const
+{
+	const auto it = this->uses.find(account);
+	return it == this->uses.end() ? Resources{} : it->second.used;
+}
+
+std::vector<AccountBook::NamedUse> AccountBook::Largest(size_t most) const
+{
+	std::vector<NamedUse> all;
+	std::ranges::transform(this->uses, std::back_inserter(all), [](const auto &it) {
+		return NamedUse{it.first, it.second};
+	});
+	std::ranges::sort(all, std::ranges::greater{}, [](const NamedUse &it) { return it.use.used.cpu; });
+	all.resize(std::min(all.size(), most));
+	return all;
+}
+
+double AccountBook::WeightOf(const AccountName &account) const
+{
+	const ClientAccount *known = this->accounts ? this->accounts->Find(account) : nullptr;
+	return known == nullptr || known->weight <= 0 ? 1.0 : known->weight;
+}
+
 double AccountBook::RoomFor(const AccountName &account, const Resources &ready) const
 {
 	const auto it = this->uses.find(account);
--- a/src/account/account_book.h
+++ b/src/account/account_book.h
@@ -17,6 +17,21 @@
  */
 class AccountBook {
 public:
+	/** An account at this service. */
+	struct Use {
+		Resources used;       ///< Of what is placed.
+		Resources maximum;    ///< By the last configuration that has the account; 0 of a kind for no limit.
+		uint32_t lent = 0;    ///< Parts lent.
+		bool over = false;    ///< All services together have too much running.
+		uint64_t version = 0; ///< All services have to reckon by this version before anything starts.
+	};
+
+	/** An account at this service, for dumps. */
+	struct NamedUse {
+		AccountName account; ///< Its name.
+		Use use;             ///< What is known of it.
+	};
+
 	/** Takes a configuration. @param accounts Its accounts; null where there are none. @param services How many
 	 * services there are. @param version Its version. */
 	void Configure(std::shared_ptr<const AccountList> accounts, size_t services, uint64_t version);
@@ -28,26 +43,26 @@
 	/** @return Whether tasks may start. @param account Their account. @param demand What they take together. */
 	[[nodiscard]] bool Fits(const AccountName &account, const Resources &demand) const;
 
+	/** @return What an account has placed here. @param account The account. */
+	[[nodiscard]] Resources UsedBy(const AccountName &account) const;
+	/** @return An account's weight: jobs a second that it may count on, or 1 when none are stated. @param account The
+	 * account. */
+	[[nodiscard]] double WeightOf(const AccountName &account) const;
+	/** @return The accounts that have most placed here, by processor time. @param most How many at most. */
+	[[nodiscard]] std::vector<NamedUse> Largest(size_t most) const;
+	/** @return Version by which all services reckon, as the ledger has told. */
+	[[nodiscard]] uint64_t VersionOfAll() const { return this->version_of_all; }
 	/** @return The part of what an account's tasks ask for that its maximum leaves room for, from 0 to 1. @param
 	 * account The account. @param ready What they ask for. */
 	[[nodiscard]] double RoomFor(const AccountName &account, const Resources &ready) const;
 
 	/** Takes what the ledger lends. @param loan It; ignored when a newer one was taken. */
 	void Take(const ShareLoan &loan);
-	/** Says what is held and wanted. @param ready What tasks whose turn has come ask for, by account. @return All but the
-	 * owner's epoch. */
+	/** Says what is held and wanted. @param ready What tasks whose turn has come ask for, by account. @return All but
+	 * the owner's epoch. */
 	ShareReport Report(const std::map<AccountName, Resources> &ready);
 
 private:
-	/** An account at this service. */
-	struct Use {
-		Resources used;       ///< Of what is placed.
-		Resources maximum;    ///< By the last configuration that has the account; 0 of a kind for no limit.
-		uint32_t lent = 0;    ///< Parts lent.
-		bool over = false;    ///< All services together have too much running.
-		uint64_t version = 0; ///< All services have to reckon by this version before anything starts.
-	};
-
 	std::shared_ptr<const AccountList> accounts; ///< By the configuration in force.
 	uint32_t fixed = SHARE_FIXED;                ///< This service's fixed part.
 	std::map<AccountName, Use> uses;             ///< By account.
--- a/src/account/fair_split.cpp
+++ b/src/account/fair_split.cpp
@@ -4,6 +4,23 @@
 #include <algorithm>
 #include <numeric>
 
+std::vector<double> WeightedSplit(const std::vector<WeightedWant> &wants, double whole)
+{
+	std::vector<size_t> order(wants.size());
+	std::iota(order.begin(), order.end(), size_t{0});
+	std::ranges::sort(order, {}, [&wants](size_t it) { return wants[it].want / wants[it].weight; });
+	double weights = std::accumulate(wants.begin(), wants.end(), 0.0,
+									 [](double sum, const WeightedWant &it) { return sum + it.weight; });
+	std::vector<double> out(wants.size());
+	double left = std::max(whole, 0.0);
+	for (const size_t place : order) {
+		out[place] = std::min(wants[place].want, left * wants[place].weight / weights);
+		left -= out[place];
+		weights -= wants[place].weight;
+	}
+	return out;
+}
+
 std::vector<uint32_t> FairSplit(const std::vector<uint32_t> &wants, uint32_t whole)
 {
 	std::vector<size_t> order(wants.size());
--- a/src/jobs/shard_base.h
+++ b/src/jobs/shard_base.h
@@ -104,6 +104,8 @@
 	[[nodiscard]] BoxCounts CountBoxes() const;
 	/** @return Boxes. */
 	[[nodiscard]] const std::map<BoxLife, ShardBox> &Boxes() const { return this->boxes; }
+	/** @return What accounts have running here. */
+	[[nodiscard]] const AccountBook &Accounts() const { return this->book; }
 	/** @return Jobs. */
 	[[nodiscard]] const ShardJobs &Jobs() const { return this->jobs; }
 
@@ -221,7 +223,14 @@
 	void Forget(const JobId &id);
 
 	/* shard_rank.cpp */
-	[[nodiscard]] std::vector<ShardJob *> JobsInOrder();
+	/** A job with its place in the order. */
+	struct RankedJob {
+		JobRank rank;            ///< Its rank.
+		ShardJob *job = nullptr; ///< The job.
+	};
+
+	[[nodiscard]] std::vector<RankedJob> JobsInOrder();
+	void MarkBeyondShares(std::vector<RankedJob> &jobs, const PlaceRound &round) const;
 	/** @return Thousandths of a core that jobs that nobody gains by any more take on a box. */
 	[[nodiscard]] int64_t LateCpuOn(const ShardBox &box, Millis wall_now);
 	[[nodiscard]] static JobRank RankOf(const ShardJob &job, Millis wall_now);
--- a/src/jobs/shard_place.cpp
+++ b/src/jobs/shard_place.cpp
@@ -46,13 +46,14 @@
 
 void Shard::Place()
 {
-	const std::vector<ShardJob *> jobs = this->JobsInOrder();
+	std::vector<RankedJob> jobs = this->JobsInOrder();
 	if (jobs.empty()) {
 		return;
 	}
 	PlaceRound round = this->BeginRound();
 	this->KeepTrialBox(round);
-	std::ranges::for_each(jobs, [&](ShardJob *it) { this->PlaceJob(round, *it); });
+	this->MarkBeyondShares(jobs, round);
+	std::ranges::for_each(jobs, [&](const RankedJob &it) { this->PlaceJob(round, *it.job); });
 }
 
 void Shard::PlaceJob(PlaceRound &round, ShardJob &job)
--- a/src/jobs/shard_rank.cpp
+++ b/src/jobs/shard_rank.cpp
@@ -1,4 +1,5 @@
 /** @file shard_rank.cpp Shard: what jobs ask for, and in which order they are served. */
+#include "../account/fair_split.h"
 #include "shard_base.h"
 
 #include <algorithm>
@@ -93,23 +94,54 @@
 	return rank;
 }
 
-std::vector<ShardJob *> Shard::JobsInOrder()
+void Shard::MarkBeyondShares(std::vector<RankedJob> &jobs, const PlaceRound &round) const
 {
-	std::vector<std::pair<JobRank, ShardJob *>> order;
+	double room = 0;
+	double asked = 0;
+	std::ranges::for_each(round.open, [&room](const OpenBox &it) { room += static_cast<double>(it.free.cpu); });
+	std::ranges::for_each(jobs,
+						  [&asked](const RankedJob &it) { asked += static_cast<double>(it.job->outlook.ready.cpu); });
+	if (asked <= room) {
+		return; /* All find room. */
+	}
+	/* One account that floods a queue had its jobs in among those of all others, whose worth fell to a third. */
+	std::map<AccountName, size_t> places;
+	std::vector<WeightedWant> wants;
+	std::vector<double> had;
+	for (const RankedJob &it : jobs) {
+		const AccountName &account = it.job->spec.account;
+		const auto [place, added] = places.try_emplace(account, wants.size());
+		if (added) {
+			had.push_back(static_cast<double>(this->book.UsedBy(account).cpu));
+			room += had.back();
+			wants.push_back(WeightedWant{had.back(), this->book.WeightOf(account)});
+		}
+		wants[place->second].want += static_cast<double>(it.job->outlook.ready.cpu);
+	}
+	const std::vector<double> shares = WeightedSplit(wants, room);
+	for (RankedJob &it : jobs) {
+		const size_t place = places.at(it.job->spec.account);
+		const bool owned = !it.job->spec.account.Value().empty();
+		it.rank.beyond_share = owned && had[place] >= shares[place];
+		had[place] += static_cast<double>(it.job->outlook.ready.cpu);
+	}
+	std::ranges::stable_sort(jobs, {}, &RankedJob::rank);
+}
+
+std::vector<Shard::RankedJob> Shard::JobsInOrder()
+{
+	std::vector<RankedJob> order;
 	/* The clocks are read once for all: there are some hundred jobs a round. */
 	const Millis now = this->scheduler.Now();
 	const Millis wall_now = this->scheduler.WallNow();
 	for (ShardJob *job : this->live | std::views::values) {
 		this->RefreshOutlook(*job, now);
 		if (job->outlook.waiting_work > 0) {
-			order.emplace_back(RankOf(*job, wall_now), job);
+			order.push_back(RankedJob{RankOf(*job, wall_now), job});
 		}
 	}
-	std::ranges::stable_sort(order, {}, [](const auto &it) { return it.first; });
-	std::vector<ShardJob *> out;
-	out.reserve(order.size());
-	std::ranges::copy(order | std::views::values, std::back_inserter(out));
-	return out;
+	std::ranges::stable_sort(order, {}, &RankedJob::rank);
+	return order;
 }
 
 bool Shard::Due(const ShardJob &job, uint32_t occurrence) const
--- a/src/jobs/shard_type.h
+++ b/src/jobs/shard_type.h
@@ -198,7 +198,9 @@
 struct JobRank {
 	int64_t priority = 0;               ///< Of its route.
 	JobHope hope = JobHope::JH_ON_TIME; ///< What it can still be.
-	double waiting_work = 0;            ///< Thousandths of a core times ms of its waiting tasks.
+	/** Whether its account has as much as its share of the boxes already, while not all find room. */
+	bool beyond_share = false;
+	double waiting_work = 0; ///< Thousandths of a core times ms of its waiting tasks.
 
 	auto operator<=>(const JobRank &) const = default;
 };
--- a/src/node/metrics_page.cpp
+++ b/src/node/metrics_page.cpp
@@ -34,6 +34,24 @@
 		CounterRow{"tasks_walked", &ShardCounters::tasks_walked},
 };
 
+constexpr size_t ACCOUNTS_SHOWN = 20; ///< Accounts of a service that are shown: those with most placed.
+
+QJsonArray DumpAccounts(const AccountBook &book)
+{
+	QJsonArray out;
+	for (const AccountBook::NamedUse &it : book.Largest(ACCOUNTS_SHOWN)) {
+		out.push_back(QJsonObject{{"account", QString::fromStdString(it.account.Value())},
+								  {"used_cpu", static_cast<qint64>(it.use.used.cpu)},
+								  {"used_memory", static_cast<qint64>(it.use.used.memory)},
+								  {"maximum_cpu", static_cast<qint64>(it.use.maximum.cpu)},
+								  {"maximum_memory", static_cast<qint64>(it.use.maximum.memory)},
+								  {"lent", static_cast<qint64>(it.use.lent)},
+								  {"over", it.use.over},
+								  {"settles_by", static_cast<qint64>(it.use.version)}});
+	}
+	return out;
+}
+
 int64_t LiveJobs(const Shard &shard)
 {
 	return std::ranges::count_if(shard.Jobs() | std::views::values, [](const ShardJob &it) { return !it.Over(); });
@@ -55,6 +73,8 @@
 			row["jobs"] = static_cast<qint64>(shard->Jobs().size());
 			row["live"] = static_cast<qint64>(LiveJobs(*shard));
 			row["boxes"] = static_cast<qint64>(shard->Boxes().size());
+			row["accounts"] = DumpAccounts(shard->Accounts());
+			row["version_of_all"] = static_cast<qint64>(shard->Accounts().VersionOfAll());
 			row["journal_detours"] = static_cast<qint64>(shard->Detours());
 			for (const CounterRow &counter : COUNTERS) {
 				row[counter.name] = static_cast<qint64>(shard->Counters().*counter.member);
@@ -81,6 +101,10 @@
 		}
 		text += "glade_jobs_live" + label + std::to_string(LiveJobs(*shard)) + "\n";
 		text += "glade_journal_detours" + label + std::to_string(shard->Detours()) + "\n";
+		for (const AccountBook::NamedUse &it : shard->Accounts().Largest(ACCOUNTS_SHOWN)) {
+			text += "glade_account_used_cpu{service=\"" + service.Value() + "\",account=\"" + it.account.Value() +
+					"\"} " + std::to_string(it.use.used.cpu) + "\n";
+		}
 		for (const CounterRow &counter : COUNTERS) {
 			text += std::string("glade_") + counter.name + label + std::to_string(shard->Counters().*counter.member) +
 					"\n";
