Boxes also for late jobs only after those that can be on time; the soak's callers carry keys

Cause: a flooded queue's late jobs (worth a fourteenth) drew boxes like those on time. Change: a pool tells what can't be on time any more apart, late or too late. Test: tests/test_late_work.cpp.

Soak: "grid" takes calls with a key alone, each configuration brings one and takes one away, the account's maximum falls and rises; good keys refused, bad keys taken are judged.

--- a/src/jobs/shard_base.h
+++ b/src/jobs/shard_base.h
@@ -231,7 +231,7 @@
 
 	[[nodiscard]] std::vector<RankedJob> JobsInOrder();
 	void MarkBeyondShares(std::vector<RankedJob> &jobs, const PlaceRound &round) const;
-	/** @return Thousandths of a core that jobs that nobody gains by any more take on a box. */
+	/** @return Thousandths of a core that jobs that can't be on time any more take on a box. */
 	[[nodiscard]] int64_t LateCpuOn(const ShardBox &box, Millis wall_now);
 	[[nodiscard]] static JobRank RankOf(const ShardJob &job, Millis wall_now);
 	[[nodiscard]] double RunTimeOf(const ShardJob &job, const StepSpec &step) const;
--- a/src/jobs/shard_drain.cpp
+++ b/src/jobs/shard_drain.cpp
@@ -144,7 +144,7 @@
 	int64_t cpu = 0;
 	for (const TaskId &it : box.placed) {
 		const ShardJob &job = this->jobs.at(it.job);
-		const bool late = RankOf(job, wall_now).hope == JobHope::JH_TOO_LATE;
+		const bool late = RankOf(job, wall_now).hope >= JobHope::JH_LATE;
 		cpu += late ? job.spec.steps[it.step].demand.cpu : 0;
 	}
 	return cpu;
@@ -160,9 +160,9 @@
 	bool any_late = false;
 	for (ShardJob *job : this->live | std::views::values) {
 		this->RefreshOutlook(*job, now);
-		const bool too_late = RankOf(*job, wall_now).hope == JobHope::JH_TOO_LATE;
-		any_late = any_late || too_late;
-		(too_late ? late : ready)[job->spec.account] += job->outlook.ready;
+		const bool is_late = RankOf(*job, wall_now).hope >= JobHope::JH_LATE;
+		any_late = any_late || is_late;
+		(is_late ? late : ready)[job->spec.account] += job->outlook.ready;
 	}
 	const auto cpu_of = [this](const std::map<AccountName, Resources> &all) {
 		int64_t cpu = 0;
--- a/src/jobs/shard_type.h
+++ b/src/jobs/shard_type.h
@@ -249,7 +249,7 @@
 	int64_t used_cpu = 0; ///< Thousandths of a core taken.
 	int64_t cpu = 0;      ///< Thousandths of a core that it has.
 	bool placing = false; ///< Whether tasks may be placed there.
-	int64_t late_cpu = 0; ///< The part of `used_cpu` that is taken by jobs that nobody gains by any more.
+	int64_t late_cpu = 0; ///< The part of `used_cpu` that is taken by jobs that can't be on time any more.
 };
 
 /** How a pool stands. */
@@ -257,7 +257,7 @@
 	std::vector<PoolBox> boxes; ///< Its boxes.
 	/** Thousandths of a core that waiting tasks ask for, whose turn has come and for which their accounts have room. */
 	int64_t waiting_cpu = 0;
-	int64_t late_cpu = 0; ///< The same of jobs that nobody gains by any more; not in `waiting_cpu`.
+	int64_t late_cpu = 0; ///< The same of jobs that can't be on time any more; not in `waiting_cpu`.
 	ShareReport shares;   ///< What accounts hold and want of their maxima.
 };
 
--- a/src/upkeep/pool_desk.cpp
+++ b/src/upkeep/pool_desk.cpp
@@ -104,7 +104,7 @@
 
 bool PoolDesk::MayGive(const Balance &other, const Balance &needy, const PoolBox &box)
 {
-	/* What nobody gains by any more is done where there is room: it keeps no box from jobs that can be on time, and
+	/* What can't be on time any more is done where there is room: it keeps no box from jobs that can be on time, and
 	 * gets none that another pool has use for. */
 	const bool on_time = needy.have < needy.want;
 	return other.have - box.cpu >= other.want + (on_time ? 0 : other.late);
--- a/src/upkeep/pool_desk.h
+++ b/src/upkeep/pool_desk.h
@@ -62,9 +62,10 @@
 		ServiceName pool;                   ///< The pool.
 		int64_t have = 0;                   ///< Thousandths of a core that it has or will have before long.
 		int64_t want = 0;                   ///< Thousandths of a core that it should have.
-		int64_t late = 0;                   ///< The same on top, for jobs that nobody gains by any more.
+		int64_t late = 0;                   ///< The same on top, for jobs that can't be on time any more.
 		std::vector<const PoolBox *> empty; ///< Boxes that run nothing.
-		/** Boxes that run only what nobody gains by any more: they are emptied for a pool whose jobs can be on time. */
+		/** Boxes that run only what can't be on time any more: they are emptied for a pool whose jobs can be on time.
+		 */
 		std::vector<const PoolBox *> loose;
 	};
 
--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -3,6 +3,8 @@
 
 #include <QJsonArray>
 
+#include <algorithm>
+
 namespace {
 
 constexpr Millis PATIENCE(3000);       ///< Callers wait so long for an answer.
@@ -114,10 +116,18 @@
 	spec.request.target = path;
 	spec.request.headers.Add("Host", "soak");
 	spec.request.headers.Add("X-Deadline-Ms", std::to_string(PATIENCE.Value()));
+	spec.request.headers.Add("Authorization", "Token " + this->keys.back());
 	spec.request.body = body;
 	const Millis sent = this->scheduler.Now();
 	const bool stopping = node.OnlyStopping();
-	this->caller.Call(spec, [this, then, sent, stopping, &node, method, path](const HttpReply &reply) {
+	this->caller.Call(spec, [this, then, sent, stopping, &node, method, path,
+							 key = this->keys.back()](const HttpReply &reply) {
+		constexpr int NO_KEY = 401;
+		if (reply.result == CallResult::CR_ANSWERED && reply.status == NO_KEY &&
+			std::ranges::find(this->keys, key) != this->keys.end()) {
+			this->broken.push_back(std::string("a good key was refused by ") + node.Address() + ": " + method + " " +
+								   path);
+		}
 		const bool cut = reply.result == CallResult::CR_UNKNOWN && this->scheduler.Now() - sent < PATIENCE;
 		/* Over a connection that stood, or a new one: read whole, or not at all; but not cut while it is served. */
 		if (cut && stopping && node.OnlyStopping() && this->store_harm == 0) {
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -8,26 +8,29 @@
 
 namespace {
 
-constexpr uint32_t PARTITIONS = 12;   ///< Of a topic.
-constexpr Millis REPORT_EVERY(500);   ///< Boxes report so often.
-constexpr Millis ROOM_EVERY(700);     ///< A box's room changes so often.
-constexpr Millis CRASHES_EVERY(1900); ///< Boxes crash so often,
-constexpr uint32_t CRASHES_MOST = 3;  ///< so many at a time at most;
-constexpr int64_t BACK_LEAST = 50;    ///< ms until one is back at least,
-constexpr uint32_t BACK_SOON = 300;   ///< and at most so much more for half of them,
-constexpr uint32_t BACK_MOST = 4400;  ///< or for the others.
-constexpr uint32_t OTHER_ID_OF = 4;   ///< One of so many comes back under another id.
-constexpr Millis BACK_AFTER(1200);    ///< A box that a task has crashed is back after this.
-constexpr Millis WARM_UP(3000);       ///< Nodes start and claim.
-constexpr Millis FAULT_MIN(300);      ///< Shortest fault.
-constexpr Millis FAULT_MAX(4500);     ///< Longest fault.
-constexpr Millis LOOK_EVERY(500);     ///< Between two rounds of questions at the end.
-constexpr Millis SETTLE_MAX(45000);   ///< All jobs are where they belong by then: two leases and two owners' terms.
-constexpr Millis CONFIG_WITHIN(3000); ///< A configuration is in force by then.
-constexpr Millis STOP_WITHIN(7000);   ///< A planned stop has ended by then.
-constexpr const char *STRONG = "0.5"; ///< Cores of the first three nodes.
-constexpr const char *WEAK = "0.2";   ///< Cores of the others.
-constexpr int STRONG_NODES = 3;       ///< See STRONG.
+constexpr uint32_t PARTITIONS = 12;      ///< Of a topic.
+constexpr Millis REPORT_EVERY(500);      ///< Boxes report so often.
+constexpr Millis ROOM_EVERY(700);        ///< A box's room changes so often.
+constexpr Millis CRASHES_EVERY(1900);    ///< Boxes crash so often,
+constexpr uint32_t CRASHES_MOST = 3;     ///< so many at a time at most;
+constexpr int64_t BACK_LEAST = 50;       ///< ms until one is back at least,
+constexpr uint32_t BACK_SOON = 300;      ///< and at most so much more for half of them,
+constexpr uint32_t BACK_MOST = 4400;     ///< or for the others.
+constexpr uint32_t OTHER_ID_OF = 4;      ///< One of so many comes back under another id.
+constexpr Millis BACK_AFTER(1200);       ///< A box that a task has crashed is back after this.
+constexpr Millis WARM_UP(3000);          ///< Nodes start and claim.
+constexpr Millis FAULT_MIN(300);         ///< Shortest fault.
+constexpr Millis FAULT_MAX(4500);        ///< Longest fault.
+constexpr Millis LOOK_EVERY(500);        ///< Between two rounds of questions at the end.
+constexpr Millis SETTLE_MAX(45000);      ///< All jobs are where they belong by then: two leases and two owners' terms.
+constexpr size_t KEYS_AT_ONCE = 2;       ///< Keys that callers may use at a time.
+constexpr int64_t MAXIMUM_HIGH = 200000; ///< Thousandths of a core that the account may have: more than all boxes,
+constexpr int64_t MAXIMUM_LOW = 100000;  ///< and less of it, but enough.
+constexpr Millis CONFIG_WITHIN(3000);    ///< A configuration is in force by then.
+constexpr Millis STOP_WITHIN(7000);      ///< A planned stop has ended by then.
+constexpr const char *STRONG = "0.5";    ///< Cores of the first three nodes.
+constexpr const char *WEAK = "0.2";      ///< Cores of the others.
+constexpr int STRONG_NODES = 3;          ///< See STRONG.
 
 const Resources WHOLE_ROOM{8000, 8000, 0};  ///< Room of a box.
 const Resources LITTLE_ROOM{2000, 8000, 0}; ///< The same after it has shrunk.
@@ -144,6 +147,7 @@
 								  {"host", "soak"},
 								  {"path-prefix", "/" + QString(name) + "/"},
 								  {"service", std::string(name) == "extra" ? "calc" : name},
+								  {"auth-exempt", std::string(name) != "grid"},
 								  {"priority", 0},
 								  {"max-attempts", 3},
 								  {"stretch", 1.6},
@@ -154,7 +158,23 @@
 		services.append(QJsonObject{{"name", name}, {"admission-check", true}});
 	}
 	this->version += 1 + this->Pick(3);
-	const QJsonObject json{{"version", static_cast<qint64>(this->version)}, {"routes", routes}, {"services", services}};
+	/* Each configuration brings a key and takes the oldest one away; what the account may have falls and rises. */
+	this->keys.push_back("key-" + std::to_string(this->version));
+	if (this->keys.size() > KEYS_AT_ONCE) {
+		this->lost_key = this->keys.front();
+		this->keys.pop_front();
+	}
+	QJsonArray keys;
+	std::ranges::for_each(this->keys, [&keys](const std::string &it) { keys.append(QString::fromStdString(it)); });
+	const int64_t cores = this->keys.back().back() % 2 == 0 ? MAXIMUM_LOW : MAXIMUM_HIGH;
+	const QJsonArray accounts{QJsonObject{{"name", "soak"},
+										  {"api-keys", keys},
+										  {"weight", 10},
+										  {"maximum", QJsonObject{{"cpu", static_cast<qint64>(cores)}}}}};
+	const QJsonObject json{{"version", static_cast<qint64>(this->version)},
+						   {"routes", routes},
+						   {"services", services},
+						   {"tenants", accounts}};
 	this->store.store.Append(PartitionId{"keyed.op", 0}, {KeyedRecord{"config", BodyOf(json)}}, AppendCondition{});
 }
 
@@ -288,10 +308,38 @@
 				}
 			});
 		}
+		this->CheckKeys();
 		this->scheduler.After(CONFIG_WITHIN, [this] { this->StopAll(); });
 	});
 }
 
+void SoakWorld::TryKey(SoakNode &node, const std::string &key)
+{
+	HttpCallSpec spec{node.Address(), {}, CONFIG_WITHIN};
+	spec.request.method = "GET";
+	spec.request.target = "/grid/";
+	spec.request.headers.Add("Host", "soak");
+	spec.request.headers.Add("Authorization", "Token " + key);
+	this->caller.Call(spec, [this, key, at = node.Address()](const HttpReply &reply) {
+		constexpr int NO_KEY = 401;
+		const bool good = std::ranges::find(this->keys, key) != this->keys.end();
+		if (reply.result == CallResult::CR_ANSWERED && (reply.status == NO_KEY) == good) {
+			this->broken.push_back(at + (good ? " refuses a good key" : " takes a bad key") + ": status " +
+								   std::to_string(reply.status));
+		}
+	});
+}
+
+void SoakWorld::CheckKeys()
+{
+	for (const auto &node : this->nodes) {
+		this->TryKey(*node, this->keys.front());
+		this->TryKey(*node, this->keys.back());
+		this->TryKey(*node, this->lost_key.empty() ? "never-a-key" : this->lost_key);
+		this->TryKey(*node, "never-a-key");
+	}
+}
+
 void SoakWorld::StopAll()
 {
 	for (const auto &node : this->nodes) {
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -73,6 +73,8 @@
 	Millis begun;                                     ///< When traffic began.
 	Millis healed_at;                                 ///< When the last fault ended.
 	uint64_t version = 0;                             ///< Of the configuration.
+	std::deque<std::string> keys;                     ///< Keys that callers of "grid" may use, the newest last.
+	std::string lost_key;                             ///< The one that was taken away last.
 	uint64_t wave = 0;                                ///< Last wave ordered.
 	uint32_t faults = 0;                              ///< Faults begun.
 	uint32_t store_harm = 0;                          ///< Faults of the store in force.
@@ -94,6 +96,8 @@
 	[[nodiscard]] bool Right(const SoakJob &job) const;
 	bool AllSettled();
 	void CheckRemovedRoute();
+	void CheckKeys();
+	void TryKey(SoakNode &node, const std::string &key);
 	void StopAll();
 	void Check();
 
--- a/tests/test_late_work.cpp
+++ b/tests/test_late_work.cpp
@@ -1,11 +1,11 @@
-/** @file test_late_work.cpp Boxes while one queue works off what nobody gains by any more. */
+/** @file test_late_work.cpp Boxes while one queue works off what can't be on time any more. */
 #include "upkeep/pool_desk.h"
 
 #include <doctest/doctest.h>
 
 /* Guards against a queue whose backlog is too late holding all boxes while the next queue's turn has come: each second
  * from the eighth after a flood on earned 0.16 to 0.33 of its worth. */
-TEST_CASE("late work: boxes go to jobs that can be on time before those that nobody gains by any more")
+TEST_CASE("late work: boxes go to jobs that can be on time before those that can't")
 {
 	FleetView view;
 	constexpr int64_t CPU = 16000;
