--- a/src/account/share_ledger.cpp
+++ b/src/account/share_ledger.cpp
@@ -88,7 +88,8 @@
 bool ShareLedger::Share(Rows &rows)
 {
 	const uint64_t held = HeldOf(rows);
-	const bool short_of = std::ranges::any_of(rows | std::views::values, [](const Row &it) { return it.want > it.held; });
+	const bool short_of =
+			std::ranges::any_of(rows | std::views::values, [](const Row &it) { return it.want > it.held; });
 	if (!short_of && held <= LENDABLE) {
 		std::ranges::for_each(rows | std::views::values, [](Row &it) { it.decided = it.held; });
 		return false;
--- a/tests/owner/main.cpp
+++ b/tests/owner/main.cpp
@@ -176,7 +176,8 @@
 			JobSpec job = this->MakeJob();
 			std::ranges::for_each(job.steps, [this](const StepSpec &it) { this->tasks_due -= it.count; });
 			const JobId id = job.id;
-			this->shard.Accept(IncomingRecord{KeyedRecord{'j' + id.Value(), EncodeSubmission(job)}, job, InboxName{id},
+			this->shard.Accept(IncomingRecord{KeyedRecord{'j' + id.Value(), EncodeSubmission(job)}, job,
+											  InboxName{id, AccountName(), false},
 											  [](ResultCode) { /* Nobody waits. */ }});
 		}
 		this->scheduler.After(ARRIVALS, [this] { this->HandIn(); });
--- a/tests/test_accounts.cpp
+++ b/tests/test_accounts.cpp
@@ -193,9 +193,9 @@
 {
 	VirtualScheduler clock{Millis(0)};
 	int asked = 0;
-	const auto accounts = Accounts({{"oyo", KEY_A}});
+	auto accounts = Accounts({{"oyo", KEY_A}});
 	KeyCheck keys(
-			clock, [&] { return accounts; },
+			clock, [&accounts] { return std::shared_ptr<const AccountList>(accounts); },
 			[&](std::function<void(bool)> done) {
 				asked++;
 				clock.After(Millis(5), [done = std::move(done)] { done(true); });
@@ -220,7 +220,7 @@
 	VirtualScheduler clock{Millis(0)};
 	auto accounts = Accounts({{"oyo", KEY_A}});
 	KeyCheck keys(
-			clock, [&] { return accounts; }, [&](std::function<void(bool)> done) { done(true); });
+			clock, [&] { return accounts; }, [&](const std::function<void(bool)> &done) { done(true); });
 	KeyVerdict verdict = KeyVerdict::KV_KNOWN;
 	keys.Ask(HashOfKey(KEY_B), [&](KeyVerdict it) { verdict = it; });
 	CHECK(verdict == KeyVerdict::KV_UNKNOWN);
@@ -243,8 +243,8 @@
 	const auto after = DecodeSubmission(spec.id, EncodeSubmission(spec));
 	REQUIRE(after);
 	CHECK(*after == spec);
-	for (const InboxName &it : {InboxName{spec.id}, InboxName{spec.id, spec.account}, InboxName{spec.id, {}, true},
-								InboxName{spec.id, AccountName("a/b x"), true}}) {
+	for (const InboxName &it : {InboxName{spec.id, {}, false}, InboxName{spec.id, spec.account, false},
+								InboxName{spec.id, {}, true}, InboxName{spec.id, AccountName("a/b x"), true}}) {
 		CHECK(InboxNameOf(KeyOf(it)) == it);
 	}
 }
--- a/tests/test_fair_shares.cpp
+++ b/tests/test_fair_shares.cpp
@@ -100,7 +100,7 @@
 
 TEST_CASE("fair shares: by weights, and nobody gets more than is wanted")
 {
-	const auto split = [](std::vector<WeightedWant> wants, double whole) { return WeightedSplit(wants, whole); };
+	const auto split = [](const std::vector<WeightedWant> &wants, double whole) { return WeightedSplit(wants, whole); };
 	CHECK(split({{30, 1}, {30, 1}}, 100) == std::vector<double>{30, 30});
 	CHECK(split({{100, 3}, {100, 1}}, 100) == std::vector<double>{75, 25});
 	CHECK(split({{10, 3}, {100, 1}, {100, 1}}, 100) == std::vector<double>{10, 45, 45});
--- a/tests/test_shares.cpp
+++ b/tests/test_shares.cpp
@@ -172,7 +172,7 @@
 			const Resources all = TASK.Times(this->Running(account.name));
 			this->breaches += all.cpu > account.maximum.cpu || all.memory > account.maximum.memory ? 1 : 0;
 			const Millis time = RUN_TIME + Millis(static_cast<int64_t>(this->random() % 500U));
-			this->clock.After(time, [this, it = &service, name = account.name] {
+			this->clock.After(time, [it = &service, name = account.name] {
 				it->running[name]--;
 				it->book.Remove(name, TASK);
 			});
