--- a/tests/test_job_matrix.cpp
+++ b/tests/test_job_matrix.cpp
@@ -244,7 +244,7 @@
 	world.clock.RunUntil(Millis(3000));
 	WorldNode *owner = world.OwnerOf(ServiceName("calc"));
 	REQUIRE(owner != nullptr);
-	const JobQuestion count{ServiceName("calc"), RouteName("r-calc"), JobId()};
+	const JobQuestion count{ServiceName("calc"), RouteName("r-calc"), JobId(), AccountName()};
 	CHECK(owner->desk.AnswerHere(count).code == ResultCode::RC_OK);
 	/* Silent for all: nobody else can take the shard over, and it stays the owner. */
 	EachNode(world, [](WorldNode &it) { it.log.faults.silent = true; });
