Soak: log lines for crashes and restarts of boxes, and for ends forgotten by another incarnation's number

A start after a noted end left nothing in the soak's output that told which order made the box forget the end: only the nodes' logs, which don't know it. The stand-in of the boxes now takes a log, null by default; the soak writes box_crashed, box_restarted and end_forgotten (an end that a lease order forgets whose number is above all ends of the incarnation) in the format of the nodes' logs.

--- a/src/standin/memory/box_site.cpp
+++ b/src/standin/memory/box_site.cpp
@@ -44,6 +44,7 @@
 	box = Box{};
 	box.report = report;
 	box.clock_zero = this->clock.Now();
+	this->LogBox("box_restarted", box);
 	return report;
 }
 
@@ -79,6 +80,7 @@
 		return;
 	}
 	this->crashes++;
+	this->LogBox("box_crashed", box);
 	this->LoseRuns(box);
 	this->clock.After(this->restart_delay, [this, name, incarnation = box.report.incarnation] {
 		if (this->boxes.at(name).report.incarnation == incarnation) {
@@ -352,6 +354,31 @@
 	return this->MakeAnswer(box, OrderOutcome::OO_DONE);
 }
 
+void BoxSite::LogBox(const char *event, const Box &box)
+{
+	if (this->log != nullptr) {
+		this->log->Write(event, {{"box", box.report.box.Value()},
+								 {"incarnation", IncarnationText(box.report.incarnation)},
+								 {"last_end", std::to_string(box.last_end)}});
+	}
+}
+
+void BoxSite::LogForgotten(const Box &box, const LeaseOrder &order, const EndedRow &end)
+{
+	if (this->log == nullptr || order.ends_noted <= box.last_end) {
+		return;
+	}
+	this->log->Write("end_forgotten", {{"job", end.task.job.Value()},
+									   {"step", std::to_string(end.task.step)},
+									   {"index", std::to_string(end.task.index)},
+									   {"run", std::to_string(end.run.Value())},
+									   {"ending", NameOf(end.ending)},
+									   {"incarnation", IncarnationText(box.report.incarnation)},
+									   {"number", std::to_string(end.number)},
+									   {"ends_noted", std::to_string(order.ends_noted)},
+									   {"fence", std::to_string(order.fence.Value())}});
+}
+
 LeaseAnswer BoxSite::Lease(const BoxReport &report, const LeaseOrder &order)
 {
 	LeaseAnswer answer;
@@ -369,6 +396,7 @@
 		if (it.number > order.ends_noted) {
 			return false;
 		}
+		this->LogForgotten(*box, order, it);
 		if (it.ending == RunEnding::RE_DONE) {
 			this->done_acknowledged.insert(it.task);
 		} else if (it.ending == RunEnding::RE_FAILED) {
--- a/src/standin/memory/box_site.h
+++ b/src/standin/memory/box_site.h
@@ -3,6 +3,7 @@
 #ifndef BOX_SITE_H
 #define BOX_SITE_H
 
+#include "../../event_log.h"
 #include "../../jobs/job_type.h"
 #include "../../scheduler_type.h"
 
@@ -94,6 +95,7 @@
 	bool keep_box_id = true;     ///< Whether boxes keep their ids over a restart.
 	Millis wall_clock_lag;       ///< Lag of the wall clock of restarted boxes.
 	bool checks_capacity = true; ///< Whether boxes refuse starts beyond their capacity.
+	EventLog *log = nullptr;     ///< Receives crashes, restarts and wrongly forgotten ends; null for none.
 
 private:
 	/** A run. */
@@ -147,6 +149,11 @@
 	void End(const BoxName &name, const TaskId &task, RunEnding ending);
 	void ExpireLease(const BoxName &name);
 	void ExtendLease(Box &box, Millis until);
+	/** Logs an end that is forgotten by a number above all ends of this incarnation, so by one of another incarnation.
+	 */
+	void LogForgotten(const Box &box, const LeaseOrder &order, const EndedRow &end);
+	/** Logs a crash or a restart of a box. */
+	void LogBox(const char *event, const Box &box);
 	void AddViolation(const std::string &rule, const TaskId &task);
 };
 
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -1,6 +1,7 @@
 /** @file main.cpp glade_soak: a randomized fault-injection test of node processes on loopback. */
 #include "soak_world.h"
 
+#include "program/logging.h"
 #include "program/program.h"
 
 #include <QCoreApplication>
@@ -52,6 +53,7 @@
 	options.first_port = static_cast<quint16>(args["--port"].asLong());
 	options.calm = args["--calm"].asBool();
 	std::filesystem::create_directories(options.folder);
+	SetUpLogging("glade_soak", "info");
 	SoakWorld world(options);
 	if (!world.Start([] { QCoreApplication::exit(0); })) {
 		std::cerr << "the servers of the soak test can't listen\n";
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -60,6 +60,7 @@
 	if (!this->store.Start() || !this->boxes.Start()) {
 		return false;
 	}
+	this->boxes.site.log = &this->log;
 	this->boxes.site.checks_capacity = false;
 	this->boxes.site.restart_delay = CRASH_RESTART_DELAY;
 	this->boxes.on_restart = [this] { this->PublishReports(); };
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -3,10 +3,13 @@
 #define SOAK_WORLD_H
 
 #include "net/http_caller.h"
+#include "program/bounded_log.h"
 #include "soak_boxes.h"
 #include "soak_node.h"
 #include "soak_store.h"
 
+inline constexpr uint32_t LOG_LINES_PER_SECOND = 100; ///< Log lines of one kind per second.
+
 /** Options of a soak test. */
 struct SoakOptions {
 	std::string program;     ///< Path of glade_node.
@@ -56,8 +59,9 @@
 		std::function<std::function<void()>()> begin; ///< Begins the fault; returns what ends it, or null.
 	};
 
-	SoakOptions options;                                 ///< Options.
-	QtScheduler scheduler;                               ///< Event loop.
+	SoakOptions options;                                       ///< Options.
+	QtScheduler scheduler;                                     ///< Event loop.
+	RateLimitedLog log{this->scheduler, LOG_LINES_PER_SECOND}; ///< Log lines of the boxes.
 	std::mt19937 random;                                 ///< Makes the random choices that no other generator makes.
 	std::minstd_rand capacity_random;                    ///< Chooses boxes whose capacity changes.
 	std::minstd_rand crash_random;                       ///< Chooses crashes of boxes.
