Stand-ins in memory: orders that a test delays or loses, lease orders that acknowledge on arrival, log lines of nodes

BoxSite::choose_transit decides for each outgoing order when it arrives, whether it is lost and whether it is answered; BoxSite::acknowledges_on_arrival is the other reading of last-seen (forgotten at arrival only, not at each check of a waiting order). No check of BoxSite is changed; without the new members everything is as before.

--- a/src/standin/memory/box_site.cpp
+++ b/src/standin/memory/box_site.cpp
@@ -395,7 +395,32 @@
 	return !blocked && !this->site.Down(box.box) && !this->unreachable_boxes.contains(box.box);
 }
 
-void SiteOrders::Send(const BoxReport &box, std::function<OrderAnswer()> work, Done done)
+std::optional<OrderTransit> SiteOrders::TransitOf(const OutgoingOrder &order) const
+{
+	return this->site.choose_transit ? this->site.choose_transit(order) : std::nullopt;
+}
+
+void SiteOrders::SendInTransit(const BoxName &box, const OrderTransit &transit, std::function<OrderAnswer()> work,
+							   Done done)
+{
+	const bool answered = transit.answered && !transit.lost && transit.delay < ORDER_TIMEOUT;
+	if (!answered) {
+		this->scheduler.After(ORDER_TIMEOUT, [done] { done(OrderAnswer{}); });
+	}
+	if (transit.lost) {
+		return;
+	}
+	this->clock.After(transit.delay, [this, box, transit, answered, work = std::move(work), done] {
+		const bool arrives = !this->site.Down(box);
+		const OrderAnswer answer = arrives ? work() : OrderAnswer{};
+		if (answered) {
+			this->scheduler.After(arrives ? ONE_WAY_LATENCY : ORDER_TIMEOUT - transit.delay,
+								  [done, answer] { done(answer); });
+		}
+	});
+}
+
+void SiteOrders::Send(const BoxReport &box, const OutgoingOrder &order, std::function<OrderAnswer()> work, Done done)
 {
 	const BoxFaults faults = this->site.faults[box.box];
 	const auto unknown = [done] { done(OrderAnswer{}); };
@@ -404,6 +429,10 @@
 		this->scheduler.After(ORDER_TIMEOUT, [done] { done(OrderAnswer{}); });
 		return;
 	}
+	if (const auto transit = this->TransitOf(order)) {
+		this->SendInTransit(box.box, *transit, std::move(work), std::move(done));
+		return;
+	}
 	if (faults.lose_every > 0 && this->orders % faults.lose_every == 0) {
 		this->clock.After(faults.late ? LATE_DELAY : ONE_WAY_LATENCY, [work = std::move(work)] { work(); });
 		this->scheduler.After(ORDER_TIMEOUT, unknown);
@@ -418,20 +447,22 @@
 void SiteOrders::Start(const BoxReport &box, const StartOrder &order, Done done)
 {
 	this->Send(
-			box, [&site = this->site, box, order] { return site.Start(box, order); }, std::move(done));
+			box, OutgoingOrder{OrderKind::OK_START, box.box, order.fence, order.task},
+			[&site = this->site, box, order] { return site.Start(box, order); }, std::move(done));
 }
 
 void SiteOrders::Stop(const BoxReport &box, const TaskId &task, RunNumber run, FenceToken fence, Done done)
 {
 	this->Send(
-			box, [&site = this->site, box, task, run, fence] { return site.Stop(box, task, run, fence); },
-			std::move(done));
+			box, OutgoingOrder{OrderKind::OK_STOP, box.box, fence, task},
+			[&site = this->site, box, task, run, fence] { return site.Stop(box, task, run, fence); }, std::move(done));
 }
 
-void SiteOrders::Pace(const BoxReport &box, const TaskId &, RunNumber, int64_t, FenceToken fence, Done done)
+void SiteOrders::Pace(const BoxReport &box, const TaskId &task, RunNumber, int64_t, FenceToken fence, Done done)
 {
 	this->Send(
-			box, [&site = this->site, box, fence] { return site.Pace(box, fence); }, std::move(done));
+			box, OutgoingOrder{OrderKind::OK_PACE, box.box, fence, task},
+			[&site = this->site, box, fence] { return site.Pace(box, fence); }, std::move(done));
 }
 
 void SiteOrders::Poll(const BoxReport &box, const LeaseOrder &order, Millis until,
@@ -451,6 +482,7 @@
 	} else if (nothing) {
 		LeaseOrder later = order;
 		later.lease_until.reset();
+		later.ends_noted = this->site.acknowledges_on_arrival ? 0 : order.ends_noted;
 		this->clock.After(POLL_INTERVAL, [this, box, later, until, called_incarnation, done] {
 			this->Poll(box, later, until, called_incarnation, done);
 		});
@@ -459,12 +491,39 @@
 	}
 }
 
+void SiteOrders::LeaseInTransit(const BoxReport &box, const LeaseOrder &order, const OrderTransit &transit,
+								const std::function<void(LeaseAnswer)> &done)
+{
+	const bool answered = transit.answered && !transit.lost && transit.delay < ORDER_TIMEOUT;
+	const auto unknown = [done] { done(LeaseAnswer{}); };
+	if (!answered) {
+		this->scheduler.After(order.wait + ORDER_TIMEOUT, unknown);
+	}
+	if (transit.lost) {
+		return;
+	}
+	this->clock.After(transit.delay, [this, box, order, answered, done, unknown] {
+		if (!this->site.Down(box.box)) {
+			this->Poll(
+					box, order, this->clock.Now() + order.wait, this->site.IncarnationOf(box.box),
+					answered ? done : [](const LeaseAnswer &) {});
+		} else if (answered) {
+			this->scheduler.After(ORDER_TIMEOUT, unknown);
+		}
+	});
+}
+
 void SiteOrders::Lease(const BoxReport &box, const LeaseOrder &order, std::function<void(LeaseAnswer)> done)
 {
 	if (!this->CanReach(box)) {
 		this->scheduler.After(order.wait + ORDER_TIMEOUT, [done] { done(LeaseAnswer{}); });
 		return;
 	}
+	if (const auto transit =
+				this->TransitOf(OutgoingOrder{OrderKind::OK_LEASE, box.box, order.fence, {}, order.ends_noted})) {
+		this->LeaseInTransit(box, order, *transit, done);
+		return;
+	}
 	const uint32_t sent = ++this->lease_orders[box.box];
 	const uint32_t lose_every_nth = this->site.faults[box.box].lose_lease_every;
 	if (lose_every_nth > 0 && sent % lose_every_nth == 0) {
--- a/src/standin/memory/box_site.h
+++ b/src/standin/memory/box_site.h
@@ -33,6 +33,30 @@
 	uint32_t lose_lease_every = 0;      ///< Every n-th lease order of a node is executed without an answer; 0 for none.
 };
 
+/** Kind of an order to a box. */
+enum class OrderKind : uint8_t {
+	OK_START = 0, ///< Starts a run.
+	OK_STOP = 1,  ///< Stops a run.
+	OK_PACE = 2,  ///< Changes the pace of a run.
+	OK_LEASE = 3, ///< Renews leases, acknowledges ends and lists runs.
+};
+
+/** An order as a node sends it. */
+struct OutgoingOrder {
+	OrderKind kind;          ///< Kind of the order.
+	BoxName box;             ///< Box that it is sent to.
+	FenceToken fence;        ///< Token of the order.
+	TaskId task;             ///< Task of a start, stop or pace.
+	uint64_t ends_noted = 0; ///< Number of ends that a lease order acknowledges.
+};
+
+/** What happens to an order in transit. */
+struct OrderTransit {
+	Millis delay = Millis(1); ///< Time until it arrives. It is lost if its box is down then.
+	bool lost = false;        ///< Whether it never arrives.
+	bool answered = true;     ///< Whether the node gets the answer.
+};
+
 /** All boxes with their agents, the processes that execute orders. Describes each violation of the rules in
  * `violations`. */
 class BoxSite {
@@ -83,6 +107,12 @@
 	LeaseAnswer Lease(const BoxReport &box, const LeaseOrder &order);
 
 	std::map<BoxName, BoxFaults> faults; ///< Faults by box.
+	/** Called for each order that a node sends to a box that can be reached. Decides its transit; without a value, the
+	 * faults of the box do. */
+	std::function<std::optional<OrderTransit>(const OutgoingOrder &)> choose_transit;
+	/** Whether a lease order acknowledges ends only when it arrives, rather than also while it waits for ends. The
+	 * platform allows both. */
+	bool acknowledges_on_arrival = false;
 	std::vector<std::string> violations; ///< Descriptions of broken rules.
 	Millis lease_max = Millis(10000);    ///< Longest lease granted.
 	Millis stop_delay;                   ///< Time from a stop order to the end of the run; 0 ends it at once.
@@ -176,7 +206,14 @@
 	std::map<BoxName, uint32_t> lease_orders; ///< Number of lease orders sent to each box that could be reached.
 
 	[[nodiscard]] bool CanReach(const BoxReport &box) const;
-	void Send(const BoxReport &box, std::function<OrderAnswer()> work, Done done);
+	/** @return Transit of an order as decided by BoxSite::choose_transit, if it decides. @param order The order. */
+	[[nodiscard]] std::optional<OrderTransit> TransitOf(const OutgoingOrder &order) const;
+	void Send(const BoxReport &box, const OutgoingOrder &order, std::function<OrderAnswer()> work, Done done);
+	/** Sends a start, stop or pace with a decided transit. */
+	void SendInTransit(const BoxName &box, const OrderTransit &transit, std::function<OrderAnswer()> work, Done done);
+	/** Sends a lease order with a decided transit. */
+	void LeaseInTransit(const BoxReport &box, const LeaseOrder &order, const OrderTransit &transit,
+						const std::function<void(LeaseAnswer)> &done);
 	/** Answers a lease order once runs have ended or the order fails, at the latest at `until`. The answer is lost when
 	 * the box no longer has the incarnation `called_incarnation`, at which the order arrived. */
 	void Poll(const BoxReport &box, const LeaseOrder &order, Millis until, const BoxIncarnation &called_incarnation,
--- a/tests/job_world.h
+++ b/tests/job_world.h
@@ -25,6 +25,24 @@
 	std::string body; ///< The published configuration; empty here.
 };
 
+/** The event log of a node; discards lines unless the test sets `write`. */
+class WorldEventLog : public EventLog {
+public:
+	void Write(const char *event, std::initializer_list<EventField> fields) override
+	{
+		if (!this->write) {
+			return;
+		}
+		std::string line = event;
+		for (const EventField &it : fields) {
+			line += std::string(" ") + it.key + "=" + it.value;
+		}
+		this->write(line);
+	}
+
+	std::function<void(const std::string &)> write; ///< Receives lines; null to discard them.
+};
+
 /** A placement policy that allows only the first box of each service. Its tickets expire. */
 class WorldAdvisor : public PlacementAdvisor {
 public:
@@ -95,7 +113,7 @@
 	NodeScheduler scheduler; ///< The clock and timers of the node.
 	KeyedStoreClient log;    ///< The connection to the log.
 	SiteOrders orders;       ///< The connection to the boxes.
-	NullEventLog events;     ///< The event log; discards everything.
+	WorldEventLog events;    ///< The event log.
 	WorldFeed feed;          ///< The site feed.
 	GroupMember member;      ///< The membership in the group of nodes.
 	ShardHost host;          ///< The shards that the node owns.
