--- a/src/standin/memory/box_site.h
+++ b/src/standin/memory/box_site.h
@@ -111,7 +111,7 @@
 	 * faults of the box do. */
 	std::function<std::optional<OrderTransit>(const OutgoingOrder &)> choose_transit;
 	/** Whether a lease order acknowledges ends only when it arrives, rather than also while it waits for ends. The
-	 * platform allows both. */
+	 * platform's pages leave it open. */
 	bool acknowledges_on_arrival = false;
 	std::vector<std::string> violations; ///< Descriptions of broken rules.
 	Millis lease_max = Millis(10000);    ///< Longest lease granted.
