Ends are acknowledged to a box only when no start order for it can still be carried out

Cause: a box's agent may restart under its id, and an order to one incarnation may be carried out by the next, also seconds late. A lease order that acknowledges ends by the numbers of one incarnation makes the next one forget ends of its own, which nobody has seen; at adoption its lists are empty, the run is taken for one that never began (not_there) and is started again. The guard (may_have_restarted) was set by an order without an answer alone: a restart while no order was open set nothing.

Now: OrderFence (pure, tests/test_order_fence.cpp) counts the start orders for an id that may still be carried out, for 14 s at most; ends are acknowledged only when there is none, and a start order sent while an acknowledgement may still be carried out bears a higher token. An acknowledgement that reaches the next incarnation finds either no run or a higher token. A refusal of an own older token is no sign of another owner. An answer to a start whose clock doesn't show that the incarnation itself gave it (compared with what its clock must show by now) counts as one that the next may have given: the run is held if the box turns out to have restarted, and nothing is acknowledged before the next list. An owner that has used up its tokens (2^20 an id) gives up the shard.

--- a/src/jobs/job_type.h
+++ b/src/jobs/job_type.h
@@ -160,6 +160,8 @@
 	[[nodiscard]] bool HasLabel(const std::string &label) const;
 };
 
+inline constexpr double CLOCK_RATE_MIN = 0.98; ///< A box's clock may run 2% slow (platform documentation).
+
 /** An order to start a task. */
 struct StartOrder {
 	TaskId task;           ///< The task.
--- a/src/jobs/shard_base.h
+++ b/src/jobs/shard_base.h
@@ -5,6 +5,7 @@
 #include "../account/account_book.h"
 #include "../event_log.h"
 #include "../store/paired_journal.h"
+#include "order_fence.h"
 #include "shard_type.h"
 #include "ticket_cache.h"
 
@@ -146,8 +147,8 @@
 	BoxOrders &orders;                        ///< Sends orders to boxes.
 	EventLog &log;                            ///< Event log.
 	ServiceName service;                      ///< Name of the service.
-	FenceToken fence;                         ///< Token of this ownership: see NextFence().
-	uint64_t incarnations_seen = 0;           ///< Incarnations of boxes that this owner has learned of.
+	FenceToken fence;                         ///< Token of this ownership: see RaiseFence().
+	std::map<BoxId, OrderFence> fences;       ///< Tokens of orders, by the id that they are sent to.
 	ShardLimits limits;                       ///< Time limits.
 	Millis owned_since;                       ///< When this ownership started.
 	Millis earlier_leases_until;              ///< Until then an earlier owner may renew leases.
@@ -278,6 +279,8 @@
 	void Assign(ShardJob &job, const TaskId &id, ShardBox &box, RunNumber run);
 	void SendRecordedStarts();
 	void SendStart(const PendingStart &start);
+	StartOrder MakeStart(const PendingStart &start, const ShardTask &task, Millis until) const;
+	void OnStartAnswered(const PendingStart &start, const SentOrder &sent, const OrderAnswer &answer);
 	void OnStarted(const TaskId &id, RunNumber run, const BoxIncarnation &incarnation, const OrderAnswer &answer);
 	void OnStartUnknown(const TaskId &id, ShardTask &task);
 	void RepeatStart(const TaskId &id, ShardTask &task);
@@ -295,15 +298,27 @@
 	void WantPlannedStop(const TaskId &id, ShardTask &task, const char *reason);
 	void OnStopRecorded(const PendingStop &stop);
 	void SendStop(const TaskId &id);
-	[[nodiscard]] SentOrder SentOrderTo(const ShardBox &box) const;
+	/** @return Context of an order that is sent to the box now. @param box The box. @param token Token of the order. */
+	[[nodiscard]] SentOrder SentOrderTo(const ShardBox &box, FenceToken token) const;
 	/** Notes what the outcome of an order says about the box. @return Whether the caller is to process the answer: not
 	 * when the token was refused or the incarnation has ended. */
 	bool ProcessOutcome(const SentOrder &sent, const OrderAnswer &answer);
 	[[nodiscard]] static bool FromOtherIncarnation(const SentOrder &sent, const OrderAnswer &answer);
+	/** @return Whether the clock in an answer shows that the incarnation itself has answered. */
+	[[nodiscard]] static bool FromSameIncarnation(const SentOrder &sent, const OrderAnswer &answer);
 	void OnStopped(const TaskId &id, RunNumber run, const BoxIncarnation &incarnation, const OrderAnswer &answer);
 
 	/* shard_boxes.cpp */
 	void RenewLease(ShardBox &box);
+	/** @return Whether ends are recorded that were not acknowledged to the box. */
+	[[nodiscard]] static bool EndsToAcknowledge(const ShardBox &box)
+	{
+		return box.ends_durable > box.ends_acknowledged;
+	}
+	/** @return Whether ends may be acknowledged to the box now. */
+	[[nodiscard]] bool MayAcknowledge(const ShardBox &box);
+	void NoteMayHaveRestarted(ShardBox &box) const;
+	void ForgetBoxes(const std::vector<BoxIncarnation> &incarnations);
 	/** @return Whether no lease order needs to be sent to the box any more. */
 	[[nodiscard]] static bool Idle(const ShardBox &box);
 	void ScheduleRenewal(const BoxIncarnation &incarnation, Millis delay);
@@ -334,10 +349,13 @@
 	void NoteLongestLease(ShardBox &box) const;
 	void ExpireLeases();
 	void SetRenewalGap(size_t busy);
-	void OnSuperseded();
+	/** Ends this ownership. @param reason Reason, for the log. */
+	void OnSuperseded(const char *reason);
 
 	/* shard_incarnations.cpp */
-	FenceToken NextFence();
+	/** Raises the token of orders to an id, for a new incarnation. */
+	void RaiseFence(const BoxId &id);
+	[[nodiscard]] OrderFence &FenceOf(const ShardBox &box) { return this->fences.at(box.report.incarnation.id); }
 	/** @return Whether a later incarnation of the same id is known and has not ended. */
 	[[nodiscard]] bool Outdated(const BoxReport &report);
 	/** @return Known incarnations of an id, the oldest first. */
--- a/src/jobs/shard_boxes.cpp
+++ b/src/jobs/shard_boxes.cpp
@@ -6,9 +6,8 @@
 
 namespace {
 
-constexpr double CLOCK_RATE_MIN = 0.98; ///< A box's clock may run 2% slow (platform documentation on running tasks).
-constexpr Millis LEASE_END_SLACK(150);  ///< Added to the end of a lease: a box needs a moment to end its runs.
-constexpr Millis RETRY_AFTER(300);      ///< Delay before the next lease order to an unreachable box.
+constexpr Millis LEASE_END_SLACK(150); ///< Added to the end of a lease: a box needs a moment to end its runs.
+constexpr Millis RETRY_AFTER(300);     ///< Delay before the next lease order to an unreachable box.
 /** Consecutive orders without an answer that make a box unreachable. */
 constexpr uint32_t UNREACHABLE_AFTER_UNANSWERED = 2;
 /** Lease wait of a box whose answers get lost, so that the end of a run is noticed 0.6 s late instead of 1.4 s. */
@@ -33,6 +32,8 @@
 constexpr Millis IDLE_WAIT(2000);
 /** Delay of the next lease order while ends can't be recorded, since the box answers at once each time. */
 constexpr Millis UNRECORDED_GAP(700);
+/** Delay of the next lease order while ends can't be acknowledged, since the box answers at once each time. */
+constexpr Millis UNACKNOWLEDGED_GAP(200);
 /** A box that has not answered for the lease wait plus this gets no new lease. */
 constexpr Millis NO_LEASE_AFTER(1500);
 constexpr Millis FORGET_AFTER(10000);     ///< A box without report, tasks and answers is forgotten after this time.
@@ -60,7 +61,7 @@
 			added || was_leaving != report.leaving || box.report.capacity != report.capacity || !box.has_report;
 	box.report = report;
 	if (added) {
-		box.fence = this->NextFence();
+		this->RaiseFence(report.incarnation.id);
 		/* None of our tasks runs there, but an earlier owner may have placed some that aren't known yet. */
 		box.leases_expire_at = this->EarlierLeasesEnd();
 		box.answered_at = box.runs_listed_at = this->scheduler.Now();
@@ -164,7 +165,8 @@
 
 Millis Shard::RenewalDue(const ShardBox &box)
 {
-	const Millis due = box.lease_ordered_at + this->renewal_gap;
+	const bool waits = EndsToAcknowledge(box) && !this->MayAcknowledge(box);
+	const Millis due = waits ? box.runs_listed_at + UNACKNOWLEDGED_GAP : box.lease_ordered_at + this->renewal_gap;
 	if (!this->Overloaded()) {
 		return due;
 	}
@@ -211,7 +213,9 @@
 	if (answered ? box.unanswered > 0 : outcome == OrderOutcome::OO_UNKNOWN && box.answered_at >= sent) {
 		this->order_unanswered_at = now;
 	}
-	box.may_have_restarted = box.may_have_restarted || !answered;
+	if (!answered) {
+		this->NoteMayHaveRestarted(box);
+	}
 	if (outcome == OrderOutcome::OO_NOT_SENT) {
 		box.unreachable = true;
 	} else if (answered) {
@@ -228,6 +232,17 @@
 	}
 }
 
+void Shard::NoteMayHaveRestarted(ShardBox &box) const
+{
+	box.may_have_restarted = true;
+	box.may_have_restarted_at = this->scheduler.Now();
+}
+
+bool Shard::MayAcknowledge(const ShardBox &box)
+{
+	return !box.may_have_restarted && this->FenceOf(box).MayAcknowledge(this->scheduler.Now());
+}
+
 bool Shard::Idle(const ShardBox &box)
 {
 	/* An incarnation without report and tasks has moved away or ended. With 1,100 boxes, such ones were sent 34 lease
@@ -248,10 +263,10 @@
 		return;
 	}
 	LeaseOrder order;
-	order.fence = box.fence;
-	/* If the agent has restarted, its ends are numbered anew: by the numbers of the previous incarnation it would
-	 * forget ends that aren't recorded. */
-	order.ends_noted = box.may_have_restarted ? 0 : box.ends_durable;
+	const bool acknowledges = EndsToAcknowledge(box) && this->MayAcknowledge(box);
+	OrderFence &fence = this->FenceOf(box);
+	order.fence = acknowledges ? fence.ForAcknowledgement(now) : fence.ForOrder(now);
+	order.ends_noted = acknowledges ? box.ends_durable : 0;
 	order.lease_until = this->LeaseEnd(box);
 	order.wait = box.answer_wait = this->LeaseWait(box);
 	if (order.lease_until) {
@@ -262,7 +277,7 @@
 	box.lease_ordered_at = now;
 	this->counters.looks++;
 	this->orders.Lease(box.report, order,
-					   [this, sent = this->SentOrderTo(box), acknowledged = order.ends_noted,
+					   [this, sent = this->SentOrderTo(box, order.fence), acknowledged = order.ends_noted,
 						still = std::weak_ptr<bool>(this->alive)](const LeaseAnswer &answer) {
 						   if (!still.expired()) {
 							   this->OnLease(sent, acknowledged, answer);
@@ -287,7 +302,8 @@
 	}
 	const Millis now = this->scheduler.Now();
 	box.runs_listed_at = now;
-	box.may_have_restarted = false;
+	box.may_have_restarted = box.may_have_restarted && box.may_have_restarted_at > sent.at;
+	this->FenceOf(box).OnAcknowledged(sent.fence);
 	box.ends_acknowledged = std::max(box.ends_acknowledged, acknowledged);
 	if (answer.order.box_clock) {
 		box.clock = answer.order.box_clock;
@@ -331,6 +347,12 @@
 
 void Shard::OnLeaseFailed(ShardBox &box, OrderOutcome outcome)
 {
+	if (outcome == OrderOutcome::OO_FENCED) {
+		/* A start order with a higher token has arrived while the answer was held back, or has overtaken the order. */
+		this->counters.looks_fenced++;
+		this->ScheduleRenewal(box.report.incarnation, Millis(0));
+		return;
+	}
 	this->log.Write("box_silent", {{"incarnation", IncarnationText(box.report.incarnation)},
 								   {"outcome", NameOf(outcome)},
 								   {"silent", box.unreachable ? "yes" : "no"},
@@ -343,6 +365,7 @@
 {
 	box.unknown_runs = false;
 	for (const RunningRow &row : rows) {
+		this->FenceOf(box).OnRunListed(row.task, row.run);
 		ShardTask *task = this->FindTask(row.task);
 		const bool ours = task != nullptr && this->ClaimRun(box, row.task, *task, row.run);
 		if (!ours) {
@@ -351,6 +374,7 @@
 			continue;
 		}
 		this->jobs.at(row.task.job).begun = true;
+		task->answerer_unsure = false;
 		if (task->run_state != RunState::RS_RUNNING) {
 			task->run_state = RunState::RS_RUNNING;
 			task->state_known_at = sent;
@@ -372,7 +396,8 @@
 									{"run", std::to_string(row.run.Value())},
 									{"box", IncarnationText(box.report.incarnation)}});
 	this->counters.stops++;
-	this->orders.Stop(box.report, row.task, row.run, box.fence, [](const OrderAnswer &) {
+	const FenceToken token = this->FenceOf(box).ForOrder(this->scheduler.Now());
+	this->orders.Stop(box.report, row.task, row.run, token, [](const OrderAnswer &) {
 		/* The next list shows whether the run is gone; it is stopped again until then. */
 	});
 }
@@ -386,6 +411,7 @@
 		}
 		box.ends_seen = row.number;
 		any = true;
+		this->FenceOf(box).OnRunListed(row.task, row.run);
 		ShardTask *task = this->FindTask(row.task);
 		if (task == nullptr) {
 			continue;
@@ -462,18 +488,32 @@
 	}
 	this->SetRenewalGap(busy);
 	std::erase_if(this->held_ids, [this](const BoxId &it) { return !this->HoldsRuns(it); });
-	for (const BoxIncarnation &incarnation : forget) {
+	this->ForgetBoxes(forget);
+}
+
+void Shard::ForgetBoxes(const std::vector<BoxIncarnation> &incarnations)
+{
+	for (const BoxIncarnation &incarnation : incarnations) {
 		this->scheduler.Cancel(this->boxes.at(incarnation).timer);
 		this->boxes.erase(incarnation);
 	}
+	if (this->fences.size() <= this->boxes.size()) {
+		return;
+	}
+	/* Tokens of an id are kept while orders may still be carried out: a later incarnation needs higher ones. */
+	std::erase_if(this->fences, [this, now = this->scheduler.Now()](const auto &it) {
+		return it.second.Idle(now) && this->IncarnationsOf(it.first).empty();
+	});
 }
 
-void Shard::OnSuperseded()
+void Shard::OnSuperseded(const char *reason)
 {
 	if (std::exchange(this->superseded, true)) {
 		return;
 	}
-	this->log.Write("superseded", {{"service", this->service.Value()}, {"fence", std::to_string(this->fence.Value())}});
+	this->log.Write(
+			"superseded",
+			{{"service", this->service.Value()}, {"fence", std::to_string(this->fence.Value())}, {"why", reason}});
 	if (this->on_superseded) {
 		this->on_superseded();
 	}
--- a/src/jobs/shard_crashes.cpp
+++ b/src/jobs/shard_crashes.cpp
@@ -275,8 +275,9 @@
 	/* Makes the box answer now, since the lease order under way may be answered only seconds later. If the box crashed
 	 * in between, it would be unknown whether that was 10 ms or 2 s after the start. Full pace is the pace at which
 	 * runs start, and no other order changes it, so this order has no effect on the run. */
-	this->orders.Pace(box->second.report, id, run, FULL_PACE, box->second.fence,
-					  [this, sent = this->SentOrderTo(box->second),
+	const FenceToken token = this->FenceOf(box->second).ForOrder(this->scheduler.Now());
+	this->orders.Pace(box->second.report, id, run, FULL_PACE, token,
+					  [this, sent = this->SentOrderTo(box->second, token),
 					   still = std::weak_ptr<bool>(this->alive)](const OrderAnswer &answer) {
 						  if (!still.expired() && this->ProcessOutcome(sent, answer)) {
 							  this->ScheduleTurn();
--- a/src/jobs/shard_incarnations.cpp
+++ b/src/jobs/shard_incarnations.cpp
@@ -11,21 +11,16 @@
 
 namespace {
 
-/** An order without an answer may be carried out up to 12 s after it was sent (platform documentation on faults), and
- * start orders are retried for 2 s. */
-constexpr Millis ORDER_DELAY_MAX(14000);
-
 /** Number of tokens per ownership; keeps the tokens of the next ownership higher. */
 constexpr uint64_t TOKENS_PER_OWNERSHIP = 1ULL << 20U;
 
 } // namespace
 
-FenceToken Shard::NextFence()
+void Shard::RaiseFence(const BoxId &id)
 {
-	/* Each incarnation gets a higher token than earlier ones: once it has seen that token, it refuses orders meant for
-	 * the previous incarnation under the same id. */
-	this->incarnations_seen = std::min(this->incarnations_seen + 1, TOKENS_PER_OWNERSHIP - 1);
-	return FenceToken(this->fence.Value() * TOKENS_PER_OWNERSHIP + this->incarnations_seen);
+	/* Once the new incarnation has seen the token, it refuses orders meant for the previous one under its id. */
+	const FenceToken first(this->fence.Value() * TOKENS_PER_OWNERSHIP);
+	this->fences.try_emplace(id, first, TOKENS_PER_OWNERSHIP).first->second.Raise();
 }
 
 std::vector<ShardBox *> Shard::IncarnationsOf(const BoxId &id)
@@ -94,7 +89,7 @@
 	const bool restored = task.run_state == RunState::RS_RESTORED;
 	const bool may_arrive = box.has_successor || restored || now - this->order_unanswered_at < ORDER_DELAY_MAX;
 	const bool recorded_only = task.run_state == RunState::RS_RECORDING;
-	const bool answered = task.run_state == RunState::RS_RUNNING && !task.uncertain;
+	const bool answered = task.run_state == RunState::RS_RUNNING && !task.uncertain && !task.answerer_unsure;
 	return may_arrive && !recorded_only && !answered && now - task.ordered_at < ORDER_DELAY_MAX;
 }
 
--- a/src/jobs/shard_jobs.cpp
+++ b/src/jobs/shard_jobs.cpp
@@ -126,7 +126,7 @@
 		if (added) {
 			/* Its report has not arrived yet, if there is one. */
 			it->second.report.incarnation = task.box;
-			it->second.fence = this->NextFence();
+			this->RaiseFence(task.box.id);
 			it->second.has_report = false;
 			it->second.leases_expire_at = this->EarlierLeasesEnd();
 		}
--- a/src/jobs/shard_owner.cpp
+++ b/src/jobs/shard_owner.cpp
@@ -202,6 +202,7 @@
 								{"starts", std::to_string(counters.starts - last.starts)},
 								{"runs_done", std::to_string(counters.done - last.done)},
 								{"looks", std::to_string(counters.looks - last.looks)},
+								{"looks_fenced", std::to_string(counters.looks_fenced - last.looks_fenced)},
 								{"rounds", std::to_string(counters.rounds - last.rounds)},
 								{"boxes_walked", std::to_string(counters.boxes_walked - last.boxes_walked)},
 								{"tasks_walked", std::to_string(counters.tasks_walked - last.tasks_walked)},
--- a/src/jobs/shard_place.cpp
+++ b/src/jobs/shard_place.cpp
@@ -277,7 +277,7 @@
 	task.run = run;
 	task.box = box.report.incarnation;
 	task.run_state = RunState::RS_RECORDING;
-	task.uncertain = false;
+	task.uncertain = task.answerer_unsure = false;
 	task.stop_wanted = task.stop_sent = task.stop_confirmed = false;
 	task.leaving = task.stop_recorded = false;
 	task.phase_since = this->scheduler.Now();
@@ -334,21 +334,16 @@
 		return;
 	}
 	const ShardJob &job = this->jobs.at(start.task.job);
-	StartOrder order;
-	order.task = start.task;
-	order.run = start.run;
-	order.payload = job.spec.payload;
-	order.saved = task->saved;
-	order.lease_until = *until;
-	order.fence = it->second.fence;
-	if (const std::string *ticket =
-				this->tickets.Find(StepId{start.task.job, start.task.occurrence, start.task.step}, task->box);
-		ticket != nullptr) {
-		order.ticket = *ticket;
-	} else if (job.route.needs_ticket) {
+	StartOrder order = this->MakeStart(start, *task, *until);
+	if (order.ticket.empty() && job.route.needs_ticket) {
 		this->GiveUpStart(start.task, *task, RunEnding::RE_STOPPED, "ticket_over");
 		return;
 	}
+	if (this->FenceOf(it->second).UsedUp()) {
+		this->OnSuperseded("tokens_used_up");
+		return;
+	}
+	order.fence = this->FenceOf(it->second).ForStart(start.task, start.run, this->scheduler.Now());
 	this->NoteLeaseRequested(it->second, *until);
 	task->run_state = RunState::RS_ORDERED;
 	if (!task->uncertain) {
@@ -365,19 +360,52 @@
 									{"repeated", task->uncertain ? "yes" : "no"},
 									{"waited_ms", std::to_string((this->scheduler.Now() - job.taken_at).Value())}});
 	this->orders.Start(it->second.report, order,
-					   [this, start, sent = this->SentOrderTo(it->second),
+					   [this, start, sent = this->SentOrderTo(it->second, order.fence),
 						still = std::weak_ptr<bool>(this->alive)](const OrderAnswer &answer) {
-						   if (still.expired()) {
-							   return;
+						   if (!still.expired()) {
+							   this->OnStartAnswered(start, sent, answer);
 						   }
-						   this->starts_under_way--;
-						   if (this->ProcessOutcome(sent, answer)) {
-							   this->OnStarted(start.task, start.run, sent.incarnation, answer);
-						   }
-						   this->SendRecordedStarts();
 					   });
 }
 
+StartOrder Shard::MakeStart(const PendingStart &start, const ShardTask &task, Millis until) const
+{
+	StartOrder order;
+	order.task = start.task;
+	order.run = start.run;
+	order.payload = this->jobs.at(start.task.job).spec.payload;
+	order.saved = task.saved;
+	order.lease_until = until;
+	const StepId step{start.task.job, start.task.occurrence, start.task.step};
+	if (const std::string *ticket = this->tickets.Find(step, task.box); ticket != nullptr) {
+		order.ticket = *ticket;
+	}
+	return order;
+}
+
+void Shard::OnStartAnswered(const PendingStart &start, const SentOrder &sent, const OrderAnswer &answer)
+{
+	this->starts_under_way--;
+	OrderFence &fence = this->fences.at(sent.incarnation.id);
+	fence.OnStartAnswered(start.task, start.run, answer.outcome);
+	const bool current = this->ProcessOutcome(sent, answer);
+	const auto it = this->boxes.find(sent.incarnation);
+	const bool unsure = !FromSameIncarnation(sent, answer);
+	if (current && unsure && it != this->boxes.end()) {
+		this->NoteMayHaveRestarted(it->second);
+	}
+	if (current) {
+		this->OnStarted(start.task, start.run, sent.incarnation, answer);
+	}
+	if (ShardTask *task = this->FindTask(start.task); current && task != nullptr && task->run == start.run) {
+		task->answerer_unsure = unsure && task->run_state == RunState::RS_RUNNING;
+	}
+	this->SendRecordedStarts();
+	if (it != this->boxes.end() && EndsToAcknowledge(it->second) && !fence.StartsUnderWay()) {
+		this->RenewLease(it->second);
+	}
+}
+
 void Shard::GiveUpStart(const TaskId &id, ShardTask &task, RunEnding ending, const char *reason)
 {
 	if (task.uncertain) {
--- a/src/jobs/shard_runs.cpp
+++ b/src/jobs/shard_runs.cpp
@@ -9,8 +9,11 @@
 
 constexpr double RUN_TIME_WEIGHT = 0.05; ///< Weight of the newest run in the learned run time; about 20 runs count.
 constexpr Millis STOP_RETRY_AFTER(400);  ///< Delay before a stop that was refused or not sent is retried.
-/** Delay before a stop without an answer is retried; short, since the order has already waited for its timeout. */
-constexpr Millis STOP_RETRY_UNANSWERED(20);
+/** Delay before a stop is retried that has waited for its timeout or was overtaken by an order with a higher token. */
+constexpr Millis STOP_RETRY_SOON(20);
+/** A box whose clock is lower may have restarted unnoticed: the clock of its next incarnation can be as high by the
+ * time at which that one answers, since answers take up to 3 s and clocks differ by 2%. */
+constexpr Millis CLOCK_DISTINCT_FROM(5000);
 
 } // namespace
 
@@ -187,8 +190,9 @@
 	}
 	task->stop_sent = true;
 	this->counters.stops++;
-	this->orders.Stop(it->second.report, id, task->run, it->second.fence,
-					  [this, id, run = task->run, sent = this->SentOrderTo(it->second),
+	const FenceToken token = this->FenceOf(it->second).ForOrder(this->scheduler.Now());
+	this->orders.Stop(it->second.report, id, task->run, token,
+					  [this, id, run = task->run, sent = this->SentOrderTo(it->second, token),
 					   still = std::weak_ptr<bool>(this->alive)](const OrderAnswer &answer) {
 						  if (!still.expired() && this->ProcessOutcome(sent, answer)) {
 							  this->OnStopped(id, run, sent.incarnation, answer);
@@ -196,9 +200,15 @@
 					  });
 }
 
-SentOrder Shard::SentOrderTo(const ShardBox &box) const
+SentOrder Shard::SentOrderTo(const ShardBox &box, FenceToken token) const
 {
-	return SentOrder{box.report.incarnation, box.fence, this->scheduler.Now(), box.clock};
+	const Millis now = this->scheduler.Now();
+	std::optional<Millis> clock_min;
+	if (box.clock) {
+		const auto passed = static_cast<double>((now - box.clock_at).Value()) * CLOCK_RATE_MIN;
+		clock_min = *box.clock + Millis(static_cast<int64_t>(passed));
+	}
+	return SentOrder{box.report.incarnation, token, now, box.clock, clock_min};
 }
 
 bool Shard::FromOtherIncarnation(const SentOrder &sent, const OrderAnswer &answer)
@@ -207,13 +217,19 @@
 	return clock_back || (answer.incarnation && *answer.incarnation != sent.incarnation);
 }
 
+bool Shard::FromSameIncarnation(const SentOrder &sent, const OrderAnswer &answer)
+{
+	return sent.clock && *sent.clock >= CLOCK_DISTINCT_FROM && answer.box_clock && *answer.box_clock >= *sent.clock_min;
+}
+
 bool Shard::ProcessOutcome(const SentOrder &sent, const OrderAnswer &answer)
 {
 	const auto box = this->boxes.find(sent.incarnation);
-	if (answer.outcome == OrderOutcome::OO_FENCED) {
-		/* The successor of an ended incarnation may have seen our own, higher token. */
-		if (box != this->boxes.end() && !box->second.over) {
-			this->OnSuperseded();
+	/* The box or the successor of an ended incarnation may have seen our own, higher token. */
+	const bool ended = box == this->boxes.end() || box->second.over;
+	if (answer.outcome == OrderOutcome::OO_FENCED && (ended || sent.fence == this->FenceOf(box->second).Token())) {
+		if (!ended) {
+			this->OnSuperseded("fenced");
 		}
 		return false;
 	}
@@ -252,7 +268,8 @@
 		}
 		return;
 	}
-	const Millis pause = answer.outcome == OrderOutcome::OO_UNKNOWN ? STOP_RETRY_UNANSWERED : STOP_RETRY_AFTER;
+	const bool repeat_soon = answer.outcome == OrderOutcome::OO_UNKNOWN || answer.outcome == OrderOutcome::OO_FENCED;
+	const Millis pause = repeat_soon ? STOP_RETRY_SOON : STOP_RETRY_AFTER;
 	this->scheduler.After(pause, [this, id, still = std::weak_ptr<bool>(this->alive)] {
 		if (!still.expired()) {
 			this->SendStop(id);
--- a/src/jobs/shard_type.h
+++ b/src/jobs/shard_type.h
@@ -34,6 +34,7 @@
 	uint64_t starts = 0;          ///< Start orders sent.
 	uint64_t stops = 0;           ///< Stop orders sent.
 	uint64_t looks = 0;           ///< Lease orders sent.
+	uint64_t looks_fenced = 0;    ///< Lease orders that an own order with a higher token has overtaken.
 	uint64_t done = 0;            ///< Runs that ended successfully.
 	uint64_t failed = 0;          ///< Runs that failed.
 	uint64_t lapsed = 0;          ///< Runs lost because their box ended or their lease expired.
@@ -78,7 +79,9 @@
 /** A task and the state of its current run. */
 struct ShardTask : public StoredTask {
 	RunState run_state = RunState::RS_RECORDING; ///< State of the current run, while placed.
-	bool uncertain = false;      ///< A start order for the run got no answer: it may still be carried out.
+	bool uncertain = false; ///< A start order for the run got no answer: it may still be carried out.
+	/** The start was confirmed by an answer that a later incarnation may have given; the next list decides. */
+	bool answerer_unsure = false;
 	bool stop_wanted = false;    ///< The run is to be stopped.
 	bool stop_recorded = false;  ///< `leaving` is recorded: the stop order may be sent.
 	bool stop_sent = false;      ///< A stop order is under way.
@@ -146,7 +149,6 @@
 /** One incarnation of a box of the service. */
 struct ShardBox {
 	BoxReport report;       ///< Newest report of its agent.
-	FenceToken fence;       ///< Token of orders to this incarnation: see Shard::NextFence().
 	bool has_report = true; ///< Whether a report of it exists at present.
 	bool adopted = false;   ///< It has listed its runs for this owner, so it refuses orders of earlier owners.
 	bool lease_order_under_way = false;   ///< A lease order is under way.
@@ -167,8 +169,10 @@
 	Millis answered_at;           ///< When the last answer to any order arrived.
 	Millis runs_listed_at;        ///< When it last listed its runs.
 	Millis avoid_until;           ///< No task is placed there before this time.
-	/** An order got no answer since the box last listed its runs: its agent may have restarted. */
+	/** An order got no answer, or one that the next incarnation may have given, since the box last listed its runs: its
+	 * agent may have restarted. */
 	bool may_have_restarted = false;
+	Millis may_have_restarted_at;   ///< When `may_have_restarted` was last set.
 	uint64_t ends_seen = 0;         ///< Ends up to this number have been processed.
 	uint64_t ends_durable = 0;      ///< Ends up to this number are recorded.
 	uint64_t ends_acknowledged = 0; ///< Ends up to this number were acknowledged to the box.
@@ -194,6 +198,7 @@
 	Millis at;                  ///< When it was sent.
 	/** Clock of the incarnation as last reported; a lower one in an answer is that of a later incarnation. */
 	std::optional<Millis> clock;
+	std::optional<Millis> clock_min; ///< Lowest clock of the incarnation when it was sent, unless it was suspended.
 };
 
 /** Whether a job can still meet its objective. Lower values are served first. */
--- a/tests/job_world.h
+++ b/tests/job_world.h
@@ -131,6 +131,8 @@
 	size_t refused = 0;     ///< Number of submissions that were definitely refused.
 	bool accepted = false;  ///< Whether a submission was confirmed.
 	bool cancelled = false; ///< Whether the cancellation was confirmed.
+	/** Whether the job was completed already when the cancellation that was confirmed was sent. */
+	bool completed_before_cancellation = false;
 };
 
 /** The simulation: nodes, log, boxes and the jobs of the callers. */
@@ -256,10 +258,12 @@
 				return;
 			}
 			this->site.JobOf(job.spec.id).cancel_sent = true;
+			const bool completed = this->ViewOf(job).phase == JobPhase::JP_COMPLETED;
 			(*node)->job_api.Cancel(job.spec.id, job.spec.account, job.service, (*node)->scheduler.Now() + Millis(3000),
-									[this, &job](ResultCode rc) {
+									[this, &job, completed](ResultCode rc) {
 										if (rc == ResultCode::RC_OK && !job.cancelled) {
 											job.cancelled = true;
+											job.completed_before_cancellation = completed;
 											this->site.JobOf(job.spec.id).cancelled_at = this->clock.Now();
 										}
 									});
--- a/tests/test_job_matrix.cpp
+++ b/tests/test_job_matrix.cpp
@@ -182,7 +182,7 @@
 JobPhase ExpectedPhase(JobWorld &world, const WorldJob &job)
 {
 	if (job.cancelled) {
-		return JobPhase::JP_CANCELLED;
+		return job.completed_before_cancellation ? JobPhase::JP_COMPLETED : JobPhase::JP_CANCELLED;
 	}
 	const SiteJob &site_job = world.site.JobOf(job.spec.id);
 	if (job.spec.steps.front().lasting) {
--- a/tests/test_late_orders.cpp
+++ b/tests/test_late_orders.cpp
@@ -16,11 +16,12 @@
 constexpr Millis TRACED_FOR(3000);              ///< Owners' log lines are kept for this long after the restart.
 constexpr Millis SIMULATED_TIME(30000);         ///< Simulated time.
 constexpr uint64_t ACKNOWLEDGED_ENDS_MIN = 3;   ///< Number of ends that a chosen lease order acknowledges at least.
+constexpr Millis STARTED_WITHIN(10);            ///< A lease order this soon after a start goes with it.
 constexpr Millis RESTARTED_BEFORE_ARRIVAL(250); ///< Longest time from a restart to the arrival of a late lease order.
 
 /** Order that is sent when the box restarts. */
 enum class RestartAt : uint8_t {
-	RA_START_AND_LEASE_ORDER = 0,       ///< A start and, in the same turn, a lease order.
+	RA_START_AND_LEASE_ORDER = 0,       ///< A lease order, sent with a start or just after it.
 	RA_ACKNOWLEDGEMENT = 1,             ///< A lease order that acknowledges ends.
 	RA_START_AFTER_ACKNOWLEDGEMENT = 2, ///< A start, shortly before a lease order without an answer arrives.
 	RA_PLAIN_LEASE_ORDER = 3,           ///< A lease order that acknowledges nothing.
@@ -151,7 +152,8 @@
 	[[nodiscard]] bool RestartsAt(const OutgoingOrder &order)
 	{
 		const auto start = this->starts_at.find(order.box);
-		const bool started_now = start != this->starts_at.end() && start->second == this->world.clock.Now();
+		const bool started_now =
+				start != this->starts_at.end() && this->world.clock.Now() - start->second <= STARTED_WITHIN;
 		switch (this->scenario.restart_at) {
 		case RestartAt::RA_START_AND_LEASE_ORDER:
 			return order.kind == OrderKind::OK_LEASE && started_now;
