A box that reports again is sent orders with the tokens that it has seen

Callers saw: an owner gave up its shard, though no other had taken it, when a box whose report had gone for 24 s reported again.

Cause: tokens of an id are forgotten once no order for it can still be carried out. Those of a box that reports again began anew, below the ones its agent had seen; it refused the first lease order, and the refusal bore the highest token known: taken for another owner's.

Evidence: the new test in tests/test_late_orders.cpp: "30002 superseded service=calc fence=1 why=fenced"; 1 of 2 assertions failed.

Now: the highest token of the ids forgotten is kept, and ids without tokens begin there. The test holds (2 of 2).

--- a/src/jobs/shard_base.h
+++ b/src/jobs/shard_base.h
@@ -142,13 +142,15 @@
 		Millis made_at;                             ///< When it was passed to the journal.
 	};
 
-	Scheduler &scheduler;                     ///< Clock and timers.
-	PairedJournal &journal;                   ///< Appends records to the log.
-	BoxOrders &orders;                        ///< Sends orders to boxes.
-	EventLog &log;                            ///< Event log.
-	ServiceName service;                      ///< Name of the service.
-	FenceToken fence;                         ///< Token of this ownership: see RaiseFence().
-	std::map<BoxId, OrderFence> fences;       ///< Tokens of orders, by the id that they are sent to.
+	Scheduler &scheduler;               ///< Clock and timers.
+	PairedJournal &journal;             ///< Appends records to the log.
+	BoxOrders &orders;                  ///< Sends orders to boxes.
+	EventLog &log;                      ///< Event log.
+	ServiceName service;                ///< Name of the service.
+	FenceToken fence;                   ///< Token of this ownership: see RaiseFence().
+	std::map<BoxId, OrderFence> fences; ///< Tokens of orders, by the id that they are sent to.
+	/** Highest token of the ids that aren't in `fences` any more: a box that reports again has seen its last one. */
+	FenceToken forgotten_fence;
 	ShardLimits limits;                       ///< Time limits.
 	Millis owned_since;                       ///< When this ownership started.
 	Millis earlier_leases_until;              ///< Until then an earlier owner may renew leases.
--- a/src/jobs/shard_boxes.cpp
+++ b/src/jobs/shard_boxes.cpp
@@ -502,7 +502,11 @@
 	}
 	/* Tokens of an id are kept while orders may still be carried out: a later incarnation needs higher ones. */
 	std::erase_if(this->fences, [this, now = this->scheduler.Now()](const auto &it) {
-		return it.second.Idle(now) && this->IncarnationsOf(it.first).empty();
+		const bool forgotten = it.second.Idle(now) && this->IncarnationsOf(it.first).empty();
+		if (forgotten) {
+			this->forgotten_fence = std::max(this->forgotten_fence, it.second.Token());
+		}
+		return forgotten;
 	});
 }
 
--- a/src/jobs/shard_incarnations.cpp
+++ b/src/jobs/shard_incarnations.cpp
@@ -19,8 +19,10 @@
 void Shard::RaiseFence(const BoxId &id)
 {
 	/* Once the new incarnation has seen the token, it refuses orders meant for the previous one under its id. */
-	const FenceToken first(this->fence.Value() * TOKENS_PER_OWNERSHIP);
-	this->fences.try_emplace(id, first, TOKENS_PER_OWNERSHIP).first->second.Raise();
+	const uint64_t begin = this->fence.Value() * TOKENS_PER_OWNERSHIP;
+	const FenceToken first = std::max(FenceToken(begin), this->forgotten_fence);
+	const uint64_t count = begin + TOKENS_PER_OWNERSHIP - first.Value();
+	this->fences.try_emplace(id, first, count).first->second.Raise();
 }
 
 std::vector<ShardBox *> Shard::IncarnationsOf(const BoxId &id)
--- a/tests/test_late_orders.cpp
+++ b/tests/test_late_orders.cpp
@@ -297,3 +297,45 @@
 		CHECK(world.site.violations == std::vector<std::string>{});
 	}
 }
+
+TEST_CASE("an owner keeps its shard when a box that it has forgotten reports again")
+{
+	constexpr Millis REMOVED_AT(6100);
+	constexpr Millis BACK_AT(30000); /* Longer than the box and its orders are kept. */
+	JobWorld world;
+	const BoxName box("calc-box0");
+	bool superseded = false;
+	size_t raised = 0;
+	std::optional<FenceToken> first;
+	std::string trace;
+	for (const auto &node : world.nodes) {
+		node->events.write = [&](const std::string &line) {
+			superseded = superseded || line.starts_with("superseded");
+			if (line.starts_with("superseded") ||
+				(line.starts_with("box_") && line.find("box0") != std::string::npos)) {
+				trace += std::to_string(world.clock.Now().Value()) + " " + line + "\n";
+			}
+		};
+	}
+	world.site.choose_transit = [&](const OutgoingOrder &order) -> std::optional<OrderTransit> {
+		if (order.box == box) {
+			first = first.value_or(order.fence);
+			raised += *first < order.fence ? 1 : 0;
+		}
+		return std::nullopt;
+	};
+	for (int n = 0; n < 20; n++) {
+		world.Plan(Millis(1000 + n * 130), "calc", JobWorld::Chain(2), Millis(300));
+	}
+	world.clock.After(REMOVED_AT, [&] {
+		world.unlisted.insert(box);
+		for (const auto &node : world.nodes) {
+			node->host.OnReportRemoved(world.site.IncarnationOf(box).id);
+		}
+	});
+	world.clock.After(BACK_AT, [&] { world.unlisted.clear(); });
+	world.clock.RunUntil(Millis(40000));
+	CAPTURE(trace);
+	CHECK(raised > 0);
+	CHECK_FALSE(superseded);
+}
