A lost acknowledgement is not taken for done when a later lease order is

Callers saw: "started after an end that was noted as good", in a play forced in memory.

Cause: a lost acknowledgement may be carried out late. The lease orders after it bore its token, and the answer to any of them, even to one that acknowledged nothing, marked it as done. The next start bore the same token, so the next incarnation, which carried out the start, also carried out the late acknowledgement and forgot the end.

Now: only the answer to an acknowledgement marks one as done, and each that isn't known to be done has a token of its own. A start sent after a lost one always has a higher token.

--- a/src/jobs/order_fence.cpp
+++ b/src/jobs/order_fence.cpp
@@ -40,6 +40,10 @@
 
 FenceToken OrderFence::ForAcknowledgement(Millis now)
 {
+	/* Each one that isn't known to be done has a token of its own, so that none is taken for another. */
+	if (this->acknowledgement == this->token) {
+		this->Raise();
+	}
 	this->acknowledgement = this->token;
 	return this->ForOrder(now);
 }
--- a/src/jobs/shard_boxes.cpp
+++ b/src/jobs/shard_boxes.cpp
@@ -303,7 +303,9 @@
 	const Millis now = this->scheduler.Now();
 	box.runs_listed_at = now;
 	box.may_have_restarted = box.may_have_restarted && box.may_have_restarted_at > sent.at;
-	this->FenceOf(box).OnAcknowledged(sent.fence);
+	if (acknowledged > 0) {
+		this->FenceOf(box).OnAcknowledged(sent.fence);
+	}
 	box.ends_acknowledged = std::max(box.ends_acknowledged, acknowledged);
 	if (answer.order.box_clock) {
 		box.clock = answer.order.box_clock;
--- a/tests/test_late_orders.cpp
+++ b/tests/test_late_orders.cpp
@@ -339,3 +339,36 @@
 	CHECK(raised > 0);
 	CHECK_FALSE(superseded);
 }
+
+TEST_CASE("a run is not started again when a lost acknowledgement arrives late, after the box has listed its runs")
+{
+	constexpr Millis ARRIVES_AT(8250);
+	constexpr Millis RUN_TIME(50);
+	constexpr Millis STARTED_FROM(8050);
+	for (const bool on_arrival : {false, true}) {
+		JobWorld world;
+		world.site.acknowledges_on_arrival = on_arrival;
+		const BoxName box("calc-box0");
+		bool late = false;
+		bool restarted = false;
+		world.site.choose_transit = [&](const OutgoingOrder &order) -> std::optional<OrderTransit> {
+			const Millis now = world.clock.Now();
+			if (order.box == box && order.ends_noted >= 6 && !std::exchange(late, true)) {
+				return OrderTransit{ARRIVES_AT - now, false, false};
+			}
+			if (order.box == box && order.kind == OrderKind::OK_START && now >= STARTED_FROM &&
+				!std::exchange(restarted, true)) {
+				world.site.Restart(box);
+			}
+			return std::nullopt;
+		};
+		for (const int64_t at : {1000, 1500, 2000, 8050}) {
+			world.Plan(Millis(at), "calc", JobWorld::Chain(1), RUN_TIME);
+		}
+		world.clock.RunUntil(Millis(30000));
+		CAPTURE(on_arrival);
+		CHECK(late);
+		CHECK(restarted);
+		CHECK(world.site.violations == std::vector<std::string>{});
+	}
+}
--- a/tests/test_order_fence.cpp
+++ b/tests/test_order_fence.cpp
@@ -108,3 +108,12 @@
 	CHECK_FALSE(fence.Idle(SENT_AT + ORDER_DELAY_MAX - Millis(1)));
 	CHECK(fence.Idle(SENT_AT + ORDER_DELAY_MAX));
 }
+
+TEST_CASE("a lost acknowledgement is not taken for done when a later one is")
+{
+	OrderFence fence(FIRST, COUNT);
+	const FenceToken lost = fence.ForAcknowledgement(SENT_AT);
+	const FenceToken done = fence.ForAcknowledgement(SOON);
+	fence.OnAcknowledged(done);
+	CHECK(lost < fence.ForStart(Task(0), RUN, SOON));
+}
