Tokens of an id are kept while a start order to it has no answer

Cause: an owner whose process stands still for 14 s may forget the tokens of an id, in a turn, before it notices that a start order has timed out; OnStartAnswered() then looks them up and throws.

Evidence: test_order_fence: 1 of 2 assertions of the new test failed, both hold now. The exception itself was not forced.

--- a/src/jobs/order_fence.h
+++ b/src/jobs/order_fence.h
@@ -53,8 +53,12 @@
 	[[nodiscard]] bool StartsUnderWay() const { return this->starts_under_way > 0; }
 	/** @return Whether ends may be acknowledged: no start order can still be carried out. @param now Current time. */
 	[[nodiscard]] bool MayAcknowledge(Millis now);
-	/** @return Whether no order can still be carried out. @param now Current time. */
-	[[nodiscard]] bool Idle(Millis now) const { return now - this->used_at >= ORDER_DELAY_MAX; }
+	/** @return Whether no order can still be carried out and no answer to a start order is awaited. @param now Current
+	 * time. */
+	[[nodiscard]] bool Idle(Millis now) const
+	{
+		return !this->StartsUnderWay() && now - this->used_at >= ORDER_DELAY_MAX;
+	}
 
 private:
 	/** Start orders for one run that may not all have been carried out. */
--- a/tests/test_order_fence.cpp
+++ b/tests/test_order_fence.cpp
@@ -109,6 +109,15 @@
 	CHECK(fence.Idle(SENT_AT + ORDER_DELAY_MAX));
 }
 
+TEST_CASE("tokens of an id are kept while a start order has no answer, however late it is noticed")
+{
+	OrderFence fence(FIRST, COUNT);
+	static_cast<void>(fence.ForStart(Task(0), RUN, SENT_AT));
+	CHECK_FALSE(fence.Idle(SENT_AT + ORDER_DELAY_MAX));
+	fence.OnStartAnswered(Task(0), RUN, OrderOutcome::OO_UNKNOWN);
+	CHECK(fence.Idle(SENT_AT + ORDER_DELAY_MAX));
+}
+
 TEST_CASE("a lost acknowledgement is not taken for done when a later one is")
 {
 	OrderFence fence(FIRST, COUNT);
