A box that lists 400 ends accepts no tasks until they are acknowledged

Callers saw: ends noticed late and a box full of runs that have ended. A box some of whose start orders are lost was sent no acknowledgement for 57.9 s, while its list grew to 956 ends; a real one lists 500 at once, and further ends aren't seen.

Cause: a lost start order forbids acknowledgements for 14 s, and a busy box gets the next one before.

Now: such a box gets no more starts, so that its start orders are settled within 14 s.

--- a/src/jobs/shard_boxes.cpp
+++ b/src/jobs/shard_boxes.cpp
@@ -302,6 +302,7 @@
 	}
 	const Millis now = this->scheduler.Now();
 	box.runs_listed_at = now;
+	box.ends_listed = answer.ended.size();
 	box.may_have_restarted = box.may_have_restarted && box.may_have_restarted_at > sent.at;
 	if (acknowledged > 0) {
 		this->FenceOf(box).OnAcknowledged(sent.fence);
--- a/src/jobs/shard_drain.cpp
+++ b/src/jobs/shard_drain.cpp
@@ -11,6 +11,10 @@
 /** For this long after the last request to drain a box, its end may be due to an order of our own: an order to move it
  * may be carried out seconds late. */
 constexpr Millis PLANNED_END_WITHIN(10000);
+/** A box that lists this many ends accepts no tasks, so that its start orders get settled and ends can be acknowledged
+ * (see OrderFence). Leaves room for the ends of its runs, since it lists 500 at once and any further ones are not seen.
+ */
+constexpr size_t ENDS_LISTED_MAX = 400;
 constexpr Millis CONFIRMED_WITHIN(1000); ///< An owner is confirmed every 0.35 s; a slow store takes 0.6 s.
 /** The log counts as unreachable when it has not confirmed the owner for this long: three confirmations. */
 constexpr Millis LOG_UNREACHABLE_AFTER(1500);
@@ -110,7 +114,7 @@
 bool Shard::AcceptsTasks(const ShardBox &box, Millis now)
 {
 	return box.has_report && box.adopted && !box.unreachable && !box.over && !box.report.leaving && !box.unknown_runs &&
-		   box.clock && now >= box.avoid_until && now >= box.drain_until;
+		   box.clock && now >= box.avoid_until && now >= box.drain_until && box.ends_listed < ENDS_LISTED_MAX;
 }
 
 bool Shard::Confirmed() const
--- a/src/jobs/shard_type.h
+++ b/src/jobs/shard_type.h
@@ -176,6 +176,7 @@
 	uint64_t ends_seen = 0;         ///< Ends up to this number have been processed.
 	uint64_t ends_durable = 0;      ///< Ends up to this number are recorded.
 	uint64_t ends_acknowledged = 0; ///< Ends up to this number were acknowledged to the box.
+	size_t ends_listed = 0;         ///< Number of ends in its last list.
 	Millis planned_end_until;       ///< An end before this time may be due to a delayed move order, not a crash.
 	Millis drain_until;             ///< It is drained for planned maintenance before this time.
 	Millis drain_since;             ///< When the last drain started.
--- a/tests/test_late_orders.cpp
+++ b/tests/test_late_orders.cpp
@@ -372,3 +372,55 @@
 		CHECK(world.site.violations == std::vector<std::string>{});
 	}
 }
+
+TEST_CASE("a busy box some of whose start orders are lost lists all its ends at once")
+{
+	constexpr size_t ENDS_PER_LIST_MAX = 500;
+	constexpr uint64_t LOST_EVERY = 25;
+	constexpr Millis BUSY_UNTIL(60000);
+	JobWorld world;
+	const BoxName box("calc-box0");
+	uint64_t starts = 0;
+	uint64_t looks = 0;
+	size_t acknowledgements = 0;
+	Millis acknowledged_at(2000);
+	Millis pause_max;
+	FenceToken fence;
+	size_t ends_max = 0;
+	world.site.choose_transit = [&](const OutgoingOrder &order) -> std::optional<OrderTransit> {
+		const Millis now = world.clock.Now();
+		if (order.box != box) {
+			return std::nullopt;
+		}
+		looks += order.kind == OrderKind::OK_LEASE ? 1 : 0;
+		fence = std::max(fence, order.fence);
+		if (now < BUSY_UNTIL) {
+			pause_max = std::max(pause_max, now - acknowledged_at);
+		}
+		if (order.ends_noted > 0) {
+			acknowledgements++;
+			acknowledged_at = now;
+		}
+		const bool lost = order.kind == OrderKind::OK_START && ++starts % LOST_EVERY == 0;
+		return lost ? std::optional(OrderTransit{Millis(1), true}) : std::nullopt;
+	};
+	for (int n = 0; n < 290; n++) {
+		world.Plan(Millis(1000 + n * 200), "calc", JobWorld::Chain(3), Millis(300));
+	}
+	for (int n = 3; n < 90; n++) {
+		world.clock.After(Millis(n * 1000), [&] {
+			LeaseOrder look;
+			look.fence = fence;
+			ends_max = std::max(ends_max, world.site.Lease(world.site.Reports().front(), look).ended.size());
+		});
+	}
+	world.clock.RunUntil(Millis(90000));
+	MESSAGE("starts ", starts, " looks ", looks, " acks ", acknowledgements, " longest pause ", pause_max.Value(),
+			" most ends listed ", ends_max);
+	CHECK(ends_max < ENDS_PER_LIST_MAX);
+	CHECK(acknowledgements > 0);
+	CHECK(std::as_const(world.OwnerOf(CALC)->host).Find(CALC)->Running()->CountBoxes().open == 4);
+	CHECK(std::ranges::all_of(world.jobs,
+							  [&world](const auto &it) { return world.ViewOf(*it).phase == JobPhase::JP_COMPLETED; }));
+	CHECK(world.site.violations == std::vector<std::string>{});
+}
