--- a/src/jobs/shard_boxes.cpp
+++ b/src/jobs/shard_boxes.cpp
@@ -302,8 +302,11 @@
 	}
 	const Millis now = this->scheduler.Now();
 	box.runs_listed_at = now;
+	box.ends_listed = answer.ended.size();
 	box.may_have_restarted = box.may_have_restarted && box.may_have_restarted_at > sent.at;
-	this->FenceOf(box).OnAcknowledged(sent.fence);
+	if (acknowledged > 0) {
+		this->FenceOf(box).OnAcknowledged(sent.fence);
+	}
 	box.ends_acknowledged = std::max(box.ends_acknowledged, acknowledged);
 	if (answer.order.box_clock) {
 		box.clock = answer.order.box_clock;
@@ -502,7 +505,11 @@
 	}
 	/* Tokens of an id are kept while orders may still be carried out: a later incarnation needs higher ones. */
 	std::erase_if(this->fences, [this, now = this->scheduler.Now()](const auto &it) {
-		return it.second.Idle(now) && this->IncarnationsOf(it.first).empty();
+		const bool forgotten = it.second.Idle(now) && this->IncarnationsOf(it.first).empty();
+		if (forgotten) {
+			this->forgotten_fence = std::max(this->forgotten_fence, it.second.Token());
+		}
+		return forgotten;
 	});
 }
 
--- a/tests/test_late_orders.cpp
+++ b/tests/test_late_orders.cpp
@@ -297,3 +297,130 @@
 		CHECK(world.site.violations == std::vector<std::string>{});
 	}
 }
+
+TEST_CASE("an owner keeps its shard when a box that it has forgotten reports again")
+{
+	constexpr Millis REMOVED_AT(6100);
+	constexpr Millis BACK_AT(30000); /* Longer than the box and its orders are kept. */
+	JobWorld world;
+	const BoxName box("calc-box0");
+	bool superseded = false;
+	size_t raised = 0;
+	std::optional<FenceToken> first;
+	std::string trace;
+	for (const auto &node : world.nodes) {
+		node->events.write = [&](const std::string &line) {
+			superseded = superseded || line.starts_with("superseded");
+			if (line.starts_with("superseded") ||
+				(line.starts_with("box_") && line.find("box0") != std::string::npos)) {
+				trace += std::to_string(world.clock.Now().Value()) + " " + line + "\n";
+			}
+		};
+	}
+	world.site.choose_transit = [&](const OutgoingOrder &order) -> std::optional<OrderTransit> {
+		if (order.box == box) {
+			first = first.value_or(order.fence);
+			raised += *first < order.fence ? 1 : 0;
+		}
+		return std::nullopt;
+	};
+	for (int n = 0; n < 20; n++) {
+		world.Plan(Millis(1000 + n * 130), "calc", JobWorld::Chain(2), Millis(300));
+	}
+	world.clock.After(REMOVED_AT, [&] {
+		world.unlisted.insert(box);
+		for (const auto &node : world.nodes) {
+			node->host.OnReportRemoved(world.site.IncarnationOf(box).id);
+		}
+	});
+	world.clock.After(BACK_AT, [&] { world.unlisted.clear(); });
+	world.clock.RunUntil(Millis(40000));
+	CAPTURE(trace);
+	CHECK(raised > 0);
+	CHECK_FALSE(superseded);
+}
+
+TEST_CASE("a run is not started again when a lost acknowledgement arrives late, after the box has listed its runs")
+{
+	constexpr Millis ARRIVES_AT(8250);
+	constexpr Millis RUN_TIME(50);
+	constexpr Millis STARTED_FROM(8050);
+	for (const bool on_arrival : {false, true}) {
+		JobWorld world;
+		world.site.acknowledges_on_arrival = on_arrival;
+		const BoxName box("calc-box0");
+		bool late = false;
+		bool restarted = false;
+		world.site.choose_transit = [&](const OutgoingOrder &order) -> std::optional<OrderTransit> {
+			const Millis now = world.clock.Now();
+			if (order.box == box && order.ends_noted >= 6 && !std::exchange(late, true)) {
+				return OrderTransit{ARRIVES_AT - now, false, false};
+			}
+			if (order.box == box && order.kind == OrderKind::OK_START && now >= STARTED_FROM &&
+				!std::exchange(restarted, true)) {
+				world.site.Restart(box);
+			}
+			return std::nullopt;
+		};
+		for (const int64_t at : {1000, 1500, 2000, 8050}) {
+			world.Plan(Millis(at), "calc", JobWorld::Chain(1), RUN_TIME);
+		}
+		world.clock.RunUntil(Millis(30000));
+		CAPTURE(on_arrival);
+		CHECK(late);
+		CHECK(restarted);
+		CHECK(world.site.violations == std::vector<std::string>{});
+	}
+}
+
+TEST_CASE("a busy box some of whose start orders are lost lists all its ends at once")
+{
+	constexpr size_t ENDS_PER_LIST_MAX = 500;
+	constexpr uint64_t LOST_EVERY = 25;
+	constexpr Millis BUSY_UNTIL(60000);
+	JobWorld world;
+	const BoxName box("calc-box0");
+	uint64_t starts = 0;
+	uint64_t looks = 0;
+	size_t acknowledgements = 0;
+	Millis acknowledged_at(2000);
+	Millis pause_max;
+	FenceToken fence;
+	size_t ends_max = 0;
+	world.site.choose_transit = [&](const OutgoingOrder &order) -> std::optional<OrderTransit> {
+		const Millis now = world.clock.Now();
+		if (order.box != box) {
+			return std::nullopt;
+		}
+		looks += order.kind == OrderKind::OK_LEASE ? 1 : 0;
+		fence = std::max(fence, order.fence);
+		if (now < BUSY_UNTIL) {
+			pause_max = std::max(pause_max, now - acknowledged_at);
+		}
+		if (order.ends_noted > 0) {
+			acknowledgements++;
+			acknowledged_at = now;
+		}
+		const bool lost = order.kind == OrderKind::OK_START && ++starts % LOST_EVERY == 0;
+		return lost ? std::optional(OrderTransit{Millis(1), true}) : std::nullopt;
+	};
+	for (int n = 0; n < 290; n++) {
+		world.Plan(Millis(1000 + n * 200), "calc", JobWorld::Chain(3), Millis(300));
+	}
+	for (int n = 3; n < 90; n++) {
+		world.clock.After(Millis(n * 1000), [&] {
+			LeaseOrder look;
+			look.fence = fence;
+			ends_max = std::max(ends_max, world.site.Lease(world.site.Reports().front(), look).ended.size());
+		});
+	}
+	world.clock.RunUntil(Millis(90000));
+	MESSAGE("starts ", starts, " looks ", looks, " acks ", acknowledgements, " longest pause ", pause_max.Value(),
+			" most ends listed ", ends_max);
+	CHECK(ends_max < ENDS_PER_LIST_MAX);
+	CHECK(acknowledgements > 0);
+	CHECK(std::as_const(world.OwnerOf(CALC)->host).Find(CALC)->Running()->CountBoxes().open == 4);
+	CHECK(std::ranges::all_of(world.jobs,
+							  [&world](const auto &it) { return world.ViewOf(*it).phase == JobPhase::JP_COMPLETED; }));
+	CHECK(world.site.violations == std::vector<std::string>{});
+}
