A long-running task whose box crashes 60 to 300 ms after its starts is started again

Cause: such a task counted each end of its box up to 300 ms after the start order and was not started any more after four, though a task that crashes boxes does so within some 10 ms. Also the time ran from the first order for a run: when that one got no answer and was repeated, a guilty task looked as if its box had lived 350 ms and was not counted.

Why the change works: for long-running tasks the time runs from the answer that confirmed the run to the sending of the newest answered order, which can't make it too long. 60 ms of it are enough not to count a crash, 300 ms clear the counts. A suspect's box is asked after 80 ms, too, so that the answer decides. Tasks whose boxes are never known to outlive a start still reach the limit of four.

--- a/src/jobs/shard_base.h
+++ b/src/jobs/shard_base.h
@@ -374,6 +374,9 @@
 	[[nodiscard]] static bool FailsJob(const ShardJob &job, const TaskId &id, bool crash_attributed);
 	void ScheduleIsolationCheck(const TaskId &id, RunNumber run);
 	void CheckIsolated(const TaskId &id, RunNumber run);
+	/** @return Whether the box was certainly up some time after the start of a run was confirmed. @param box The box.
+	 * @param task Task of the run. @param span The time. */
+	[[nodiscard]] static bool KnownUpFor(const ShardBox &box, const ShardTask &task, Millis span);
 	/** @return Whether the box was last heard from within JUST_STARTED of the task's start order. */
 	[[nodiscard]] static bool JustStarted(const ShardBox &box, const ShardTask &task);
 	/** @return Whether tasks of other jobs had just started on a box. @param box The box. @param job The job. @param
--- a/src/jobs/shard_boxes.cpp
+++ b/src/jobs/shard_boxes.cpp
@@ -216,6 +216,7 @@
 		box.unreachable = true;
 	} else if (answered) {
 		box.answered_at = now;
+		box.up_at = std::max(box.up_at, sent);
 		box.unanswered = 0;
 		box.unreachable = false;
 	} else {
@@ -353,6 +354,7 @@
 		this->jobs.at(row.task.job).begun = true;
 		if (task->run_state != RunState::RS_RUNNING) {
 			task->run_state = RunState::RS_RUNNING;
+			task->confirmed_at = this->scheduler.Now();
 			task->state_known_at = sent;
 		}
 		if (!row.saved.empty()) {
--- a/src/jobs/shard_crashes.cpp
+++ b/src/jobs/shard_crashes.cpp
@@ -21,9 +21,9 @@
 namespace {
 
 /** A run whose box stayed up this long after the start doesn't count the crash, and clears the task's counts. A task
- * that crashes its boxes later is not detected. Lasting tasks see crashes of all causes, so they count them only up to
- * ISOLATION_FOR: with the longer limit and many boxes crashing, tasks whose boxes had stayed up for 0.6 to 1.1 s each
- * time were not started any more after four crashes. */
+ * that crashes its boxes later is not detected. Lasting tasks see crashes of all causes and are not started any more
+ * after CRASHES_MAX, so for them ISOLATION_FOR is enough, and an order sent JUST_STARTED after the confirmed start that
+ * was still answered. */
 constexpr Millis PROVEN_AFTER(2000);
 /** Time after the start for which a suspect stays isolated; the box is sent an order at the end to learn that it is
  * still up. */
@@ -31,6 +31,9 @@
 /** A run has just started when its box was last heard from less than this after the start order: a task that crashes
  * boxes does so within 10 ms, and answers take up to some tens of ms. */
 constexpr Millis JUST_STARTED(60);
+/** Time after the confirmed start of a lasting suspect at which its box is sent an order to learn that it is still up.
+ * Longer than JUST_STARTED, so that an answer shows that the task hasn't crashed it. */
+constexpr Millis SURVIVAL_CHECK_AFTER(80);
 /** Time between starts of different jobs on one box while tasks crash boxes. Longer than JUST_STARTED, so that a crash
  * is attributed to one job. */
 constexpr Millis START_SPACING(80);
@@ -76,6 +79,13 @@
 	return sure ? CrashEvidence::CE_CERTAIN : CrashEvidence::CE_POSSIBLE;
 }
 
+bool Shard::KnownUpFor(const ShardBox &box, const ShardTask &task, Millis span)
+{
+	/* Counts from the answer that confirmed the run to the sending of a later, answered order, so that neither a late
+	 * answer nor an owner that is late itself makes the time look longer. */
+	return task.run_state == RunState::RS_RUNNING && box.up_at - task.confirmed_at >= span;
+}
+
 bool Shard::JustStarted(const ShardBox &box, const ShardTask &task)
 {
 	return task.run_state == RunState::RS_RUNNING && box.answered_at - task.ordered_at < JUST_STARTED;
@@ -182,14 +192,17 @@
 	const bool restored = task.run_state == RunState::RS_RESTORED;
 	const Millis uptime = box.answered_at - task.ordered_at;
 	const bool ignored = evidence == CrashEvidence::CE_NONE || task.run_state == RunState::RS_RECORDING;
-	/* A lasting task that reaches the crash limit is never started again, so only the shorter time counts for it. */
-	const Millis proven = job.spec.steps[id.step].lasting ? ISOLATION_FOR : PROVEN_AFTER;
-	if (ignored || (was_running && uptime >= proven)) {
+	/* A lasting task that reaches the crash limit is never started again, so it counts a crash only if its box is not
+	 * known to have outlived the time in which a task that crashes boxes does so. */
+	const bool lasting = job.spec.steps[id.step].lasting;
+	const bool outlived = box.answered_at - task.confirmed_at >= ISOLATION_FOR || KnownUpFor(box, task, JUST_STARTED);
+	const bool proven = lasting ? outlived : uptime >= PROVEN_AFTER;
+	if (ignored || (was_running && proven)) {
 		return false;
 	}
 	const bool others = this->OthersJustStarted(box, id.job, true);
 	const bool may_be_cause = (!was_running && !restored) || JustStarted(box, task);
-	const bool was_suspect = std::exchange(task.suspect, task.suspect || may_be_cause || task.crashes > 0);
+	const bool was_suspect = std::exchange(task.suspect, task.suspect || may_be_cause || task.crashes > 0 || lasting);
 	if (evidence == CrashEvidence::CE_POSSIBLE || !was_running) {
 		/* A start without an answer is not counted when tasks of other jobs had just started and this one wasn't a
 		 * suspect yet: mostly the box had already been crashed by one of the others. A run recorded by an earlier owner
@@ -234,7 +247,10 @@
 void Shard::ClearSuspicion(const ShardBox &box, const TaskId &id, ShardTask &task)
 {
 	const bool counted = task.suspect || task.crashes + task.crashes_possible > 0;
-	if (!counted || box.answered_at - task.ordered_at < PROVEN_AFTER) {
+	const bool lasting = this->jobs.at(id.job).spec.steps[id.step].lasting;
+	const bool proven =
+			lasting ? KnownUpFor(box, task, ISOLATION_FOR) : box.answered_at - task.ordered_at >= PROVEN_AFTER;
+	if (!counted || !proven) {
 		return;
 	}
 	/* Since this box stayed up, the earlier ones have crashed for other reasons. */
@@ -257,11 +273,15 @@
 
 void Shard::ScheduleIsolationCheck(const TaskId &id, RunNumber run)
 {
-	this->scheduler.After(ISOLATION_FOR, [this, id, run, still = std::weak_ptr<bool>(this->alive)] {
+	const auto check = [this, id, run, still = std::weak_ptr<bool>(this->alive)] {
 		if (!still.expired()) {
 			this->CheckIsolated(id, run);
 		}
-	});
+	};
+	this->scheduler.After(ISOLATION_FOR, check);
+	if (this->jobs.at(id.job).spec.steps[id.step].lasting) {
+		this->scheduler.After(SURVIVAL_CHECK_AFTER, check);
+	}
 }
 
 void Shard::CheckIsolated(const TaskId &id, RunNumber run)
--- a/src/jobs/shard_place.cpp
+++ b/src/jobs/shard_place.cpp
@@ -398,7 +398,10 @@
 	}
 	task->state_known_at = this->scheduler.Now();
 	if (answer.outcome == OrderOutcome::OO_DONE || task->run_state == RunState::RS_RUNNING) {
-		task->run_state = RunState::RS_RUNNING; /* Confirmed now, or listed before. */
+		if (task->run_state != RunState::RS_RUNNING) { /* Otherwise it was listed before. */
+			task->run_state = RunState::RS_RUNNING;
+			task->confirmed_at = this->scheduler.Now();
+		}
 		this->jobs.at(id.job).begun = true;
 		if (task->suspect) {
 			this->ScheduleIsolationCheck(id, run);
--- a/src/jobs/shard_type.h
+++ b/src/jobs/shard_type.h
@@ -90,6 +90,7 @@
 	bool at_full_pace = false; ///< The box lists the run at full pace.
 	int64_t pace = FULL_PACE;  ///< Pace last ordered, in percent.
 	Millis ordered_at;         ///< When the first start order for the run was sent.
+	Millis confirmed_at;       ///< When an answer of the box first showed that the run had started.
 	/** Suspected of crashing boxes: a box crashed just after it had started the task or before it had confirmed the
 	 * start. Not stored: a new owner derives it from `crashes` and `crashes_possible`. */
 	bool suspect = false;
@@ -165,6 +166,7 @@
 	Millis lease_ordered_at;      ///< When the last lease order was sent.
 	Millis answer_wait;           ///< How long it may hold back its answer to the last lease order.
 	Millis answered_at;           ///< When the last answer to any order arrived.
+	Millis up_at;                 ///< When the newest answered order was sent: the box was still up then.
 	Millis runs_listed_at;        ///< When it last listed its runs.
 	Millis avoid_until;           ///< No task is placed there before this time.
 	/** An order got no answer since the box last listed its runs: its agent may have restarted. */
--- a/tests/test_crashing_tasks.cpp
+++ b/tests/test_crashing_tasks.cpp
@@ -79,6 +79,92 @@
 	std::vector<WorldJob *> ordinary; ///< All other jobs.
 };
 
+/** A long-running job of three tasks, of which the last loses its box soon after each start, without being the cause.
+ */
+struct UnluckyTask {
+	/** @param others Number of ordinary jobs beside it. */
+	explicit UnluckyTask(int others) : job(world.Plan(Millis(1000), "calc", JobWorld::Lasting(3)))
+	{
+		this->world.site.restart_delay = Millis(250);
+		for (int n = 0; n < others; n++) {
+			this->world.Plan(Millis(1500 + n * 300), "calc", JobWorld::Chain(2));
+		}
+	}
+
+	/** @return Whether the owner knows that a run of the last task is under way which has not been lost. */
+	bool KnownToRun()
+	{
+		const WorldNode *owner = this->world.OwnerOf(CALC);
+		if (owner == nullptr) {
+			return false;
+		}
+		const ShardJobs &jobs = std::as_const(owner->host).Find(CALC)->Running()->Jobs();
+		const auto it = jobs.find(this->job.spec.id);
+		if (it == jobs.end()) {
+			return false;
+		}
+		const ShardTask &task = it->second.tasks[2];
+		const bool runs = task.phase == TaskPhase::TP_PLACED && task.run_state == RunState::RS_RUNNING;
+		if (!runs || task.run == this->lost_run) {
+			return false;
+		}
+		this->run = task.run;
+		this->box = BoxName(task.box.id.Value().substr(0, task.box.id.Value().find("-life")));
+		return true;
+	}
+
+	/** Waits for such a run. @return Whether there is one. */
+	bool WaitForRun()
+	{
+		const Millis give_up_at = this->world.clock.Now() + START_WITHIN;
+		while (!this->KnownToRun()) {
+			if (this->world.clock.Now() > give_up_at || !this->world.clock.RunNextTimer()) {
+				return false;
+			}
+		}
+		return true;
+	}
+
+	/** Replaces the node that owns the service. */
+	void ReplaceOwner()
+	{
+		if (WorldNode *owner = this->world.OwnerOf(CALC); owner != nullptr) {
+			const std::string name = owner->name;
+			JobWorld::Kill(*owner);
+			this->world.Boot(name);
+		}
+	}
+
+	/** Crashes the box of the run. @param after Time until then. @param replaces_owner Whether the owner is replaced at
+	 * that moment. */
+	void LoseRun(Millis after, bool replaces_owner = false)
+	{
+		this->world.clock.RunUntil(this->world.clock.Now() + after);
+		if (replaces_owner) {
+			this->ReplaceOwner();
+		}
+		this->world.site.Crash(this->box);
+		this->lost_run = this->run;
+	}
+
+	/** Checks that all tasks of the job run in the end. */
+	void CheckAllRun()
+	{
+		this->world.clock.RunUntil(this->world.clock.Now() + Millis(12000));
+		CHECK(this->world.site.Running(this->job.spec.id) == 3);
+		CHECK(this->world.site.violations == std::vector<std::string>{});
+	}
+
+	static constexpr int LOST_RUNS = 12;                  ///< Number of runs that are lost in a scenario.
+	static constexpr Millis START_WITHIN = Millis(20000); ///< Wait for a start; includes a change of owner.
+
+	JobWorld world;     ///< The simulation.
+	WorldJob &job;      ///< The long-running job.
+	RunNumber run;      ///< The run of the last task that is under way.
+	BoxName box;        ///< Its box.
+	RunNumber lost_run; ///< The last run of the task that was lost.
+};
+
 } // namespace
 
 TEST_CASE("a task that crashes each box that starts it is given up, and its job fails soon")
@@ -232,6 +318,102 @@
 	CHECK(world.site.Running(job.spec.id) == 1);
 }
 
+/* Guards against a task that is no longer started after four boxes have restarted under it 150 to 280 ms after a start,
+ * since that was held against it like the crash of a task that takes its box down within some 10 ms. */
+TEST_CASE("a long-running task is restarted however often its box restarts 150 to 280 ms after its start")
+{
+	for (const int64_t after : {150, 200, 280}) {
+		for (const int others : {0, 40}) {
+			for (const int owner_change_every : {0, 5}) {
+				CAPTURE(after);
+				CAPTURE(others);
+				CAPTURE(owner_change_every);
+				UnluckyTask unlucky(others);
+				int lost = 0;
+				while (lost < UnluckyTask::LOST_RUNS && unlucky.WaitForRun()) {
+					unlucky.LoseRun(Millis(after), owner_change_every > 0 && lost % owner_change_every == 2);
+					lost++;
+				}
+				CHECK(lost == UnluckyTask::LOST_RUNS);
+				unlucky.CheckAllRun();
+			}
+		}
+	}
+}
+
+/* Guards against a job that is shown as failed because all its tasks have reached the crash limit in that way. */
+TEST_CASE("a job of one long-running task doesn't fail when its boxes crash six times 200 ms after its start")
+{
+	JobWorld world;
+	world.site.restart_delay = Millis(250);
+	const WorldJob &job = world.Plan(Millis(1000), "calc", JobWorld::Lasting(1));
+	for (int crash = 0; crash < 6; crash++) {
+		while (world.site.Running(job.spec.id) < 1 && world.clock.Now() < SIMULATED_TIME) {
+			REQUIRE(world.clock.RunNextTimer());
+		}
+		world.clock.RunUntil(world.clock.Now() + Millis(200));
+		for (const BoxReport &it : world.site.Reports()) {
+			world.site.Crash(it.box);
+		}
+	}
+	world.clock.RunUntil(world.clock.Now() + Millis(8000));
+	CHECK(world.ViewOf(job).phase == JobPhase::JP_RUNNING);
+	CHECK(world.site.Running(job.spec.id) == 1);
+	CHECK(world.site.violations == std::vector<std::string>{});
+}
+
+/* Guards against a guilty task that is taken for an innocent one, since a late answer or a late owner made it look as
+ * if its box had outlived the start. */
+TEST_CASE("a long-running task that crashes its boxes is no longer started, also with lost answers and a late owner")
+{
+	struct Trouble {
+		const char *name;    ///< For the output.
+		uint32_t lose_every; ///< Every so many orders, one gets no answer; 0 for none.
+		bool late;           ///< Orders without an answer are carried out 3 s late.
+		Millis owner_stops;  ///< The owner stands still this long after each crash.
+		Millis owner_dies;   ///< Interval between kills of the owner; 0 for none.
+	};
+	for (const Trouble &trouble :
+		 {Trouble{"half of the answers lost", 2, false, Millis(0), Millis(0)},
+		  Trouble{"a third of the answers lost", 3, false, Millis(0), Millis(0)},
+		  Trouble{"a fifth of the answers lost", 5, false, Millis(0), Millis(0)},
+		  Trouble{"half of the orders late", 2, true, Millis(0), Millis(0)},
+		  Trouble{"a third of the orders late", 3, true, Millis(0), Millis(0)},
+		  Trouble{"a fourth of the orders late", 4, true, Millis(0), Millis(0)},
+		  Trouble{"a fifth of the orders late", 5, true, Millis(0), Millis(0)},
+		  Trouble{"short stops", 0, false, Millis(150), Millis(0)},
+		  Trouble{"long stops", 0, false, Millis(700), Millis(0)}, Trouble{"kills", 0, false, Millis(0), Millis(4500)},
+		  Trouble{"kills and lost answers", 3, false, Millis(0), Millis(4500)}}) {
+		CAPTURE(std::string(trouble.name));
+		JobWorld world;
+		world.site.restart_delay = Millis(1200);
+		WorldJob &job = world.Plan(Millis(1000), "calc", JobWorld::Lasting(3));
+		world.site.JobOf(job.spec.id).crashing_tasks = {1};
+		for (const BoxReport &it : world.site.Reports()) {
+			world.site.faults[it.box].lose_every = trouble.lose_every;
+			world.site.faults[it.box].late = trouble.late;
+		}
+		Millis kill_at = trouble.owner_dies == Millis(0) ? SIMULATED_TIME : trouble.owner_dies;
+		uint64_t crashes = 0;
+		while (world.clock.Now() < SIMULATED_TIME) {
+			REQUIRE(world.clock.RunNextTimer());
+			WorldNode *owner = world.OwnerOf(CALC);
+			if (owner != nullptr && std::exchange(crashes, world.site.crashes) != world.site.crashes) {
+				owner->scheduler.paused_until = world.clock.Now() + trouble.owner_stops;
+			}
+			if (owner != nullptr && world.clock.Now() >= kill_at) {
+				kill_at = world.clock.Now() + trouble.owner_dies;
+				const std::string name = owner->name;
+				JobWorld::Kill(*owner);
+				world.Boot(name);
+			}
+		}
+		CHECK(world.site.violations == std::vector<std::string>{});
+		CHECK(world.site.crashes <= 5);
+		CHECK(world.site.Running(job.spec.id) == 2);
+	}
+}
+
 TEST_CASE("of a gang, a crash counts only against the member whose box has crashed")
 {
 	JobWorld world;
