--- a/src/jobs/shard_boxes.cpp
+++ b/src/jobs/shard_boxes.cpp
@@ -220,6 +220,7 @@
 		box.unreachable = true;
 	} else if (answered) {
 		box.answered_at = now;
+		box.up_at = std::max(box.up_at, sent);
 		box.unanswered = 0;
 		box.unreachable = false;
 	} else {
@@ -380,6 +381,7 @@
 		task->answerer_unsure = false;
 		if (task->run_state != RunState::RS_RUNNING) {
 			task->run_state = RunState::RS_RUNNING;
+			task->confirmed_at = this->scheduler.Now();
 			task->state_known_at = sent;
 		}
 		if (!row.saved.empty()) {
