A restored run may still have a start order under way at the box's next incarnation

Callers saw: "two runs at once", in a play forced in memory.

Cause: a start order of the earlier owner that was repeated may still be carried out late, after the box has listed the run to the new owner. If the box restarts then, the next incarnation runs it, while the new owner took the run for answered, so for lost, and started it elsewhere at once.

Evidence: the new test in tests/test_late_orders.cpp: 3 of 3 assertions failed, all hold now.

--- a/src/jobs/shard_jobs.cpp
+++ b/src/jobs/shard_jobs.cpp
@@ -105,6 +105,7 @@
 				ShardTask task;
 				static_cast<StoredTask &>(task) = it;
 				task.run_state = RunState::RS_RESTORED;
+				task.uncertain = true; /* The earlier owner may have sent more than one order. */
 				task.stop_wanted = task.stop_recorded = task.leaving;
 				task.phase_since = task.ordered_at = job.taken_at;
 				task.suspect = it.crashes + it.crashes_possible > 0;
--- a/src/jobs/shard_type.h
+++ b/src/jobs/shard_type.h
@@ -79,7 +79,8 @@
 /** A task and the state of its current run. */
 struct ShardTask : public StoredTask {
 	RunState run_state = RunState::RS_RECORDING; ///< State of the current run, while placed.
-	bool uncertain = false; ///< A start order for the run got no answer: it may still be carried out.
+	/** A start order for the run got no answer, or an earlier owner may have sent one: it may still be carried out. */
+	bool uncertain = false;
 	/** The start was confirmed by an answer that a later incarnation may have given; the next list decides. */
 	bool answerer_unsure = false;
 	bool stop_wanted = false;    ///< The run is to be stopped.
--- a/tests/test_late_orders.cpp
+++ b/tests/test_late_orders.cpp
@@ -424,3 +424,37 @@
 							  [&world](const auto &it) { return world.ViewOf(*it).phase == JobPhase::JP_COMPLETED; }));
 	CHECK(world.site.violations == std::vector<std::string>{});
 }
+
+TEST_CASE("a run is not started elsewhere while the next incarnation runs it by a late order of the previous owner")
+{
+	for (const int64_t arrives : {9200, 9490, 11200}) {
+		JobWorld world;
+		const Millis arrives_at(arrives);
+		world.site.stop_delay = Millis(300);
+		std::optional<BoxName> box;
+		std::string trace;
+		for (const auto &node : world.nodes) {
+			node->events.write = [&](const std::string &line) {
+				if (line.starts_with("box_over") || line.starts_with("run_") || line.starts_with("unknown_run")) {
+					trace += std::to_string(world.clock.Now().Value()) + " " + line + "\n";
+				}
+			};
+		}
+		world.site.choose_transit = [&](const OutgoingOrder &order) -> std::optional<OrderTransit> {
+			if (order.kind != OrderKind::OK_START || box) {
+				return std::nullopt;
+			}
+			box = order.box;
+			return OrderTransit{arrives_at - world.clock.Now(), false, false};
+		};
+		world.Plan(Millis(3000), "calc", JobWorld::Chain(1), Millis(20000));
+		world.clock.After(Millis(3700), [&] { JobWorld::Kill(*world.OwnerOf(CALC)); });
+		world.clock.After(Millis(arrives - 80), [&] { world.site.Restart(*box); });
+		world.clock.RunUntil(Millis(30000));
+		CAPTURE(arrives);
+		CAPTURE(trace);
+		const std::string first = world.site.violations.empty() ? "" : world.site.violations.front();
+		CAPTURE(first);
+		CHECK(world.site.violations == std::vector<std::string>{});
+	}
+}
