--- a/src/jobs/order_fence.cpp
+++ b/src/jobs/order_fence.cpp
@@ -6,8 +6,8 @@
 bool OrderFence::OrderedRun::MayStillStart() const
 {
 	/* The run is listed because one order was carried out: one without an answer, unless an answer confirms the run. */
-	const uint32_t carried_out = this->listed && !this->confirmed ? 1 : 0;
-	return this->orders > this->answered + carried_out;
+	const uint32_t done_unanswered = this->listed && !this->confirmed ? 1 : 0;
+	return this->orders > this->answered + done_unanswered;
 }
 
 void OrderFence::Raise()
--- a/src/jobs/order_fence.h
+++ b/src/jobs/order_fence.h
@@ -18,7 +18,8 @@
  * numbers its ends anew, so an acknowledgement meant for an earlier one makes it forget ends that no owner has seen.
  * This can't happen when it has started no run yet, or has seen a higher token and so refuses the acknowledgement.
  * Therefore an acknowledgement is sent only when no start order sent before can still be carried out, and start orders
- * sent while it can still be carried out have a higher token.
+ * sent while it can still be carried out have a higher token. Acknowledgements that can still be carried out have
+ * tokens of their own, so that the answer to one settles no other. Tokens of an id never fall during an ownership.
  */
 class OrderFence {
 public:
@@ -27,7 +28,8 @@
 
 	/** @return The highest token of the orders sent so far. */
 	[[nodiscard]] FenceToken Token() const { return this->token; }
-	/** Raises the token, so that a new incarnation refuses the orders sent to earlier ones. */
+	/** Raises the token, so that a new incarnation refuses the orders sent to earlier ones. Does nothing when no higher
+	 * token is left: no start order may be sent then. */
 	void Raise();
 	/** @return Whether no higher token is left. */
 	[[nodiscard]] bool UsedUp() const { return this->token.Value() >= this->last; }
@@ -84,6 +86,7 @@
 
 	/** @return The entry of a run, or null. */
 	OrderedRun *Find(const TaskId &task, RunNumber run);
+	/** Removes runs whose start orders have all been carried out or refused. */
 	void ForgetSettled();
 };
 
