A list that only has to show that the box has not restarted isn't delayed

Lease orders to a box whose starts were answered in its first 5 s waited 200 ms, although the list itself settles whether it has restarted: ends on new boxes would be seen up to 200 ms late, just when a pool grows for a peak.

--- a/src/jobs/shard_boxes.cpp
+++ b/src/jobs/shard_boxes.cpp
@@ -165,7 +165,8 @@
 
 Millis Shard::RenewalDue(const ShardBox &box)
 {
-	const bool waits = EndsToAcknowledge(box) && !this->MayAcknowledge(box);
+	/* While only the box may have restarted, its next list decides that, so it isn't delayed. */
+	const bool waits = EndsToAcknowledge(box) && !this->FenceOf(box).MayAcknowledge(this->scheduler.Now());
 	const Millis due = waits ? box.runs_listed_at + UNACKNOWLEDGED_GAP : box.lease_ordered_at + this->renewal_gap;
 	if (!this->Overloaded()) {
 		return due;
