A crash is counted from the start order that was carried out, not from the first one

Trace: run 2 was ordered at 5010 without an answer, again at 5449, answered at 5451, its box crashed at 5460; counted with answered_for_ms=441, so the task had not 'just started' and the second crash was not attributed to it (last_start=no), the third likewise. Now the time of a run with an unanswered order counts from the answer that confirmed it, for ordinary tasks as for long-running ones.

--- a/src/jobs/shard_base.h
+++ b/src/jobs/shard_base.h
@@ -397,7 +397,9 @@
 	/** @return Whether the box was certainly up some time after the start of a run was confirmed. @param box The box.
 	 * @param task Task of the run. @param span The time. */
 	[[nodiscard]] static bool KnownUpFor(const ShardBox &box, const ShardTask &task, Millis span);
-	/** @return Whether the box was last heard from within JUST_STARTED of the task's start order. */
+	/** @return When the current run of a task was started at the latest. */
+	[[nodiscard]] static Millis StartedAt(const ShardTask &task);
+	/** @return Whether the box was last heard from within JUST_STARTED of the start of the task. */
 	[[nodiscard]] static bool JustStarted(const ShardBox &box, const ShardTask &task);
 	/** @return Whether tasks of other jobs had just started on a box. @param box The box. @param job The job. @param
 	 * causes_too Whether sole crash causes count as well. */
--- a/src/jobs/shard_crashes.cpp
+++ b/src/jobs/shard_crashes.cpp
@@ -86,9 +86,15 @@
 	return task.run_state == RunState::RS_RUNNING && box.up_at - task.confirmed_at >= span;
 }
 
+Millis Shard::StartedAt(const ShardTask &task)
+{
+	/* Of several orders, the one that was carried out may be the last. */
+	return task.uncertain ? task.confirmed_at : task.ordered_at;
+}
+
 bool Shard::JustStarted(const ShardBox &box, const ShardTask &task)
 {
-	return task.run_state == RunState::RS_RUNNING && box.answered_at - task.ordered_at < JUST_STARTED;
+	return task.run_state == RunState::RS_RUNNING && box.answered_at - StartedAt(task) < JUST_STARTED;
 }
 
 void Shard::SpaceStarts()
@@ -190,7 +196,7 @@
 	ShardTask &task = job.tasks[job.IndexOf(id)];
 	const bool was_running = task.run_state == RunState::RS_RUNNING;
 	const bool restored = task.run_state == RunState::RS_RESTORED;
-	const Millis uptime = box.answered_at - task.ordered_at;
+	const Millis uptime = box.answered_at - StartedAt(task);
 	const bool ignored = evidence == CrashEvidence::CE_NONE || task.run_state == RunState::RS_RECORDING;
 	/* A lasting task that reaches the crash limit is never started again, so it counts a crash only if its box is not
 	 * known to have outlived the time in which a task that crashes boxes does so. */
@@ -238,7 +244,7 @@
 									  {"task", std::to_string(job.IndexOf(id))},
 									  {"run", std::to_string(task.run.Value())},
 									  {"incarnation", IncarnationText(box.report.incarnation)},
-									  {"answered_for_ms", std::to_string((box.answered_at - task.ordered_at).Value())},
+									  {"answered_for_ms", std::to_string((box.answered_at - StartedAt(task)).Value())},
 									  {"last_start", last_start ? "yes" : "no"},
 									  {"crashes", std::to_string(task.crashes)},
 									  {"possible", std::to_string(task.crashes_possible)}});
@@ -249,7 +255,7 @@
 	const bool counted = task.suspect || task.crashes + task.crashes_possible > 0;
 	const bool lasting = this->jobs.at(id.job).spec.steps[id.step].lasting;
 	const bool proven =
-			lasting ? KnownUpFor(box, task, ISOLATION_FOR) : box.answered_at - task.ordered_at >= PROVEN_AFTER;
+			lasting ? KnownUpFor(box, task, ISOLATION_FOR) : box.answered_at - StartedAt(task) >= PROVEN_AFTER;
 	if (!counted || !proven) {
 		return;
 	}
@@ -268,7 +274,7 @@
 bool Shard::IsIsolated(const ShardBox &box, const ShardTask &task)
 {
 	return task.suspect &&
-		   (task.run_state != RunState::RS_RUNNING || box.answered_at - task.ordered_at < ISOLATION_FOR);
+		   (task.run_state != RunState::RS_RUNNING || box.answered_at - StartedAt(task) < ISOLATION_FOR);
 }
 
 void Shard::ScheduleIsolationCheck(const TaskId &id, RunNumber run)
