--- a/src/standin/memory/box_site.cpp
+++ b/src/standin/memory/box_site.cpp
@@ -429,7 +429,7 @@
 }
 
 void SiteOrders::SendInTransit(const BoxName &box, const OrderTransit &transit, std::function<OrderAnswer()> work,
-							   Done done)
+							   const Done &done)
 {
 	const bool answered = transit.answered && !transit.lost && transit.delay < ORDER_TIMEOUT;
 	if (!answered) {
@@ -458,7 +458,7 @@
 		return;
 	}
 	if (const auto transit = this->TransitOf(order)) {
-		this->SendInTransit(box.box, *transit, std::move(work), std::move(done));
+		this->SendInTransit(box.box, *transit, std::move(work), done);
 		return;
 	}
 	if (faults.lose_every > 0 && this->orders % faults.lose_every == 0) {
--- a/src/standin/memory/box_site.h
+++ b/src/standin/memory/box_site.h
@@ -217,7 +217,8 @@
 	[[nodiscard]] std::optional<OrderTransit> TransitOf(const OutgoingOrder &order) const;
 	void Send(const BoxReport &box, const OutgoingOrder &order, std::function<OrderAnswer()> work, Done done);
 	/** Sends a start, stop or pace with a decided transit. */
-	void SendInTransit(const BoxName &box, const OrderTransit &transit, std::function<OrderAnswer()> work, Done done);
+	void SendInTransit(const BoxName &box, const OrderTransit &transit, std::function<OrderAnswer()> work,
+					   const Done &done);
 	/** Sends a lease order with a decided transit. */
 	void LeaseInTransit(const BoxReport &box, const LeaseOrder &order, const OrderTransit &transit,
 						const std::function<void(LeaseAnswer)> &done);
