--- a/src/node/config_exchange.cpp
+++ b/src/node/config_exchange.cpp
@@ -3,6 +3,7 @@
 #include "config_exchange.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace {
 
@@ -47,19 +48,40 @@
 void ConfigExchange::PollPeers()
 {
 	if (!this->StoreUnreachable()) {
+		this->EndEpisode();
 		return;
 	}
+	if (!this->episode) {
+		this->episode = PollEpisode{this->scheduler.Now(), 0, 0, std::nullopt};
+	}
 	for (size_t n = 0; n < std::min(PEERS_PER_POLL, this->known_peers.size()); n++) {
 		this->AskNextPeer(false, [](bool) { /* AskNextPeer() applies the answer. */ });
 	}
 }
 
+void ConfigExchange::EndEpisode()
+{
+	if (!this->episode) {
+		return;
+	}
+	const PollEpisode it = *std::exchange(this->episode, std::nullopt);
+	const bool answered = it.least_age.has_value();
+	this->events.Write("config_polls", {{"lasted_ms", std::to_string((this->scheduler.Now() - it.began_at).Value())},
+										{"known_peers", std::to_string(this->known_peers.size())},
+										{"asked", std::to_string(it.asked)},
+										{"answers", std::to_string(it.answers)},
+										{"least_age_ms", answered ? std::to_string(it.least_age->Value()) : "none"}});
+}
+
 void ConfigExchange::AskNextPeer(bool confirm, const std::function<void(bool)> &done)
 {
 	const std::string address = this->known_peers.front();
 	this->known_peers.pop_front();
 	this->known_peers.push_back(address);
 	this->requests_sent++;
+	if (this->episode) {
+		this->episode->asked++;
+	}
 	this->peers.Ask(address, ConfigQuestion{this->feed.ConfigVersion(), this->feed.Evacuated().as_of, confirm},
 					[this, address, done, still = std::weak_ptr<bool>(this->alive)](const PeerConfig &answer) {
 						if (still.expired()) {
@@ -75,6 +97,10 @@
 void ConfigExchange::ApplyAnswer(const std::string &from, const PeerConfig &answer)
 {
 	const uint64_t old_version = this->feed.ConfigVersion();
+	if (this->episode) {
+		this->episode->answers++;
+		this->episode->least_age = std::min(this->episode->least_age.value_or(answer.age), answer.age);
+	}
 	if (answer.evacuated) {
 		this->feed.TakeEvacuatedZones(*answer.evacuated);
 	}
--- a/src/node/config_exchange.h
+++ b/src/node/config_exchange.h
@@ -90,6 +90,14 @@
 	[[nodiscard]] uint64_t ConfigsAdopted() const { return this->configs_adopted; }
 
 private:
+	/** Polls of peers since the store stopped answering. */
+	struct PollEpisode {
+		Millis began_at;                 ///< Time of the first poll.
+		uint64_t asked = 0;              ///< Requests sent to peers.
+		uint64_t answers = 0;            ///< Answers of peers.
+		std::optional<Millis> least_age; ///< Least age of an answer; nothing before the first.
+	};
+
 	Scheduler &scheduler;                ///< Clock and timers.
 	SiteFeed &feed;                      ///< Configuration that this node has.
 	ConfigPeers &peers;                  ///< Transport to other nodes.
@@ -98,11 +106,14 @@
 	std::deque<std::string> known_peers; ///< Addresses of known peers, the next one to ask first.
 	uint64_t requests_sent = 0;          ///< Number of requests sent to peers.
 	uint64_t configs_adopted = 0;        ///< Number of configurations adopted from peers.
+	std::optional<PollEpisode> episode;  ///< Set while the store does not answer.
 	/** Lets callbacks detect that this object was destroyed. */
 	std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 
 	[[nodiscard]] bool StoreUnreachable() const;
 	void PollPeers();
+	/** Logs the polls of peers once the store answers again. */
+	void EndEpisode();
 	/** Asks the first known peer, which becomes the last. @param confirm Whether the peer must confirm its version with
 	 * the store. @param done Called with true if the peer's version is current and this node has it. */
 	void AskNextPeer(bool confirm, const std::function<void(bool)> &done);
--- a/src/node/metrics_page.cpp
+++ b/src/node/metrics_page.cpp
@@ -129,6 +129,11 @@
 					   std::to_string(this->core.Configs().RequestsSent()) + "\nglade_configs_from_nodes " +
 					   std::to_string(this->core.Configs().ConfigsAdopted()) + "\nglade_evacuated_zones " +
 					   std::to_string(this->core.Evacuated().zones.size()) + "\n";
+	const LatencyMeter::Summary ages = this->config_use.Ages();
+	text += "glade_config_age_ms{quantile=\"0.5\"} " + std::to_string(ages.p50) + "\n";
+	text += "glade_config_age_ms{quantile=\"0.99\"} " + std::to_string(ages.p99) + "\n";
+	text += "glade_config_age_ms_max " + std::to_string(ages.max) + "\n";
+	text += "glade_requests_without_route " + std::to_string(this->config_use.RoutesNotFound()) + "\n";
 	text += "glade_busy_percent " + std::to_string(this->core.Handovers().BusyPercent()) + "\n";
 	for (const HandoverRow &it : HANDOVER_COUNTERS) {
 		text += std::string("glade_") + it.name + " " + std::to_string(this->core.Handovers().Counters().*it.member) +
--- a/src/node/metrics_page.h
+++ b/src/node/metrics_page.h
@@ -3,6 +3,7 @@
 #define METRICS_PAGE_H
 
 #include "../request/request_type.h"
+#include "config_use.h"
 #include "node_core.h"
 
 #include <QJsonObject>
@@ -17,12 +18,14 @@
 /** Serves the metrics as text: one metric per line, with name, labels and value. */
 class MetricsPage : public RequestHandler {
 public:
-	/** @param core The node; outlives this object. */
-	explicit MetricsPage(const NodeCore &core) : core(core) {}
+	/** @param core The node; outlives this object. @param config_use By which configurations requests were decided;
+	 * outlives this object. */
+	MetricsPage(const NodeCore &core, const ConfigUseLog &config_use) : core(core), config_use(config_use) {}
 	std::shared_ptr<ServedRequest> Serve(CallerSink &sink, CallerRequest request) override;
 
 private:
-	const NodeCore &core; ///< The node.
+	const NodeCore &core;           ///< The node.
+	const ConfigUseLog &config_use; ///< By which configurations requests were decided.
 };
 
 #endif /* METRICS_PAGE_H */
--- a/src/request/request_path.h
+++ b/src/request/request_path.h
@@ -3,18 +3,10 @@
 #define REQUEST_PATH_H
 
 #include "key_memory.h"
+#include "latency_meter.h"
 #include "retry_budget.h"
 #include "route_table.h"
 
-#include <sstream> // Boost.Accumulators' quantiles use it without including it.
-
-#include <boost/accumulators/accumulators.hpp>
-#include <boost/accumulators/statistics/count.hpp>
-#include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
-#include <boost/accumulators/statistics/max.hpp>
-#include <boost/accumulators/statistics/mean.hpp>
-#include <boost/accumulators/statistics/stats.hpp>
-
 #include <atomic>
 
 /** A credential of a client account. Holds a hash of the token, never the token. */
@@ -61,35 +53,6 @@
 	std::atomic<int64_t> open{0};          ///< Requests in progress.
 };
 
-/** Latency statistics of one service. */
-class LatencyMeter {
-public:
-	LatencyMeter();
-
-	/** @param ms Time from the complete request to the end of its response, ms. */
-	void Add(double ms);
-
-	/** Summary of the latencies. */
-	struct Summary {
-		uint64_t count = 0; ///< Number of requests.
-		double mean = 0;    ///< Mean, ms.
-		double p50 = 0;     ///< Median, ms.
-		double p99 = 0;     ///< 99th percentile, ms.
-		double max = 0;     ///< Maximum, ms.
-	};
-
-	/** @return Summary since the start. */
-	[[nodiscard]] Summary Read() const;
-
-private:
-	using Tags = boost::accumulators::stats<boost::accumulators::tag::count, boost::accumulators::tag::mean,
-											boost::accumulators::tag::max,
-											boost::accumulators::tag::extended_p_square_quantile>;
-
-	mutable std::mutex lock;                                ///< Guards the accumulator.
-	boost::accumulators::accumulator_set<double, Tags> set; ///< Accumulator of the latencies in ms.
-};
-
 /** State shared by all requests of an entry. Thread safe. */
 class RequestPath {
 public:
