--- a/src/standin/memory/keyed_store.cpp
+++ b/src/standin/memory/keyed_store.cpp
@@ -241,6 +241,10 @@
 							  [this, partition, from, until, done] { this->Poll(partition, from, until, done); });
 		return;
 	}
+	if (this->DropsCalls(partition)) {
+		this->scheduler.After(until + CALL_TIMEOUT - this->clock.Now(), [done] { done(KeyedReadAnswer{}); });
+		return;
+	}
 	if (broken) {
 		answer = KeyedReadAnswer{};
 	}
@@ -252,7 +256,7 @@
 {
 	if (this->DropsCalls(partition) || this->faults.refusing) {
 		this->Call<KeyedReadAnswer>(
-				partition, [] { return KeyedReadAnswer{}; }, KeyedReadAnswer{}, CALL_TIMEOUT, done);
+				partition, [] { return KeyedReadAnswer{}; }, KeyedReadAnswer{}, wait + CALL_TIMEOUT, done);
 		return;
 	}
 	this->scheduler.After(this->faults.latency, [this, partition, from, wait, done = std::move(done)] {
