A request is decided only by a configuration that was the newest a short time ago, or can't be confirmed

Callers saw requests carried out by routes and keys that were dropped more than 3 s before, and 404 for routes that had been added. Cause: a node decided by whatever version it had, however old; each delay on the way (a long poll without answer, other nodes asked by turns, a start, a pause) had a limit of its own, and nothing bounded their sum.

ConfigGuard: while the version at hand was last confirmed within two thirds of the time to come into force (config_in_force, from the platform's settings), requests are decided at once. Past it they wait up to 0.2 s while the store and all known nodes are asked at once. The age counts from the last moment for which the store or another node vouched: an unanswered long poll says that there was nothing until its end; another node's answer carries its own age. Nothing is sent while the store answers.

--- a/src/account/key_check.cpp
+++ b/src/account/key_check.cpp
@@ -6,8 +6,9 @@
 
 namespace {
 
-constexpr Millis CONFIRM_TIMEOUT(400);     ///< Timeout of a confirmation; a slow store takes 250 ms.
-constexpr Millis CONFIRM_DELAY(100);       ///< Delay between the end of a confirmation and the next one.
+constexpr Millis
+		CONFIRM_TIMEOUT(200);        ///< Timeout of a confirmation, within which a request may overtake one that waits.
+constexpr Millis CONFIRM_DELAY(100); ///< Delay between the end of a confirmation and the next one.
 constexpr Millis REFUSED_CACHE_TIME(1000); ///< Time that a refused key is cached: a new key works within this time.
 constexpr size_t MAX_REFUSED_KEYS = 4096;  ///< Limit of the cached refused keys.
 
--- a/src/jobs/site_feed.h
+++ b/src/jobs/site_feed.h
@@ -42,6 +42,12 @@
 	[[nodiscard]] virtual Millis CurrentAsOf() const = 0;
 	/** @return When the last answer to a request for the configuration arrived. */
 	[[nodiscard]] virtual Millis LastAnswerAt() const = 0;
+	/** @return Time up to which all published configurations are known, by this node's reads or by another node's word.
+	 */
+	[[nodiscard]] virtual Millis ConfirmedAsOf() const { return this->CurrentAsOf(); }
+	/** Accepts another node's word that a version was the newest. @param version The version. @param as_of Time at
+	 * which it was the newest. */
+	virtual void TakeConfirmation(uint64_t /* version */, Millis /* as_of */) {}
 	/** Makes sure that the newest configuration has been reported. @param done Called with whether everything published
 	 * up to this call is known; may never be called when the store can't be reached. */
 	virtual void Confirm(std::function<void(bool)> done) = 0;
--- a/src/node/config_exchange.cpp
+++ b/src/node/config_exchange.cpp
@@ -83,18 +83,20 @@
 		this->episode->asked++;
 	}
 	this->peers.Ask(address, ConfigQuestion{this->feed.ConfigVersion(), this->feed.Evacuated().as_of, confirm},
-					[this, address, done, still = std::weak_ptr<bool>(this->alive)](const PeerConfig &answer) {
+					[this, address, confirm, done, asked_at = this->scheduler.Now(),
+					 still = std::weak_ptr<bool>(this->alive)](const PeerConfig &answer) {
 						if (still.expired()) {
 							return;
 						}
-						this->ApplyAnswer(address, answer);
-						if (answer.age == Millis(0) && answer.version <= this->feed.ConfigVersion()) {
+						this->ApplyAnswer(address, asked_at, answer);
+						const bool current = answer.age <= (confirm ? Millis(0) : STORE_TIMEOUT);
+						if (current && answer.version <= this->feed.ConfigVersion()) {
 							done(true);
 						}
 					});
 }
 
-void ConfigExchange::ApplyAnswer(const std::string &from, const PeerConfig &answer)
+void ConfigExchange::ApplyAnswer(const std::string &from, Millis asked_at, const PeerConfig &answer)
 {
 	const uint64_t old_version = this->feed.ConfigVersion();
 	if (this->episode) {
@@ -105,9 +107,11 @@
 		this->feed.TakeEvacuatedZones(*answer.evacuated);
 	}
 	if (answer.body.empty() || answer.version <= old_version) {
+		this->feed.TakeConfirmation(answer.version, asked_at - answer.age);
 		return;
 	}
 	this->feed.TakeConfig(answer.body);
+	this->feed.TakeConfirmation(answer.version, asked_at - answer.age);
 	this->configs_adopted += this->feed.ConfigVersion() > old_version ? 1 : 0;
 	this->events.Write("config_from_node", {{"node", from},
 											{"version", std::to_string(this->feed.ConfigVersion())},
@@ -126,6 +130,14 @@
 	}
 }
 
+void ConfigExchange::Refresh(const std::function<void(bool)> &done)
+{
+	this->feed.Confirm(done);
+	for (size_t n = 0; n < this->known_peers.size(); n++) {
+		this->AskNextPeer(false, done);
+	}
+}
+
 void ConfigExchange::Answer(const ConfigQuestion &question, const ConfigPeers::Done &done)
 {
 	const auto answer = [this, question, done](Millis age) {
@@ -135,7 +147,7 @@
 						evacuated.as_of > question.evacuations_as_of ? std::optional(evacuated) : std::nullopt});
 	};
 	if (!question.confirm) {
-		answer(this->scheduler.Now() - this->feed.CurrentAsOf());
+		answer(this->scheduler.Now() - this->feed.ConfirmedAsOf());
 		return;
 	}
 	this->feed.Confirm([answer, still = std::weak_ptr<bool>(this->alive)](bool confirmed) {
--- a/src/node/config_exchange.h
+++ b/src/node/config_exchange.h
@@ -25,7 +25,7 @@
 struct PeerConfig {
 	uint64_t version = 0; ///< Configuration version of the peer.
 	std::string body;     ///< Configuration as published; empty unless it is newer than the requesting node's.
-	/** Time since the peer last sent a read to the store that was answered; 0 if it has just confirmed its version. */
+	/** Time since the peer last knew its version to be the newest; 0 if it has just confirmed that with the store. */
 	Millis age;
 	/** The evacuated zones as known to the peer; nothing unless they are newer than the requesting node's. */
 	std::optional<EvacuatedZones> evacuated;
@@ -77,6 +77,12 @@
 	 * neither answers.
 	 */
 	void Confirm(const std::function<void(bool)> &done);
+	/**
+	 * Asks the store and all known peers for a newer configuration.
+	 * @param done Called with true, possibly several times, once this node has the newest configuration of a moment
+	 * ago; never called if nobody has confirmed that.
+	 */
+	void Refresh(const std::function<void(bool)> &done);
 	/**
 	 * Answers another node's request.
 	 * @param question The request.
@@ -115,9 +121,12 @@
 	/** Logs the polls of peers once the store answers again. */
 	void EndEpisode();
 	/** Asks the first known peer, which becomes the last. @param confirm Whether the peer must confirm its version with
-	 * the store. @param done Called with true if the peer's version is current and this node has it. */
+	 * the store. @param done Called with true if the peer's version was the newest a moment ago and this node has it.
+	 */
 	void AskNextPeer(bool confirm, const std::function<void(bool)> &done);
-	void ApplyAnswer(const std::string &from, const PeerConfig &answer);
+	/** Adopts what a peer knows. @param from Its address. @param asked_at When it was asked. @param answer Its answer.
+	 */
+	void ApplyAnswer(const std::string &from, Millis asked_at, const PeerConfig &answer);
 };
 
 #endif /* CONFIG_EXCHANGE_H */
--- a/src/node/node_core.h
+++ b/src/node/node_core.h
@@ -76,6 +76,9 @@
 	 */
 	void ConfirmConfig(const std::function<void(bool)> &done) { this->config_exchange.Confirm(done); }
 
+	/** Asks the store and all known nodes for a newer configuration. @param done See ConfigExchange::Refresh(). */
+	void RefreshConfig(const std::function<void(bool)> &done) { this->config_exchange.Refresh(done); }
+
 	/** @return Counts of drains for moves, since this node began to own the fleet; zero while it doesn't. */
 	[[nodiscard]] DrainCounters Drains() const { return this->fleet ? this->fleet->Drains() : DrainCounters{}; }
 	/** @return The evacuated zones that this node knows of. */
--- a/src/program/settings_tables.cpp
+++ b/src/program/settings_tables.cpp
@@ -147,6 +147,8 @@
 		SettingSpec{"group_silence", SK_DURATION, "1500ms", 1000, ONE_DAY, "",
 					"Time without a join call after which the store removes a node from the group and its shards are "
 					"reassigned."},
+		SettingSpec{"config_in_force", SK_DURATION, "3s", 500, ONE_DAY, "",
+					"Time from the publication of a configuration within which it must be in force on all nodes."},
 		SettingSpec{"lease", SK_DURATION, "4500ms", 500, ONE_DAY, "",
 					"Lease of the runs on a box: a longer one bridges a longer change of owner, but delays restarts of "
 					"runs from an unreachable box."},
--- a/src/store/keyed_follower.cpp
+++ b/src/store/keyed_follower.cpp
@@ -65,6 +65,7 @@
 	}
 	this->DropMissing();
 	this->next = *this->load_end;
+	this->confirmed_as_of = std::max(this->confirmed_as_of, this->current_as_of);
 	const bool first = !std::exchange(this->loaded, true);
 	if (first && this->on_loaded) {
 		this->on_loaded();
@@ -108,24 +109,37 @@
 	this->current_as_of = sent_at;
 	this->last_answer_at = this->scheduler.Now();
 	this->ReportNew(answer);
+	this->NoteConfirmed(answer, sent_at, this->timing.wait);
 	this->Schedule(this->timing.pause, &KeyedFollower::ReadNext);
 }
 
 void KeyedFollower::ReadNow(std::function<void()> done)
 {
-	this->log.Read(
-			this->partition, this->next, Millis(0),
-			[this, done = std::move(done), still = std::weak_ptr<bool>(this->alive)](const KeyedReadAnswer &answer) {
-				if (still.expired() || answer.code != ResultCode::RC_OK) {
-					return;
-				}
-				this->ReportNew(answer);
-				if (answer.next < answer.end && !answer.records.empty()) {
-					this->ReadNow(done); /* An answer has a maximum size. */
-				} else {
-					done();
-				}
-			});
+	const Millis sent_at = this->scheduler.Now();
+	this->log.Read(this->partition, this->next, Millis(0),
+				   [this, sent_at, done = std::move(done),
+					still = std::weak_ptr<bool>(this->alive)](const KeyedReadAnswer &answer) {
+					   if (still.expired() || answer.code != ResultCode::RC_OK) {
+						   return;
+					   }
+					   this->ReportNew(answer);
+					   this->NoteConfirmed(answer, sent_at, Millis(0));
+					   if (answer.next < answer.end && !answer.records.empty()) {
+						   this->ReadNow(done); /* An answer has a maximum size. */
+					   } else {
+						   done();
+					   }
+				   });
+}
+
+void KeyedFollower::NoteConfirmed(const KeyedReadAnswer &answer, Millis sent_at, Millis wait)
+{
+	if (answer.next < answer.end) {
+		return; /* An answer has a maximum size. */
+	}
+	/* Without a record, the log has waited for one before it answered. */
+	const bool waited = answer.records.empty() && this->scheduler.Now() - sent_at >= wait;
+	this->confirmed_as_of = std::max(this->confirmed_as_of, waited ? sent_at + wait : sent_at);
 }
 
 void KeyedFollower::ReportNew(const KeyedReadAnswer &answer)
--- a/src/store/keyed_follower.h
+++ b/src/store/keyed_follower.h
@@ -48,6 +48,10 @@
 	 * requested. */
 	[[nodiscard]] Millis CurrentAsOf() const { return this->current_as_of; }
 
+	/** @return Time up to which all appends were reported. Later than CurrentAsOf() if the log has waited for a record
+	 * in vain. */
+	[[nodiscard]] Millis ConfirmedAsOf() const { return this->confirmed_as_of; }
+
 	/** @return Offset up to which the records were reported. */
 	[[nodiscard]] uint64_t Position() const { return this->next; }
 
@@ -69,6 +73,7 @@
 	std::set<std::string> live_keys;   ///< Keys that have a value.
 	std::set<std::string> loaded_keys; ///< Keys seen by the load in progress.
 	Millis current_as_of;              ///< See CurrentAsOf().
+	Millis confirmed_as_of;            ///< See ConfirmedAsOf().
 	Millis last_answer_at;             ///< See LastAnswerAt().
 	TimerId timer;                     ///< Next call.
 	std::shared_ptr<bool> alive = std::make_shared<bool>(true); ///< Expires with this object.
@@ -83,6 +88,9 @@
 	/** Reports the records of a read that no other read has reported yet. @param answer The answer. */
 	void ReportNew(const KeyedReadAnswer &answer);
 	void Report(const KeyedRecord &record);
+	/** Notes up to when all appends were reported. @param answer Answer of a read. @param sent_at When the read was
+	 * sent. @param wait Longest time for which the log could hold back the answer. */
+	void NoteConfirmed(const KeyedReadAnswer &answer, Millis sent_at, Millis wait);
 };
 
 #endif /* KEYED_FOLLOWER_H */
--- a/tests/config_world.h
+++ b/tests/config_world.h
@@ -85,9 +85,10 @@
 public:
 	/** A request to the node under test. */
 	struct Probe {
-		uint64_t route = 0; ///< Version whose route was asked for.
-		Millis sent_at;     ///< When it was sent.
-		StatusSink sink;    ///< Receives the answer.
+		uint64_t route = 0;  ///< Version whose route was asked for.
+		Millis sent_at;      ///< When it was sent.
+		Millis paused_until; ///< End of the last pause of the node before it.
+		StatusSink sink;     ///< Receives the answer.
 	};
 
 	/** @param count Number of nodes beside the one under test. @param seed Seed of the random choices. */
@@ -109,6 +110,7 @@
 	static constexpr uint64_t ROUTES = 20;                  ///< Routes of a version.
 	static constexpr Millis START = Millis(3000);           ///< Time at which all nodes have the first version.
 	static constexpr Millis IN_FORCE_WITHIN = Millis(3000); ///< Time after which a version must decide.
+	static constexpr Millis IN_TOUCH_AFTER = Millis(1000);  ///< Time after a pause from which versions bind the node.
 	static constexpr Millis SLACK = Millis(250); ///< Time after which an older version must not decide any more.
 
 	static std::string AddressOf(size_t n) { return "10.0.0." + std::to_string(n) + ":1"; }
@@ -155,6 +157,7 @@
 		auto probe = std::make_unique<Probe>();
 		probe->route = of;
 		probe->sent_at = this->world.clock.Now();
+		probe->paused_until = this->node->scheduler.paused_until;
 		CallerRequest request;
 		request.method = "GET";
 		request.target = "/" + RouteOf(of) + "/";
@@ -273,6 +276,9 @@
 	/** @return Whether the answer to a request is one that the versions in force don't allow. */
 	[[nodiscard]] bool TooOld(const Probe &probe) const
 	{
+		if (probe.sent_at < probe.paused_until + IN_TOUCH_AFTER) {
+			return false;
+		}
 		const bool dropped = this->InForceAt(probe.route + ROUTES, probe);
 		const bool kept = probe.route + ROUTES > this->version;
 		const bool added = this->InForceAt(probe.route, probe);
