Nodes learn of the nodes that ask them, and ask more of them until one has fresh knowledge

Cause: a node knew only those that hold partitions, the same 6 strong ones everywhere, and the seeds; when the store turned these away too, all asked each other in vain.

A node now also knows those that have sent it requests (owners hear from all nodes that serve callers, so this costs nothing while the store answers), those that ask it for the configuration, and up to 8 that each answer names. Polls double from 2 to 8 nodes until an answer is fresh, and start again with 2 once all were asked in vain; the last node with a fresh answer is asked first. Connections to nodes that are no longer asked are closed after 5 s, and replaced ones destroyed in a later turn, as one may be delivering a message.

--- a/src/net/frame_link.h
+++ b/src/net/frame_link.h
@@ -53,6 +53,9 @@
 	/** @return Whether the connection is established. */
 	[[nodiscard]] bool IsConnected() const;
 
+	/** @return Host at the other end; null once the connection is lost. */
+	[[nodiscard]] QHostAddress PeerHost() const { return this->socket->peerAddress(); }
+
 	/** @return Bytes written but not yet passed to the kernel. */
 	[[nodiscard]] int64_t Pending() const;
 
--- a/src/node/config_exchange.h
+++ b/src/node/config_exchange.h
@@ -6,12 +6,13 @@
 #include "../event_log.h"
 #include "../jobs/site_feed.h"
 #include "../scheduler_type.h"
+#include "peer_ring.h"
 
-#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 /** A request of one node to another for its configuration. */
 struct ConfigQuestion {
@@ -19,6 +20,7 @@
 	uint64_t evacuations_as_of = 0; ///< EvacuatedZones::as_of of the requesting node.
 	/** Whether the peer must confirm with the store that its own version is the newest before it answers. */
 	bool confirm = false;
+	std::string address; ///< IP:port of the requesting node's frame server.
 };
 
 /** A peer's answer to a ConfigQuestion. */
@@ -29,6 +31,7 @@
 	Millis age;
 	/** The evacuated zones as known to the peer; nothing unless they are newer than the requesting node's. */
 	std::optional<EvacuatedZones> evacuated;
+	std::vector<std::string> nodes; ///< Addresses of some nodes that the peer knows.
 };
 
 /** Transport for configuration requests to other nodes. */
@@ -59,18 +62,22 @@
 	 * @param events Event log; outlives this object.
 	 * @param self IP:port of this node's frame server.
 	 */
-	ConfigExchange(Scheduler &scheduler, SiteFeed &feed, ConfigPeers &peers, EventLog &events, std::string self)
-			: scheduler(scheduler), feed(feed), peers(peers), events(events), self(std::move(self))
-	{
-	}
+	ConfigExchange(Scheduler &scheduler, SiteFeed &feed, ConfigPeers &peers, EventLog &events, std::string self);
 
 	/** Starts the periodic check of the store. */
 	void Start();
 	/**
-	 * Adds a node to the known peers; this node itself and known addresses are ignored.
+	 * Adds a node that holds partitions, or one of the settings, to the known peers; this node itself and known
+	 * addresses are ignored.
 	 * @param address IP:port of the node's frame server.
 	 */
 	void AddPeer(const std::string &address);
+	/**
+	 * Adds any other node, which has sent a request or was named by a peer. The store may turn away all that hold
+	 * partitions, but hardly all others too.
+	 * @param address IP:port of the node's frame server.
+	 */
+	void LearnPeer(const std::string &address);
 	/**
 	 * Confirms that this node has the newest configuration.
 	 * @param done Called with true, possibly several times, once the store or a peer confirms it; never called if
@@ -104,15 +111,20 @@
 		std::optional<Millis> least_age; ///< Least age of an answer; nothing before the first.
 	};
 
-	Scheduler &scheduler;                ///< Clock and timers.
-	SiteFeed &feed;                      ///< Configuration that this node has.
-	ConfigPeers &peers;                  ///< Transport to other nodes.
-	EventLog &events;                    ///< Event log.
-	std::string self;                    ///< IP:port of this node's frame server.
-	std::deque<std::string> known_peers; ///< Addresses of known peers, the next one to ask first.
-	uint64_t requests_sent = 0;          ///< Number of requests sent to peers.
-	uint64_t configs_adopted = 0;        ///< Number of configurations adopted from peers.
-	std::optional<PollEpisode> episode;  ///< Set while the store does not answer.
+	Scheduler &scheduler;         ///< Clock and timers.
+	SiteFeed &feed;               ///< Configuration that this node has.
+	ConfigPeers &peers;           ///< Transport to other nodes.
+	EventLog &events;             ///< Event log.
+	std::string self;             ///< IP:port of this node's frame server.
+	PeerRing holders;             ///< Nodes of the settings and nodes that hold partitions.
+	PeerRing others;              ///< Other nodes.
+	bool other_next = false;      ///< Whether one of the other nodes is asked next.
+	std::string fresh_peer;       ///< Peer whose last answer was fresh; empty if there is none, or it was asked since.
+	size_t poll_size = 0;         ///< Peers to ask with the next poll.
+	size_t asked_in_vain = 0;     ///< Peers asked by polls since one answered with fresh knowledge.
+	uint64_t requests_sent = 0;   ///< Number of requests sent to peers.
+	uint64_t configs_adopted = 0; ///< Number of configurations adopted from peers.
+	std::optional<PollEpisode> episode; ///< Set while the store does not answer.
 	/** Lets callbacks detect that this object was destroyed. */
 	std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 
@@ -124,6 +136,13 @@
 	 * the store. @param done Called with true if the peer's version was the newest a moment ago and this node has it.
 	 */
 	void AskNextPeer(bool confirm, const std::function<void(bool)> &done);
+	/** @return The next peer to ask: the last one with fresh knowledge, else the next one in turn. */
+	std::string NextPeer();
+	/** @return The next peer in turn, of both kinds alternately. */
+	std::string NextInTurn();
+	/** @return Addresses of some known peers, other ones each time. */
+	std::vector<std::string> SomePeers();
+	[[nodiscard]] size_t KnownPeers() const { return this->holders.Size() + this->others.Size(); }
 	/** Adopts what a peer knows. @param from Its address. @param asked_at When it was asked. @param answer Its answer.
 	 */
 	void ApplyAnswer(const std::string &from, Millis asked_at, const PeerConfig &answer);
--- a/src/node/config_peers.cpp
+++ b/src/node/config_peers.cpp
@@ -6,12 +6,15 @@
 namespace {
 
 constexpr Millis ANSWER_TIMEOUT(1000); ///< Later answers are ignored: other nodes have been asked meanwhile.
+constexpr Millis IDLE_TIMEOUT(5000);   ///< Time after which an unused connection is closed.
 
 } // namespace
 
 FrameClient &FrameConfigPeers::ClientFor(const std::string &address)
 {
-	std::unique_ptr<FrameClient> &client = this->clients[address];
+	Peer &peer = this->nodes[address];
+	peer.asked_at = this->scheduler.Now();
+	std::unique_ptr<FrameClient> &client = peer.client;
 	if (!client) {
 		const std::optional<NetAddress> to = ParseAddress(address);
 		client = std::make_unique<FrameClient>(this->scheduler, std::vector<NetAddress>{to.value_or(NetAddress{})});
@@ -43,11 +46,43 @@
 	});
 	for (const auto &[address, count] : unanswered) {
 		if (count > 0) {
-			this->clients.erase(address); /* The connection may be dead without having been closed. */
+			this->Retire(address); /* The connection may be dead without having been closed. */
 		}
 	}
 }
 
+void FrameConfigPeers::Retire(const std::string &address)
+{
+	auto node = this->nodes.extract(address);
+	if (node.empty()) {
+		return;
+	}
+	this->retired.push_back(std::move(node.mapped().client));
+	this->scheduler.After(Millis(0), [this, still = std::weak_ptr<bool>(this->alive)] {
+		if (!still.expired()) {
+			this->retired.clear();
+		}
+	});
+}
+
+void FrameConfigPeers::CloseIdleLater()
+{
+	if (this->closes_idle || this->nodes.empty()) {
+		return;
+	}
+	this->closes_idle = true;
+	this->scheduler.After(IDLE_TIMEOUT, [this, still = std::weak_ptr<bool>(this->alive)] {
+		if (still.expired()) {
+			return;
+		}
+		this->closes_idle = false;
+		std::erase_if(this->nodes, [now = this->scheduler.Now()](const auto &it) {
+			return now - it.second.asked_at >= IDLE_TIMEOUT;
+		});
+		this->CloseIdleLater();
+	});
+}
+
 void FrameConfigPeers::Ask(const std::string &address, const ConfigQuestion &question, Done done)
 {
 	this->DropExpired();
@@ -59,6 +94,7 @@
 	if (this->ClientFor(address).IsConnected()) {
 		this->Send(number, it->second);
 	}
+	this->CloseIdleLater();
 }
 
 void FrameConfigPeers::Send(uint64_t number, PendingRequest &request)
@@ -68,6 +104,7 @@
 	out.version = request.content.version;
 	out.confirm = request.content.confirm;
 	out.evacuations_as_of = request.content.evacuations_as_of;
+	out.address = request.content.address;
 	request.sent = true;
 	this->ClientFor(request.address).Send(MakeMessage(out));
 }
@@ -85,5 +122,5 @@
 							  [&evacuated](const std::string &it) { evacuated->zones.insert(ZoneName(it)); });
 	}
 	node.mapped().done(PeerConfig{in.version, std::string(in.body.begin(), in.body.end()), Millis(in.age_ms),
-								  std::move(evacuated)});
+								  std::move(evacuated), in.nodes});
 }
--- a/src/node/config_peers.h
+++ b/src/node/config_peers.h
@@ -16,6 +16,12 @@
 	void Ask(const std::string &address, const ConfigQuestion &question, Done done) override;
 
 private:
+	/** Connection to a node. */
+	struct Peer {
+		std::unique_ptr<FrameClient> client; ///< The connection.
+		Millis asked_at;                     ///< When the node was last asked.
+	};
+
 	/** A request without an answer. */
 	struct PendingRequest {
 		std::string address;    ///< IP:port of the node that was asked.
@@ -25,17 +31,26 @@
 		bool sent = false;      ///< Whether the request was sent.
 	};
 
-	Scheduler &scheduler;                                        ///< Clock and timers.
-	std::map<std::string, std::unique_ptr<FrameClient>> clients; ///< Connections by address.
+	Scheduler &scheduler;              ///< Clock and timers.
+	std::map<std::string, Peer> nodes; ///< Connections by address.
+	bool closes_idle = false;          ///< Whether a check for idle connections is scheduled.
 	/** Requests without an answer, by number. */
 	std::map<uint64_t, PendingRequest> pending;
-	uint64_t last_number = 0; ///< Number of the last request.
+	std::vector<std::unique_ptr<FrameClient>> retired; ///< Replaced connections, destroyed in a later iteration.
+	uint64_t last_number = 0;                          ///< Number of the last request.
 
 	FrameClient &ClientFor(const std::string &address);
 	/** Drops expired requests, and the connections on which one of them was sent. */
 	void DropExpired();
+	/** Drops a connection, which may be delivering a message just now. */
+	void Retire(const std::string &address);
+	/** Closes connections that are no longer used, as long as there are any. */
+	void CloseIdleLater();
 	void Send(uint64_t number, PendingRequest &request);
 	void OnAnswer(const glade::wire::ConfigAnswerT &in);
+
+	/** Lets callbacks detect that this object was destroyed. */
+	std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
 #endif /* CONFIG_PEERS_H */
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -144,7 +144,10 @@
 		  handover_peers(scheduler), handover(scheduler, interfaces.load, this->handover_peers, this->shards,
 											  interfaces.events, GroupPeer{self.frame_address, self.cpu}),
 		  frame_server([this](FrameLink &link, const MessageUnion &message) { this->OnFrame(link, message); },
-					   [this](FrameLink &link) { this->awaiting_answer.erase(&link); })
+					   [this](FrameLink &link) {
+						   this->awaiting_answer.erase(&link);
+						   this->known_links.erase(&link);
+					   })
 {
 	this->shards.overloaded = [this] { return this->handover.Overloaded(); };
 	this->member.on_answer = [this] { this->OnMembership(); };
@@ -378,8 +381,18 @@
 					 });
 }
 
+void NodeCore::LearnPeerOf(const FrameLink &link)
+{
+	const std::optional<NetAddress> own = ParseAddress(this->self.frame_address);
+	if (own && this->known_links.insert(&link).second) {
+		/* The frame servers of all nodes use the same port. */
+		this->config_exchange.LearnPeer(NetAddress{link.PeerHost(), own->port}.Text());
+	}
+}
+
 void NodeCore::OnFrame(FrameLink &link, const MessageUnion &message)
 {
+	this->LearnPeerOf(link);
 	if (const auto *job = message.AsJobQuestion(); job != nullptr) {
 		this->OnJobQuestion(link, *job);
 	} else if (const auto *pool = message.AsPoolQuestion(); pool != nullptr) {
@@ -436,7 +449,7 @@
 void NodeCore::OnConfigQuestion(FrameLink &link, const glade::wire::ConfigQuestionT &in)
 {
 	this->awaiting_answer.insert(&link);
-	this->config_exchange.Answer(ConfigQuestion{in.version, in.evacuations_as_of, in.confirm},
+	this->config_exchange.Answer(ConfigQuestion{in.version, in.evacuations_as_of, in.confirm, in.address},
 								 [this, to = &link, number = in.number](const PeerConfig &answer) {
 									 if (!this->awaiting_answer.contains(to)) {
 										 return;
@@ -450,6 +463,7 @@
 										 out.evacuations_as_of = answer.evacuated->as_of;
 										 out.evacuated = IdStringsOf(answer.evacuated->zones);
 									 }
+									 out.nodes = answer.nodes;
 									 to->Send(MakeMessage(std::move(out)));
 								 });
 }
--- a/src/node/node_core.h
+++ b/src/node/node_core.h
@@ -106,6 +106,7 @@
 	Millis peers_read_at{-1000000};                   ///< Time of the last read of the members; initially long ago.
 	FrameServer frame_server;                         ///< Server for requests of other nodes.
 	std::set<FrameLink *> awaiting_answer;            ///< Open connections on which an answer may still be sent.
+	std::set<const FrameLink *> known_links;          ///< Open connections whose node is known as a peer.
 	bool leaving = false;                             ///< Whether Leave() was called.
 	std::map<uint64_t, WaveOrder> waves;              ///< Maintenance waves, by number.
 	std::unique_ptr<FleetOwner> fleet;                ///< Set while this node owns the fleet or waits to claim it.
@@ -123,6 +124,8 @@
 	void StartFleetOwner();
 	void ReleaseFleet();
 	void OnFrame(FrameLink &link, const MessageUnion &message);
+	/** Makes the node at the other end of a new connection known as a peer. */
+	void LearnPeerOf(const FrameLink &link);
 	void OnJobQuestion(FrameLink &link, const glade::wire::JobQuestionT &in);
 	void OnPoolQuestion(FrameLink &link, const glade::wire::PoolQuestionT &in);
 	void OnRecordQuestion(FrameLink &link, const glade::wire::RecordQuestionT &in);
--- a/tests/test_config_exchange.cpp
+++ b/tests/test_config_exchange.cpp
@@ -38,6 +38,7 @@
 	void ConfirmReports(std::function<void()>) override {}
 	[[nodiscard]] Millis CurrentAsOf() const override { return this->as_of; }
 	[[nodiscard]] Millis LastAnswerAt() const override { return this->last_answer_at; }
+	[[nodiscard]] Millis ConfirmedAsOf() const override { return this->last_answer_at; }
 	void Confirm(std::function<void(bool)> done) override
 	{
 		this->clock.After(READ_LATENCY, [this, done = std::move(done)] {
@@ -283,6 +284,43 @@
 	}
 }
 
+/* Guards against nodes that stay behind because the store turns away all nodes that hold partitions, the only ones
+ * that every node knows. */
+TEST_CASE("config exchange: a version reaches nodes of which all known ones are rejected by the store as well")
+{
+	const auto longest_propagation = [](bool holder_has_callers) {
+		ExchangeWorld world(43, 1, true);
+		if (holder_has_callers) {
+			world.nodes[0]->exchange.LearnPeer(ExchangeWorld::NameOf(40));
+		}
+		for (const auto &it : world.nodes | std::views::take(PEER_COUNT + 10)) {
+			world.clock.After(REJECTED_FROM, [node = it.get()] { node->feed.requests_rejected = true; });
+		}
+		world.Publish(Millis(4000), 24, Millis(330));
+		world.clock.RunUntil(REJECTED_UNTIL);
+		return world.LongestPropagation();
+	};
+	CHECK(longest_propagation(false) > EFFECTIVE_WITHIN);
+	CHECK(longest_propagation(true) <= EFFECTIVE_WITHIN);
+}
+
+TEST_CASE("config exchange: nodes learn of the nodes that ask them, and pass them on")
+{
+	ExchangeWorld world(4, 1, false);
+	/* Node 2 knows node 1, which node 3 has asked; node 3 is the only one that the store serves. */
+	world.nodes[3]->exchange.AddPeer(ExchangeWorld::NameOf(1));
+	world.nodes[2]->exchange.AddPeer(ExchangeWorld::NameOf(1));
+	world.nodes[3]->feed.requests_rejected = true;
+	world.clock.RunUntil(Millis(3000));
+	world.nodes[3]->feed.requests_rejected = false;
+	world.nodes[1]->feed.requests_rejected = world.nodes[2]->feed.requests_rejected = true;
+	world.clock.RunUntil(Millis(6000));
+	world.nodes[1]->cut_off = true;
+	world.Publish(Millis(6000), 1, Millis(330));
+	world.clock.RunUntil(Millis(8000));
+	CHECK(world.nodes[2]->feed.ConfigVersion() == 2);
+}
+
 TEST_CASE("config exchange: no node asks its peers while the store answers")
 {
 	ExchangeWorld world(43, 1, true);
