--- a/tests/test_old_config.cpp
+++ b/tests/test_old_config.cpp
@@ -93,7 +93,7 @@
 		ConfigWorld it(OTHER_NODES, seed);
 		for (size_t n = 0; n < CAUSES; n++) {
 			const auto delay = static_cast<Delay>(it.random() % static_cast<uint32_t>(Delay::END));
-			const Millis at = FAULTS_FROM + Millis(it.random() % SPREAD_MS);
+			const Millis at = FAULTS_FROM + Millis(static_cast<int64_t>(it.random() % SPREAD_MS));
 			it.world.clock.After(at - ConfigWorld::START, [&it, delay] { Apply(it, delay); });
 		}
 		it.Run(RUN_UNTIL);
