--- a/src/node/config_exchange.h
+++ b/src/node/config_exchange.h
@@ -97,6 +97,8 @@
 	 */
 	void Answer(const ConfigQuestion &question, const ConfigPeers::Done &done);
 
+	/** @return Number of known peers. */
+	[[nodiscard]] size_t KnownPeers() const { return this->holders.Size() + this->others.Size(); }
 	/** @return Number of requests sent to peers. */
 	[[nodiscard]] uint64_t RequestsSent() const { return this->requests_sent; }
 	/** @return Number of newer configurations adopted from peers. */
@@ -142,7 +144,6 @@
 	std::string NextInTurn();
 	/** @return Addresses of some known peers, other ones each time. */
 	std::vector<std::string> SomePeers();
-	[[nodiscard]] size_t KnownPeers() const { return this->holders.Size() + this->others.Size(); }
 	/** Adopts what a peer knows. @param from Its address. @param asked_at When it was asked. @param answer Its answer.
 	 */
 	void ApplyAnswer(const std::string &from, Millis asked_at, const PeerConfig &answer);
--- a/src/node/metrics_page.cpp
+++ b/src/node/metrics_page.cpp
@@ -85,6 +85,7 @@
 					{"ready", core.Ready()},
 					{"appends_open", static_cast<qint64>(core.Api().InProgress())}};
 	out["config_questions"] = static_cast<qint64>(core.Configs().RequestsSent());
+	out["config_peers"] = static_cast<qint64>(core.Configs().KnownPeers());
 	out["configs_from_nodes"] = static_cast<qint64>(core.Configs().ConfigsAdopted());
 	out["busy_percent"] = static_cast<qint64>(core.Handovers().BusyPercent());
 	out["overloaded"] = core.Handovers().Overloaded();
@@ -132,6 +133,7 @@
 	const LatencyMeter::Summary ages = this->config_use.Ages();
 	text += "glade_config_age_ms{quantile=\"0.5\"} " + std::to_string(ages.p50) + "\n";
 	text += "glade_config_age_ms{quantile=\"0.99\"} " + std::to_string(ages.p99) + "\n";
+	text += "glade_config_peers " + std::to_string(this->core.Configs().KnownPeers()) + "\n";
 	text += "glade_config_age_ms_max " + std::to_string(ages.max) + "\n";
 	text += "glade_requests_without_route " + std::to_string(this->config_use.RoutesNotFound()) + "\n";
 	text += "glade_busy_percent " + std::to_string(this->core.Handovers().BusyPercent()) + "\n";
--- a/tests/test_handover_frames.cpp
+++ b/tests/test_handover_frames.cpp
@@ -211,6 +211,27 @@
 	CHECK(kinds == std::vector<int>{200, static_cast<int>(glade::wire::Message::LoadQuestion)});
 }
 
+/* Guards against nodes that know only the holders of partitions, and learn nothing when the store turns these away. */
+TEST_CASE("handover frames: a node knows the nodes that have sent it requests")
+{
+	QtScheduler scheduler;
+	SilentSite site;
+	NullEventLog events;
+	NodeSpec spec;
+	/* Not the address from which requests come, which it would take for its own. */
+	spec.frame_address = "127.0.0.2:" + std::to_string(FreePort());
+	NodeCore node(scheduler, NodeInterfaces{site, site, site, site, site, events, nullptr, &site}, spec);
+	REQUIRE(node.Start());
+	CHECK(node.Configs().KnownPeers() == 0);
+	FrameHandoverPeers peers(scheduler);
+	QEventLoop loop;
+	peers.AskLoad(spec.frame_address, [&](const NodeLoad &) {
+		peers.AskLoad(spec.frame_address, [&loop](const NodeLoad &) { loop.exit(0); });
+	});
+	RunLoop(loop);
+	CHECK(node.Configs().KnownPeers() == 1);
+}
+
 TEST_CASE(
 		"handover frames: a node answers for its load, declines a shard that it doesn't know, and accepts none once it "
 		"leaves")
