ConfigGuard: another node's word counts from when that node knew it

A refresh counted as confirmed as of its start also when a peer's answer was up to 1.3 s old, so that a version could decide up to 3.3 s after it was replaced (2 s of age and 1.3 s). Peers' answers now end the wait only if they bring the age below its limit. Read in the code; the new case of test_old_config passes before and after, no test reproduces it.

--- a/src/node/config_exchange.cpp
+++ b/src/node/config_exchange.cpp
@@ -125,9 +125,9 @@
 							return;
 						}
 						this->ApplyAnswer(address, asked_at, answer);
-						const bool current = answer.age <= (confirm ? Millis(0) : STORE_TIMEOUT);
-						if (current && answer.version <= this->feed.ConfigVersion()) {
-							done(true);
+						const bool newest = answer.age == Millis(0) && answer.version <= this->feed.ConfigVersion();
+						if (newest || !confirm) {
+							done(newest);
 						}
 					});
 }
--- a/src/node/config_exchange.h
+++ b/src/node/config_exchange.h
@@ -85,9 +85,9 @@
 	 */
 	void Confirm(const std::function<void(bool)> &done);
 	/**
-	 * Asks the store and all known peers for a newer configuration.
-	 * @param done Called with true, possibly several times, once this node has the newest configuration of a moment
-	 * ago; never called if nobody has confirmed that.
+	 * Asks the store and known peers for a newer configuration.
+	 * @param done Called with each answer: with true if this node has the newest configuration, with false if a peer's
+	 * word has changed SiteFeed::ConfirmedAsOf() at most; never called if nobody answers.
 	 */
 	void Refresh(const std::function<void(bool)> &done);
 	/**
@@ -134,9 +134,9 @@
 	void PollPeers();
 	/** Logs the polls of peers once the store answers again. */
 	void EndEpisode();
-	/** Asks the first known peer, which becomes the last. @param confirm Whether the peer must confirm its version with
-	 * the store. @param done Called with true if the peer's version was the newest a moment ago and this node has it.
-	 */
+	/** Asks the next peer. @param confirm Whether the peer must confirm its version with the store. @param done Called
+	 * with true once the peer has confirmed the version that this node has; unless `confirm`, also with false at any
+	 * other answer. */
 	void AskNextPeer(bool confirm, const std::function<void(bool)> &done);
 	/** @return The next peer to ask: the last one with fresh knowledge, else the next one in turn. */
 	std::string NextPeer();
--- a/src/node/config_guard.cpp
+++ b/src/node/config_guard.cpp
@@ -62,17 +62,19 @@
 			this->EndRefresh();
 		}
 	});
-	this->refresh([this, still, started_at = this->refresh_started_at](bool confirmed) {
-		if (!still.expired() && confirmed) {
-			this->OnRefreshed(started_at);
+	this->refresh([this, still, started_at = this->refresh_started_at](bool newest) {
+		if (!still.expired()) {
+			this->OnAnswer(started_at, newest);
 		}
 	});
 }
 
-void ConfigGuard::OnRefreshed(Millis started_at)
+void ConfigGuard::OnAnswer(Millis started_at, bool newest)
 {
-	this->refreshed_as_of = std::max(this->refreshed_as_of, started_at);
-	if (this->refreshing) {
+	if (newest) {
+		this->refreshed_as_of = std::max(this->refreshed_as_of, started_at);
+	}
+	if (this->refreshing && this->Confirmed()) {
 		this->EndRefresh();
 	}
 }
--- a/src/node/config_guard.h
+++ b/src/node/config_guard.h
@@ -17,8 +17,8 @@
  */
 class ConfigGuard {
 public:
-	/** Asks for a newer configuration, and then reports, possibly several times or never, whether the one at hand was
-	 * the newest a moment ago. */
+	/** Asks for a newer configuration, and calls back with each answer: with true if the one at hand is the newest,
+	 * with false if the feed has to be looked at. */
 	using Refresh = std::function<void(std::function<void(bool)>)>;
 	/** Called with whether the configuration is confirmed. */
 	using Done = std::function<void(bool)>;
@@ -57,7 +57,7 @@
 	/** @return Whether the last refresh failed, and nothing has confirmed the configuration since. */
 	[[nodiscard]] bool FailedLast() const { return this->failed_at && this->ConfirmedAsOf() < *this->failed_at; }
 	void StartRefresh();
-	void OnRefreshed(Millis started_at);
+	void OnAnswer(Millis started_at, bool newest);
 	void EndRefresh();
 };
 
--- a/tests/config_world.h
+++ b/tests/config_world.h
@@ -196,6 +196,14 @@
 				std::ranges::count_if(this->probes, [this](const auto &it) { return this->TooOld(*it); }));
 	}
 
+	/** @return Number of requests for an added route that were answered as if it did not exist. */
+	[[nodiscard]] size_t AddedRouteNotFound() const
+	{
+		return static_cast<size_t>(std::ranges::count_if(this->probes, [this](const auto &it) {
+			return it->sink.status == STATUS_NOT_FOUND && this->TooOld(*it);
+		}));
+	}
+
 	/** @return Number of requests carried out by an older version than one that was sent SLACK before. */
 	[[nodiscard]] size_t WentBack() const
 	{
--- a/tests/test_old_config.cpp
+++ b/tests/test_old_config.cpp
@@ -116,6 +116,24 @@
 	CHECK(it.probes.back()->sink.status == 503);
 }
 
+TEST_CASE("old configuration: the word of another node counts from when that node knew it")
+{
+	constexpr int64_t STEP_MS = 100;
+	for (int64_t lost_ms = 0; lost_ms < PAUSE.Value(); lost_ms += STEP_MS) {
+		CAPTURE(lost_ms);
+		ConfigWorld it(OTHER_NODES, 1);
+		it.world.clock.RunUntil(FAULTS_FROM);
+		/* After a pause without the store, the node asks nodes that have lost the store a while before. */
+		it.node->scheduler.paused_until = FAULTS_FROM + PAUSE;
+		it.node->log.faults.refusing = true;
+		it.world.clock.After(Millis(lost_ms), [&it] {
+			std::ranges::for_each(it.others, [](const auto &node) { node->log.faults.refusing = true; });
+		});
+		it.Run(FAULTS_FROM + Millis(7000));
+		CHECK(it.AddedRouteNotFound() == 0);
+	}
+}
+
 TEST_CASE("old configuration: one of 24 known nodes answers, whichever it is")
 {
 	constexpr size_t KNOWN_NODES = 24;
