--- a/review/standins/minions.h
+++ b/review/standins/minions.h
@@ -13,6 +13,7 @@
 	int64_t cpu = 0;             ///< Thousandths of a core.
 	int64_t memory = 0;          ///< MB.
 	Millis run_time = Millis(0); ///< Time until a task ends; 0: it lasts.
+	size_t checkpoint = 0;       ///< Length of its checkpoints, renewed with each half second of work; 0: it has none.
 	uint32_t fail_first = 0;     ///< Runs of each task that end `failed` by their own fault; later ones end `done`.
 };
 
@@ -63,6 +64,7 @@
 		std::string task;
 		uint32_t run = 0;
 		std::string how;
+		std::string saved;
 	};
 	struct Minion {
 		std::string machine, service, zone, rack, id, address;
@@ -98,6 +100,8 @@
 	void ServeHold(const std::string &machine, const std::string &id, const DeferredAnswerPtr &answer,
 				   const QJsonObject &json, Millis until, bool arrived);
 	void ServeControl(const DeferredAnswerPtr &answer, const CallerRequest &request);
+	/** @return The checkpoint of a run that has worked since a time. */
+	[[nodiscard]] std::string CheckpointOf(const std::string &task, Millis since) const;
 	void Extend(Minion &minion, int64_t until);
 	void Finish(Minion &minion, const std::string &task, const std::string &how);
 	void LoseAll(Minion &minion);
