Review, case 3: the stand-ins' runs fail as ordered again, and plays don't meet at a port

Cause: the stand-ins' figures of a task got a length of checkpoints before the number of runs that fail, and case 3 gave the latter by position: a play from a clean clone ended with 2, "could not run". Plays that were started at the same instant could pick the same port, and a node of one of them didn't start.

Change: case 3 names the figure. The nodes of a play get loopback addresses of their own, by the process's number. A play whose node has ended at its start says so at once, and ends with 2. The report tells this.

--- a/review/standins/scenarios.cpp
+++ b/review/standins/scenarios.cpp
@@ -384,7 +384,9 @@
 
 	void Play()
 	{
-		this->world.minions.jobs[JOB] = TaskNeeds{880, 1300, Millis(30000), 1};
+		TaskNeeds needs{880, 1300, Millis(30000)};
+		needs.fail_first = 1;
+		this->world.minions.jobs[JOB] = needs;
 		this->world.Start([this] {
 			this->world.HandIn(0, CallSpec{"POST", PATH, JobBody(1, 880, 1300, 30000)}, 4,
 							   [this](const HttpReply &reply) {
--- a/review/standins/world.cpp
+++ b/review/standins/world.cpp
@@ -4,10 +4,12 @@
 #include <QCoreApplication>
 #include <QJsonArray>
 
+#include <algorithm>
 #include <csignal>
 #include <filesystem>
 #include <iostream>
 #include <sys/prctl.h>
+#include <unistd.h>
 
 namespace {
 
@@ -25,9 +27,12 @@
 	return probe.serverPort();
 }
 
+/** @return The loopback address of a node. Plays that run side by side have others, so that they don't meet at a port.
+ */
 std::string IpOf(size_t node)
 {
-	return "127.0.1." + std::to_string(node + 1);
+	const auto own = static_cast<size_t>(::getpid()) % (100 * 250);
+	return QString("127.%1.%2.%3").arg(1 + own / 250).arg(1 + own % 250).arg(node + 1).toStdString();
 }
 
 } // namespace
@@ -118,7 +123,11 @@
 			if (--*left > 0) {
 				return;
 			}
-			if (*good == NODES) {
+			const bool one_ended = std::ranges::any_of(
+					this->nodes, [](const auto &it) { return it->state() == QProcess::NotRunning; });
+			if (one_ended) {
+				this->End(2, "a node ended at its start");
+			} else if (*good == NODES) {
 				this->record.Write("platform", "all nodes are ready");
 				this->After(Millis(3000), ready);
 			} else {
