--- a/src/jobs/job_codec.cpp
+++ b/src/jobs/job_codec.cpp
@@ -94,6 +94,7 @@
 	out.repeats = spec.repeats;
 	out.begun = spec.requested_at.Value();
 	out.account = spec.account.Value();
+	out.config = spec.config;
 	return PackRecord<wire::SubmissionRecord>(out);
 }
 
@@ -113,6 +114,7 @@
 	spec.repeats = in->repeats;
 	spec.requested_at = Millis(in->begun);
 	spec.account = AccountName(in->account);
+	spec.config = in->config;
 	return spec;
 }
 
--- a/src/jobs/job_type.h
+++ b/src/jobs/job_type.h
@@ -65,6 +65,7 @@
 	Millis interval;             ///< Time between two occurrences.
 	uint32_t repeats = 0;        ///< Number of occurrences; 0 for a single one that is due at once.
 	Millis requested_at;         ///< Wall time of the caller's first request, as far as known.
+	uint64_t config = 0;         ///< Version of the configuration by which its shard was chosen; 0 when not known.
 
 	/** @return Number of occurrences, at least 1. */
 	[[nodiscard]] uint32_t Occurrences() const { return this->repeats == 0 ? 1 : this->repeats; }
--- a/src/jobs/shard_base.h
+++ b/src/jobs/shard_base.h
@@ -72,8 +72,11 @@
 	/** Adds a job; a known one only becomes `recorded`. @param spec The job. @param recorded Whether the log has it. */
 	void Submit(const JobSpec &spec, bool recorded = true);
 	/** Cancels a job, also one that is submitted later. @param id Id of the job. @param account Account of the caller;
-	 * a job of another account is not cancelled. */
-	void Cancel(const JobId &id, const AccountName &account);
+	 * a job of another account is not cancelled. @param route Route of the job; empty when not known. */
+	void Cancel(const JobId &id, const AccountName &account, const RouteName &route);
+	/** @return Whether a caller that may access a job has cancelled it. @param id Id of the job. @param account Account
+	 * of the job. */
+	[[nodiscard]] bool Cancelled(const JobId &id, const AccountName &account) const;
 	/** Takes in a submission or cancellation, to be recorded with the next append together with the placements that
 	 * follow from it, or answers it at once when it can't be recorded here. @param incoming Record of the caller. */
 	void Accept(IncomingRecord incoming);
@@ -92,6 +95,22 @@
 	/** Starts to place tasks. To be called once all records known when the shard was claimed have been passed in. */
 	void Begin();
 
+	/** Appends a record of the owner with the next batch. @param record The record. @param done Called as
+	 * IncomingRecord::done is; a refused record is kept for the next batch. */
+	void Record(KeyedRecord record, std::function<void(ResultCode)> done);
+	/** Records the progress of a job with the next batch. @param id Id of the job. */
+	void RecordProgressOf(const JobId &id) { this->MarkDirty(id); }
+	/** Records, with the next batch, the progress of all jobs of a route that have none in the log. @param route Name
+	 * of the route. */
+	void RecordProgressOf(const RouteName &route);
+	/** @return Whether progress of a job was restored whose submission hasn't arrived. @param id Id of the job. */
+	[[nodiscard]] bool AwaitsSubmission(const JobId &id) const { return this->restored.contains(id); }
+	/** @return Whether there is any job of a route, also one that is over, or the cancellation of a job that isn't
+	 * known. @param route Name of the route. */
+	[[nodiscard]] bool HasAnyOf(const RouteName &route) const;
+	/** @return Routes of all jobs, also of those that are over. */
+	[[nodiscard]] std::vector<RouteName> RoutesOfJobs() const;
+
 	/** Answers the callers whose records are in no append; called before the shard stops, which appends nothing more.
 	 * @return Callers whose records are in the append under way, if any. They are answered with its outcome, unless a
 	 * later owner supersedes this one: then nobody here learns the outcome, and the caller of this has to answer. */
@@ -125,6 +144,8 @@
 	/** @return Jobs by id, also those that are over. */
 	[[nodiscard]] const ShardJobs &Jobs() const { return this->jobs; }
 
+	/** Returns whether a caller's record that was taken in may still be recorded here; null when any may. */
+	std::function<bool(const IncomingRecord &)> may_record;
 	std::function<void()> on_superseded; ///< Called last in a turn when a box has seen a higher token.
 	/** Reads the inbox up to its current end and calls back once its records have been passed in. Null when there is no
 	 * inbox. */
@@ -164,19 +185,22 @@
 	std::map<BoxId, OrderFence> fences; ///< Tokens of orders, by the id that they are sent to.
 	/** Highest token of the ids that aren't in `fences` any more: a box that reports again has seen its last one. */
 	FenceToken forgotten_fence;
-	ShardLimits limits;                       ///< Time limits.
-	Millis owned_since;                       ///< When this ownership started.
-	Millis earlier_leases_until;              ///< Until then an earlier owner may renew leases.
-	Millis log_unreachable_at{-1000000};      ///< When the log was last found unreachable; initially long ago.
-	bool begun = false;                       ///< Whether Begin() was called.
-	bool turn_scheduled = false;              ///< Whether a turn is scheduled to run at once.
-	bool place_wanted = false;                ///< Whether a turn skipped placing because an append was under way.
-	bool superseded = false;                  ///< Whether a box has seen a higher token.
-	JobConfig config;                         ///< The configuration in force.
-	EvacuatedZones evacuated;                 ///< The evacuated zones.
-	ShardJobs jobs;                           ///< All jobs, also those that are over.
-	std::map<JobId, ShardJob *> live;         ///< Jobs that are not over.
-	std::map<JobId, StoredProgress> restored; ///< Recorded progress of jobs whose submission hasn't arrived.
+	ShardLimits limits;                        ///< Time limits.
+	Millis owned_since;                        ///< When this ownership started.
+	Millis earlier_leases_until;               ///< Until then an earlier owner may renew leases.
+	Millis log_unreachable_at{-1000000};       ///< When the log was last found unreachable; initially long ago.
+	bool begun = false;                        ///< Whether Begin() was called.
+	bool turn_scheduled = false;               ///< Whether a turn is scheduled to run at once.
+	bool place_wanted = false;                 ///< Whether a turn skipped placing because an append was under way.
+	bool superseded = false;                   ///< Whether a box has seen a higher token.
+	JobConfig config;                          ///< The configuration in force.
+	EvacuatedZones evacuated;                  ///< The evacuated zones.
+	ShardJobs jobs;                            ///< All jobs, also those that are over.
+	std::map<RouteName, size_t> jobs_by_route; ///< Number of jobs of each route that has some.
+	/** Routes of cancelled jobs that haven't arrived; an empty one when it isn't known. */
+	std::map<JobId, RouteName> cancelled_early;
+	std::map<JobId, ShardJob *> live;                  ///< Jobs that are not over.
+	std::map<JobId, StoredProgress> restored;          ///< Recorded progress of jobs whose submission hasn't arrived.
 	std::set<std::pair<JobId, AccountName>> cancelled; ///< Job and caller's account; also of jobs that haven't arrived.
 	AccountBook book;                                  ///< Resources that accounts use here.
 	std::map<BoxIncarnation, ShardBox> boxes;          ///< Boxes of the service.
@@ -228,8 +252,6 @@
 	bool RemoveFromBox(ShardBox &box, const ShardJob &job, const TaskId &id);
 	ShardJob MakeJob(const JobSpec &spec) const;
 	void ApplyRoute(ShardJob &job) const;
-	/** @return Whether a caller that may access the job has cancelled it. */
-	[[nodiscard]] bool Cancelled(const JobSpec &spec) const;
 	void EndJob(ShardJob &job, JobPhase phase, const char *reason);
 	void CheckCompleted(ShardJob &job);
 	ShardTask *FindTask(const TaskId &id);
--- a/src/jobs/shard_jobs.cpp
+++ b/src/jobs/shard_jobs.cpp
@@ -2,6 +2,7 @@
 #include "shard_base.h"
 
 #include <algorithm>
+#include <iterator>
 #include <numeric>
 #include <ranges>
 
@@ -115,6 +116,8 @@
 		}
 		this->restored.erase(old);
 	}
+	this->jobs_by_route[spec.route]++;
+	this->cancelled_early.erase(spec.id);
 	ShardJob &kept = this->jobs.emplace(spec.id, std::move(job)).first->second;
 	if (!kept.Over() && std::ranges::any_of(kept.tasks, [](const ShardTask &it) { return it.crashes > 0; })) {
 		this->SpaceStarts();
@@ -151,7 +154,7 @@
 	if (!kept.Over()) {
 		this->live.emplace(spec.id, &kept);
 	}
-	if (this->Cancelled(kept.spec)) {
+	if (this->Cancelled(spec.id, spec.account)) {
 		this->EndJob(kept, JobPhase::JP_CANCELLED, "cancelled");
 	}
 	if (kept.Over()) {
@@ -164,23 +167,26 @@
 	this->ScheduleTurn();
 }
 
-bool Shard::Cancelled(const JobSpec &spec) const
+bool Shard::Cancelled(const JobId &id, const AccountName &account) const
 {
-	auto it = this->cancelled.lower_bound({spec.id, AccountName()});
-	for (; it != this->cancelled.end() && it->first == spec.id; ++it) {
-		if (MayAccess(spec.account, it->second)) {
+	auto it = this->cancelled.lower_bound({id, AccountName()});
+	for (; it != this->cancelled.end() && it->first == id; ++it) {
+		if (MayAccess(account, it->second)) {
 			return true;
 		}
 	}
 	return false;
 }
 
-void Shard::Cancel(const JobId &id, const AccountName &account)
+void Shard::Cancel(const JobId &id, const AccountName &account, const RouteName &route)
 {
 	if (!this->cancelled.emplace(id, account).second) {
 		return;
 	}
 	const auto it = this->jobs.find(id);
+	if (it == this->jobs.end()) {
+		this->cancelled_early[id] = route;
+	}
 	if (it != this->jobs.end() && !it->second.Over() && MayAccess(it->second.spec.account, account)) {
 		this->EndJob(it->second, JobPhase::JP_CANCELLED, "cancelled");
 	}
@@ -226,7 +232,7 @@
 JobView Shard::View(const JobId &id) const
 {
 	if (const auto it = this->jobs.find(id); it != this->jobs.end()) {
-		return JobView{true, it->second.durable_phase, it->second.spec.account};
+		return JobView{true, it->second.durable_phase, it->second.spec.account, it->second.recorded};
 	}
 	if (const auto it = this->restored.find(id); it != this->restored.end()) {
 		return JobView{true, it->second.phase, AccountName()};
@@ -241,6 +247,20 @@
 	}));
 }
 
+bool Shard::HasAnyOf(const RouteName &route) const
+{
+	return this->jobs_by_route.contains(route) ||
+		   std::ranges::any_of(this->cancelled_early | std::views::values,
+							   [&route](const RouteName &it) { return it == route || it.Value().empty(); });
+}
+
+std::vector<RouteName> Shard::RoutesOfJobs() const
+{
+	std::vector<RouteName> out;
+	std::ranges::copy(this->jobs_by_route | std::views::keys, std::back_inserter(out));
+	return out;
+}
+
 const ShardTask *Shard::FindTask(const TaskId &id) const
 {
 	const auto it = this->jobs.find(id.job);
--- a/src/jobs/shard_owner.cpp
+++ b/src/jobs/shard_owner.cpp
@@ -106,14 +106,19 @@
 	this->journal->on_superseded = [this] { this->ScheduleLoss(); };
 	this->journal->on_repeated = [this] { this->shard->OnJournalFree(); };
 	this->shard->on_superseded = [this] { this->ScheduleLoss(); };
+	this->routes = std::make_unique<RouteShards>(
+			RouteShardsContext{this->context.scheduler, this->context.log, this->context.events, this->context.peers},
+			this->service, *this->shard);
+	this->shard->may_record = [this](const IncomingRecord &it) { return this->routes->MayRecord(it); };
 	for (const auto &[key, bytes] : claimed.records) {
 		if (key.front() == ACCEPTED_PREFIX) {
-			this->loading.push_back(KeyedRecord{key.substr(1), bytes});
+			this->accepted.push_back(KeyedRecord{key.substr(1), bytes});
 		} else {
-			this->RestoreProgress(key, JobId(key), bytes);
+			this->RestoreRecord(key, bytes);
 		}
 	}
 	this->shard->Configure(this->config);
+	this->routes->Configure(this->config);
 	this->shard->SetEvacuatedZones(this->evacuated);
 	std::ranges::for_each(this->reports | std::views::values,
 						  [this](const BoxReport &it) { this->shard->OnReport(it); });
@@ -128,13 +133,29 @@
 	this->shard->read_reports = this->context.read_reports;
 }
 
-void ShardOwner::RestoreProgress(const std::string &key, const JobId &id, const std::string &bytes)
+void ShardOwner::RestoreRecord(const std::string &key, const std::string &bytes)
 {
-	if (const auto progress = DecodeProgress(bytes); progress) {
-		this->shard->Restore(id, *progress);
-	} else {
-		this->context.events.Write("bad_record", {{"topic", this->progress.topic}, {"key", key}});
+	const std::string name = key.substr(1);
+	if (key.front() == ROUTE_PREFIX) {
+		if (const auto state = DecodeRoute(bytes); state) {
+			this->routes->Restore(RouteName(name), *state);
+			return;
+		}
+	} else if (key.front() == REDIRECT_PREFIX) {
+		if (const auto config = DecodeRedirect(bytes); config) {
+			this->routes->RestoreRedirect(name, *config);
+			return;
+		}
+	} else if (const auto progress = DecodeProgress(bytes); progress) {
+		this->shard->Restore(JobId(key), *progress);
+		return;
 	}
+	this->NoteBadRecord(key);
+}
+
+void ShardOwner::NoteBadRecord(const std::string &key)
+{
+	this->context.events.Write("bad_record", {{"topic", this->progress.topic}, {"key", key}});
 }
 
 void ShardOwner::OnInbox(const KeyedRecord &record)
@@ -151,7 +172,7 @@
 			this->ApplyInboxRecord(record);
 		}
 	} else if (progress) {
-		this->RestoreProgress(record.key, JobId(record.key.substr(1)), *record.value);
+		this->RestoreRecord(record.key.substr(1), *record.value);
 	} else {
 		this->loading.push_back(record);
 	}
@@ -171,26 +192,44 @@
 		return;
 	}
 	/* A job is added once its newest progress is known, which may be in either partition. */
+	std::ranges::for_each(std::exchange(this->accepted, {}),
+						  [this](const KeyedRecord &it) { this->ApplyAccepted(it); });
 	std::ranges::for_each(std::exchange(this->loading, {}),
 						  [this](const KeyedRecord &it) { this->ApplyInboxRecord(it); });
 	this->running = true;
 	this->shard->Begin();
+	this->routes->Begin();
 	if (this->on_running) {
 		this->on_running();
 	}
 }
 
+void ShardOwner::ApplyAccepted(const KeyedRecord &record)
+{
+	const InboxKey name = ParseInboxKey(record.key);
+	if (name.is_cancellation) {
+		this->routes->OnCancellation(record);
+	} else if (const std::optional<JobSpec> spec = DecodeSubmission(name.job, *record.value); spec) {
+		this->shard->Submit(*spec);
+	} else {
+		this->NoteBadRecord(record.key);
+	}
+}
+
 void ShardOwner::ApplyInboxRecord(const KeyedRecord &record)
 {
 	const InboxKey name = ParseInboxKey(record.key);
 	if (name.is_cancellation) {
-		this->shard->Cancel(name.job, name.account);
+		this->routes->OnCancellation(record);
 		return;
 	}
-	if (const std::optional<JobSpec> spec = DecodeSubmission(name.job, *record.value); spec) {
-		this->shard->Submit(*spec);
+	const std::optional<JobSpec> spec = DecodeSubmission(name.job, *record.value);
+	if (!spec) {
+		this->NoteBadRecord(record.key);
+	} else if (this->shard->AwaitsSubmission(name.job)) {
+		this->shard->Submit(*spec); /* An owner of this shard has taken it already. */
 	} else {
-		this->context.events.Write("bad_record", {{"topic", this->progress.topic}, {"key", record.key}});
+		this->routes->OnSubmission(record, *spec);
 	}
 }
 
@@ -206,10 +245,14 @@
 		incoming.spec = DecodeSubmission(incoming.inbox_key.job, record.value.value_or(std::string()));
 	}
 	if (!incoming.inbox_key.is_cancellation && !incoming.spec) {
-		this->context.events.Write("bad_record", {{"topic", this->progress.topic}, {"key", record.key}});
+		this->NoteBadRecord(record.key);
 		incoming.done(ResultCode::RC_LOG_UNAVAILABLE);
 		return;
 	}
+	if (!this->routes->MayRecord(incoming)) {
+		incoming.done(ResultCode::RC_LOG_UNAVAILABLE); /* The caller's node appends it to the inbox. */
+		return;
+	}
 	this->shard->Accept(std::move(incoming));
 }
 
@@ -344,6 +387,7 @@
 void ShardOwner::CloseShard()
 {
 	this->recording_callers = this->shard->Close();
+	this->routes.reset();
 	this->shard.reset();
 }
 
@@ -371,6 +415,7 @@
 	this->config = config;
 	if (this->shard) {
 		this->shard->Configure(config);
+		this->routes->Configure(config);
 	}
 }
 
--- a/src/jobs/shard_owner.h
+++ b/src/jobs/shard_owner.h
@@ -4,6 +4,7 @@
 
 #include "../store/keyed_follower.h"
 #include "../store/partition_claim.h"
+#include "route_shards.h"
 #include "shard_base.h"
 
 /** Partition of a service's topic to which the owner appends progress. */
@@ -32,6 +33,7 @@
 	std::string group;                   ///< Group of the nodes that may be owners.
 	/** Reads the reports of boxes up to now and calls back once they were passed in; null when there is no feed. */
 	std::function<void(std::function<void()>)> read_reports = nullptr;
+	ShardPeers *peers = nullptr; ///< Reaches the shards of other services; null when there are none.
 };
 
 /** Ownership of one shard: waits for the claim, then loads and runs the shard. Destroying it stops the shard. */
@@ -97,6 +99,11 @@
 	 * which this one doesn't read. */
 	[[nodiscard]] bool Fresh() const;
 
+	/** @return What the shard knows of routes once it has been loaded, otherwise null. */
+	[[nodiscard]] RouteShards *Routes() { return this->running ? this->routes.get() : nullptr; }
+	/** @return What the shard knows of routes once it has been loaded, otherwise null. */
+	[[nodiscard]] const RouteShards *Routes() const { return this->running ? this->routes.get() : nullptr; }
+
 	/** See ClaimSpec::expects_release; to be set before Start(). */
 	std::function<bool()> expects_release;
 	/** See ClaimSpec::vacancy_wait; to be set before Start(). */
@@ -124,7 +131,9 @@
 	std::vector<BoxReport> removed_reports; ///< Last reports of incarnations whose report was removed.
 	std::unique_ptr<PairedJournal> journal; ///< Appends records; set once claimed.
 	std::unique_ptr<Shard> shard;           ///< Set once claimed.
+	std::unique_ptr<RouteShards> routes;    ///< Set once claimed.
 	std::unique_ptr<KeyedFollower> inbox;   ///< Reads the inbox; set once claimed.
+	std::vector<KeyedRecord> accepted;      ///< Submissions and cancellations that earlier owners have recorded.
 	std::vector<KeyedRecord> loading;       ///< Submissions and cancellations read before the inbox was loaded.
 	bool running = false;                   ///< Whether the inbox has been loaded.
 	TimerId confirm_timer;                  ///< Next call of KeepConfirmed().
@@ -140,8 +149,14 @@
 	void Run(const ClaimedPartition &claimed);
 	void OnInbox(const KeyedRecord &record);
 	void OnLoaded();
+	/** Applies a submission or cancellation that an earlier owner has recorded. @param record The record. */
+	void ApplyAccepted(const KeyedRecord &record);
+	/** Applies a submission or cancellation of the inbox. @param record The record. */
 	void ApplyInboxRecord(const KeyedRecord &record);
-	void RestoreProgress(const std::string &key, const JobId &id, const std::string &bytes);
+	/** Restores what an earlier owner has recorded other than submissions and cancellations. @param key Key in the
+	 * progress partition. @param bytes Value of the record. */
+	void RestoreRecord(const std::string &key, const std::string &bytes);
+	void NoteBadRecord(const std::string &key);
 	/** Ends the ownership if an owner's record in the inbox is a later owner's. @param record The record. */
 	void CheckOwnerRecord(const KeyedRecord &record);
 	/** Calls LoseOwnership() in the next turn, as that may destroy this object. */
--- a/src/jobs/shard_records.cpp
+++ b/src/jobs/shard_records.cpp
@@ -1,4 +1,5 @@
 /** @file shard_records.cpp Shard: recording in the log, and answers to callers. */
+#include "route_codec.h"
 #include "shard_base.h"
 
 #include <algorithm>
@@ -90,6 +91,10 @@
 			it.done(ResultCode::RC_OTHER_ACCOUNT); /* Two callers have submitted the same id at the same time. */
 			continue;
 		}
+		if (this->may_record && !this->may_record(it)) {
+			it.done(ResultCode::RC_LOG_UNAVAILABLE); /* The route was redirected to another shard meanwhile. */
+			continue;
+		}
 		const bool known = it.spec ? this->jobs.contains(it.inbox_key.job)
 								   : this->cancelled.contains({it.inbox_key.job, it.inbox_key.account});
 		if (known) {
@@ -97,12 +102,28 @@
 		} else if (it.spec) {
 			this->Submit(*it.spec, false);
 		} else {
-			this->Cancel(it.inbox_key.job, it.inbox_key.account);
+			this->Cancel(it.inbox_key.job, it.inbox_key.account,
+						 DecodeCancellation(it.record.value.value_or(std::string())).route);
 		}
 		this->accepted.push_back(std::move(it));
 	}
 }
 
+void Shard::Record(KeyedRecord record, std::function<void(ResultCode)> done)
+{
+	this->accepted.push_back(IncomingRecord{std::move(record), std::nullopt, InboxKey(), std::move(done)});
+	this->ScheduleTurn();
+}
+
+void Shard::RecordProgressOf(const RouteName &route)
+{
+	for (const auto &[id, job] : this->jobs) {
+		if (job.spec.route == route && job.revision == 0) {
+			this->MarkDirty(id);
+		}
+	}
+}
+
 StoredProgress Shard::ProgressOf(const ShardJob &job) const
 {
 	StoredProgress out;
@@ -280,6 +301,9 @@
 void Shard::Forget(const JobId &id)
 {
 	const ShardJob &job = this->jobs.at(id);
+	if (const auto it = this->jobs_by_route.find(job.spec.route); --it->second == 0) {
+		this->jobs_by_route.erase(it);
+	}
 	for (size_t position = 0; position < job.tasks.size(); position++) {
 		const auto box = this->boxes.find(job.tasks[position].box);
 		if (box != this->boxes.end()) {
--- a/src/jobs/shard_type.h
+++ b/src/jobs/shard_type.h
@@ -331,6 +331,7 @@
 	bool known = false;                   ///< Whether the job is known.
 	JobPhase phase = JobPhase::JP_QUEUED; ///< Recorded phase.
 	AccountName account;                  ///< Client account that submitted it.
+	bool recorded = true;                 ///< Whether the log is known to have it.
 };
 
 #endif /* SHARD_TYPE_H */
--- a/src/node/job_api.cpp
+++ b/src/node/job_api.cpp
@@ -2,6 +2,7 @@
 #include "job_api.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace {
 
@@ -33,16 +34,25 @@
 
 void JobApi::Submit(const JobSpec &spec, const ServiceName &service, Millis deadline, Done done)
 {
+	JobSpec routed = spec;
+	routed.config = this->config.version;
 	this->BeginRecording(std::make_shared<Pending>(
-			Pending{service, KeyedRecord{KeyOf(InboxKey{spec.id, spec.account}), EncodeSubmission(spec)},
+			Pending{service, KeyedRecord{KeyOf(InboxKey{spec.id, spec.account}), EncodeSubmission(routed)},
 					this->scheduler.Now(), deadline, false, std::move(done)}));
 }
 
-void JobApi::Cancel(const JobId &id, const AccountName &account, const ServiceName &service, Millis deadline, Done done)
+void JobApi::Cancel(const JobQuestion &job, Millis deadline, Done done)
+{
+	const StoredCancellation cancellation{job.route, this->config.version, false};
+	this->BeginRecording(std::make_shared<Pending>(Pending{
+			job.service, KeyedRecord{KeyOf(InboxKey{job.job, job.account, true}), EncodeCancellation(cancellation)},
+			this->scheduler.Now(), deadline, false, std::move(done)}));
+}
+
+void JobApi::Record(const ServiceName &service, const KeyedRecord &record, Millis deadline, Done done)
 {
 	this->BeginRecording(std::make_shared<Pending>(
-			Pending{service, KeyedRecord{KeyOf(InboxKey{id, account, true}), std::string("1")}, this->scheduler.Now(),
-					deadline, false, std::move(done)}));
+			Pending{service, record, this->scheduler.Now(), deadline, false, std::move(done)}));
 }
 
 void JobApi::BeginRecording(const std::shared_ptr<Pending> &pending)
@@ -165,25 +175,89 @@
 	if (shard == nullptr) {
 		return JobAnswer{};
 	}
+	const RouteShards &routes = *owner->Routes();
+	/* Otherwise a count would lack jobs that other nodes have accepted meanwhile, and an unknown job may exist. */
+	const bool complete = owner->Fresh() && routes.Knows(question.route);
 	if (question.job.Empty()) {
-		if (!owner->Fresh()) {
-			/* The count would lack jobs that other nodes have accepted meanwhile. */
+		if (!complete) {
 			return JobAnswer{};
 		}
-		return JobAnswer{ResultCode::RC_OK, JobPhase::JP_QUEUED, shard->Waiting(question.route)};
+		return JobAnswer{ResultCode::RC_OK, JobPhase::JP_QUEUED,
+						 shard->Waiting(question.route) + routes.HeldOf(question.route),
+						 routes.OthersWithJobs(question.route)};
+	}
+	JobView view = shard->View(question.job);
+	if (const JobSpec *held = routes.FindHeld(question.job); held != nullptr && !view.known) {
+		view = JobView{true, JobPhase::JP_QUEUED, held->account};
 	}
-	const JobView view = shard->View(question.job);
 	if (view.known && !MayAccess(view.account, question.account)) {
 		return JobAnswer{ResultCode::RC_OTHER_ACCOUNT, JobPhase::JP_QUEUED, 0};
 	}
 	if (view.known) {
 		return JobAnswer{ResultCode::RC_OK, view.phase, 0};
 	}
-	return JobAnswer{owner->Fresh() ? ResultCode::RC_UNKNOWN_JOB : ResultCode::RC_PEER_UNAVAILABLE, JobPhase::JP_QUEUED,
-					 0};
+	if (!complete || routes.FindUntaken(question.job) != UntakenJob::UJ_UNKNOWN) {
+		return JobAnswer{};
+	}
+	return JobAnswer{ResultCode::RC_UNKNOWN_JOB, JobPhase::JP_QUEUED, 0, routes.OthersWithJobs(question.route)};
 }
 
 void JobApi::Ask(const JobQuestion &question, Millis deadline, std::function<void(const JobAnswer &)> done)
+{
+	const auto search = std::make_shared<ShardSearch>();
+	search->question = question;
+	search->deadline = deadline;
+	search->seen = {question.service};
+	search->done = std::move(done);
+	this->AskShard(question, deadline,
+				   [this, search, still = std::weak_ptr<bool>(this->alive)](const JobAnswer &answer) {
+					   if (!still.expired()) {
+						   this->OnShardAnswer(search, answer);
+					   }
+				   });
+}
+
+void JobApi::OnShardAnswer(const std::shared_ptr<ShardSearch> &search, const JobAnswer &answer)
+{
+	const bool is_count = search->question.job.Empty();
+	const ResultCode goes_on = is_count ? ResultCode::RC_OK : ResultCode::RC_UNKNOWN_JOB;
+	search->result.code = answer.code;
+	search->result.phase = answer.phase;
+	search->result.waiting += answer.waiting;
+	if (answer.code != goes_on) {
+		search->done(search->result);
+		return;
+	}
+	const ServiceName first = search->seen.size() == 1 ? search->question.service : ServiceName();
+	for (const ServiceName &it : answer.other_services) {
+		if (search->seen.insert(it).second) {
+			search->to_ask.push_back(it);
+		}
+	}
+	if (!is_count && !first.Value().empty() && !search->to_ask.empty()) {
+		/* A job may be on its way there from the shards that are asked before. */
+		search->to_ask.push_back(first);
+	}
+	this->AskNext(search);
+}
+
+void JobApi::AskNext(const std::shared_ptr<ShardSearch> &search)
+{
+	if (search->to_ask.empty()) {
+		search->done(search->result);
+		return;
+	}
+	search->question.service = search->to_ask.front();
+	search->to_ask.pop_front();
+	this->AskShard(search->question, search->deadline,
+				   [this, search, still = std::weak_ptr<bool>(this->alive)](const JobAnswer &answer) {
+					   if (!still.expired()) {
+						   this->OnShardAnswer(search, answer);
+					   }
+				   });
+}
+
+void JobApi::AskShard(const JobQuestion &question, Millis deadline, std::function<void(const JobAnswer &)> done)
 {
 	const JobAnswer local_answer = this->AnswerLocally(question);
 	if (local_answer.code != ResultCode::RC_PEER_UNAVAILABLE) {
@@ -200,10 +274,16 @@
 		return MakeMessage(std::move(out));
 	};
 	const std::string subject = question.job.Empty() ? question.route.Value() : question.job.Value();
-	this->lookup.Ask(
-			PartitionId{TopicOf(question.service), PROGRESS_PARTITION}, subject, deadline - ANSWER_MARGIN, make,
-			[done = std::move(done)](ResultCode code, const MessageUnion *message) {
-				const auto *in = message == nullptr ? nullptr : message->AsJobAnswer();
-				done(in == nullptr ? JobAnswer{} : JobAnswer{code, static_cast<JobPhase>(in->phase), in->waiting});
-			});
+	this->lookup.Ask(PartitionId{TopicOf(question.service), PROGRESS_PARTITION}, subject, deadline - ANSWER_MARGIN,
+					 make, [done = std::move(done)](ResultCode code, const MessageUnion *message) {
+						 const auto *in = message == nullptr ? nullptr : message->AsJobAnswer();
+						 if (in == nullptr) {
+							 done(JobAnswer{});
+							 return;
+						 }
+						 JobAnswer answer{code, static_cast<JobPhase>(in->phase), in->waiting};
+						 std::ranges::transform(in->other_services, std::back_inserter(answer.other_services),
+												[](const std::string &it) { return ServiceName(it); });
+						 done(answer);
+					 });
 }
--- a/src/node/job_api.h
+++ b/src/node/job_api.h
@@ -6,6 +6,9 @@
 #include "owner_lookup.h"
 #include "shard_host.h"
 
+#include <deque>
+#include <set>
+
 /** Executes callers' operations on jobs. Submissions and cancellations are durable in the log before they are
  * confirmed. */
 class JobApi {
@@ -41,15 +44,21 @@
 	void Submit(const JobSpec &spec, const ServiceName &service, Millis deadline, Done done);
 	/**
 	 * Cancels a job.
-	 * @param id The job.
-	 * @param account Account of the caller.
-	 * @param service Service that runs the job.
+	 * @param job The job, its route and service, and the account of the caller.
 	 * @param deadline Time at which the caller stops waiting.
 	 * @param done Called with the same results as for Submit().
 	 */
-	void Cancel(const JobId &id, const AccountName &account, const ServiceName &service, Millis deadline, Done done);
+	void Cancel(const JobQuestion &job, Millis deadline, Done done);
 	/**
-	 * Answers a query, if necessary by forwarding it to the owner of the shard.
+	 * Records a submission or cancellation that another shard sends on.
+	 * @param service Service of the shard that is to have it.
+	 * @param record The record, in the format of the inbox.
+	 * @param deadline Time at which the attempt is given up.
+	 * @param done Called with the same results as for Submit().
+	 */
+	void Record(const ServiceName &service, const KeyedRecord &record, Millis deadline, Done done);
+	/**
+	 * Answers a query, if necessary by forwarding it to the owners of all shards that may have jobs of the route.
 	 * @param question The query.
 	 * @param deadline Time at which the caller stops waiting.
 	 * @param done Called with the answer.
@@ -75,6 +84,16 @@
 		Done done;              ///< Called with the result; null after that.
 	};
 
+	/** A query that goes from shard to shard, because the route has changed its service. */
+	struct ShardSearch {
+		JobQuestion question;                        ///< The query, to the shard that is asked next.
+		Millis deadline;                             ///< Time at which the caller stops waiting.
+		std::deque<ServiceName> to_ask;              ///< Services whose shards are still to be asked.
+		std::set<ServiceName> seen;                  ///< Services that were ever in `to_ask`.
+		JobAnswer result;                            ///< The answer so far.
+		std::function<void(const JobAnswer &)> done; ///< Called with the answer.
+	};
+
 	Scheduler &scheduler; ///< Clock and timers.
 	KeyedLog &log;        ///< The log.
 	ShardHost &shards;    ///< Shards owned by this node.
@@ -87,6 +106,11 @@
 	/** Lets callbacks detect that this object was destroyed. */
 	std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 
+	/** Sends a query to one shard. */
+	void AskShard(const JobQuestion &question, Millis deadline, std::function<void(const JobAnswer &)> done);
+	/** Sends the query of a search to the next shard, or ends the search. */
+	void AskNext(const std::shared_ptr<ShardSearch> &search);
+	void OnShardAnswer(const std::shared_ptr<ShardSearch> &search, const JobAnswer &answer);
 	/** Starts to record a submission or cancellation: by the owner if it can be reached, otherwise in the inbox. */
 	void BeginRecording(const std::shared_ptr<Pending> &pending);
 	void SendToOwner(const std::shared_ptr<Pending> &pending);
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -2,6 +2,7 @@
 #include "node_core.h"
 
 #include <algorithm>
+#include <iterator>
 #include <ranges>
 
 namespace {
@@ -136,10 +137,11 @@
 				 GroupSpec{NODE_GROUP, GroupPeer{self.frame_address, self.cpu}, NODE_TOPIC, self.group_timeout,
 						   self.partitions}),
 		  shards(ShardOwnerContext{scheduler, interfaces.log, interfaces.orders, interfaces.events, self.frame_address,
-								   self.limits, interfaces.advisor, NODE_GROUP},
+								   self.limits, interfaces.advisor, NODE_GROUP, nullptr, &this->shard_peers},
 				 this->member, interfaces.feed, self.partitions),
 		  lookup(scheduler, interfaces.log, interfaces.events),
-		  api(scheduler, interfaces.log, this->shards, this->lookup, interfaces.events), config_peers(scheduler),
+		  api(scheduler, interfaces.log, this->shards, this->lookup, interfaces.events),
+		  shard_peers(this->shards, this->lookup, this->api), config_peers(scheduler),
 		  config_exchange(scheduler, interfaces.feed, this->config_peers, interfaces.events, self.frame_address),
 		  handover_peers(scheduler), handover(scheduler, interfaces.load, this->handover_peers, this->shards,
 											  interfaces.events, GroupPeer{self.frame_address, self.cpu}),
@@ -399,6 +401,8 @@
 		this->OnPoolQuestion(link, *pool);
 	} else if (const auto *record = message.AsRecordQuestion(); record != nullptr) {
 		this->OnRecordQuestion(link, *record);
+	} else if (const auto *route = message.AsRouteQuestion(); route != nullptr) {
+		this->OnRouteQuestion(link, *route);
 	} else if (const auto *config = message.AsConfigQuestion(); config != nullptr) {
 		this->OnConfigQuestion(link, *config);
 	} else if (const auto *load = message.AsLoadQuestion(); load != nullptr) {
@@ -419,7 +423,29 @@
 	out.code = static_cast<uint32_t>(answer.code);
 	out.phase = static_cast<uint8_t>(answer.phase);
 	out.waiting = answer.waiting;
-	link.Send(MakeMessage(out));
+	std::ranges::transform(answer.other_services, std::back_inserter(out.other_services),
+						   [](const ServiceName &it) { return it.Value(); });
+	link.Send(MakeMessage(std::move(out)));
+}
+
+void NodeCore::OnRouteQuestion(FrameLink &link, const glade::wire::RouteQuestionT &in)
+{
+	this->awaiting_answer.insert(&link);
+	this->shard_peers.AnswerHere(RouteQuestion{ServiceName(in.service), RouteName(in.route), JobId(in.job),
+											   AccountName(in.account), ServiceName(in.from), in.version},
+								 [this, to = &link, number = in.number](const RouteAnswer &answer) {
+									 if (!this->awaiting_answer.contains(to)) {
+										 return;
+									 }
+									 glade::wire::RouteAnswerT out;
+									 out.number = number;
+									 out.code = static_cast<uint32_t>(answer.code);
+									 out.has_job = answer.has_job;
+									 out.cancelled = answer.cancelled;
+									 out.has_any = answer.has_any;
+									 out.served = answer.served;
+									 to->Send(MakeMessage(out));
+								 });
 }
 
 void NodeCore::OnRecordQuestion(FrameLink &link, const glade::wire::RecordQuestionT &in)
--- a/src/node/node_core.h
+++ b/src/node/node_core.h
@@ -6,6 +6,7 @@
 #include "config_peers.h"
 #include "handover_peers.h"
 #include "job_api.h"
+#include "shard_peers.h"
 
 #include <list>
 
@@ -99,6 +100,7 @@
 	ShardHost shards;                                 ///< Shards owned by this node.
 	OwnerLookup lookup;                               ///< Requests to owners on other nodes.
 	JobApi api;                                       ///< Operations on jobs for callers.
+	NodeShardPeers shard_peers;                       ///< Questions of this node's shards to others.
 	FrameConfigPeers config_peers;                    ///< Transport for configuration requests to other nodes.
 	ConfigExchange config_exchange;                   ///< Exchange of configurations with other nodes.
 	FrameHandoverPeers handover_peers;                ///< Transport for handovers to other nodes.
@@ -129,6 +131,7 @@
 	void OnJobQuestion(FrameLink &link, const glade::wire::JobQuestionT &in);
 	void OnPoolQuestion(FrameLink &link, const glade::wire::PoolQuestionT &in);
 	void OnRecordQuestion(FrameLink &link, const glade::wire::RecordQuestionT &in);
+	void OnRouteQuestion(FrameLink &link, const glade::wire::RouteQuestionT &in);
 	void OnConfigQuestion(FrameLink &link, const glade::wire::ConfigQuestionT &in);
 	void OnLoadQuestion(FrameLink &link, const glade::wire::LoadQuestionT &in);
 	void OnHandoverQuestion(FrameLink &link, const glade::wire::HandoverQuestionT &in);
--- a/src/node/owner_lookup.cpp
+++ b/src/node/owner_lookup.cpp
@@ -276,6 +276,9 @@
 	} else if (const auto *record = message.AsRecordAnswer(); record != nullptr) {
 		number = record->number;
 		code = static_cast<ResultCode>(record->code);
+	} else if (const auto *route = message.AsRouteAnswer(); route != nullptr) {
+		number = route->number;
+		code = static_cast<ResultCode>(route->code);
 	}
 	const auto it = this->pending.find(number);
 	if (it == this->pending.end()) {
--- a/src/node/owner_lookup.h
+++ b/src/node/owner_lookup.h
@@ -20,8 +20,9 @@
 struct JobAnswer {
 	/** RC_OK, RC_UNKNOWN_JOB, RC_OTHER_ACCOUNT or RC_PEER_UNAVAILABLE. */
 	ResultCode code = ResultCode::RC_PEER_UNAVAILABLE;
-	JobPhase phase = JobPhase::JP_QUEUED; ///< State of the job.
-	uint32_t waiting = 0;                 ///< Number of waiting jobs of the route.
+	JobPhase phase = JobPhase::JP_QUEUED;         ///< State of the job.
+	uint32_t waiting = 0;                         ///< Number of waiting jobs of the route.
+	std::vector<ServiceName> other_services = {}; ///< Services whose shards may have further jobs of the route.
 };
 
 /** Finds the owners of shards and sends them requests. */
--- a/src/standin/memory/box_site.h
+++ b/src/standin/memory/box_site.h
@@ -12,12 +12,13 @@
 
 /** A submitted job: what starts of its tasks are checked against, and how its tasks behave. */
 struct SiteJob {
-	JobSpec spec;                  ///< As submitted.
-	ServiceName service;           ///< Service that runs it.
-	Millis run_time = Millis(500); ///< Run time of each of its tasks.
-	uint32_t fail_first = 0;       ///< Number of runs of each task that fail before one succeeds.
-	uint32_t failures_max = 3;     ///< Failed runs after which a task is given up.
-	bool cancel_sent = false;      ///< Whether a cancellation was sent; StepSpec::absent_max no longer applies then.
+	JobSpec spec;                         ///< As submitted.
+	ServiceName service;                  ///< Service that runs it.
+	std::set<ServiceName> later_services; ///< Further services that some configuration sends its route to.
+	Millis run_time = Millis(500);        ///< Run time of each of its tasks.
+	uint32_t fail_first = 0;              ///< Number of runs of each task that fail before one succeeds.
+	uint32_t failures_max = 3;            ///< Failed runs after which a task is given up.
+	bool cancel_sent = false; ///< Whether a cancellation was sent; StepSpec::absent_max no longer applies then.
 	std::optional<Millis> cancelled_at; ///< When its cancellation was confirmed.
 	std::set<uint32_t> crashing_tasks;  ///< Indexes of the tasks of the first step that crash their box.
 	Millis crash_delay = Millis(10);    ///< Time from the start of a crashing task to the crash.
