--- a/src/jobs/job_codec.cpp
+++ b/src/jobs/job_codec.cpp
@@ -64,6 +64,24 @@
 
 } // namespace
 
+std::unique_ptr<wire::PolicyRecordT> PolicyToWire(const VersionedPolicy &policy)
+{
+	auto out = std::make_unique<wire::PolicyRecordT>();
+	out->config = policy.config;
+	out->priority = policy.policy.priority;
+	out->failures_max = policy.policy.failures_max;
+	out->stretch = policy.policy.stretch;
+	out->headroom_ms = policy.policy.headroom.Value();
+	out->needs_ticket = policy.policy.needs_ticket;
+	return out;
+}
+
+VersionedPolicy PolicyFromWire(const wire::PolicyRecordT &in)
+{
+	return VersionedPolicy{
+			in.config, RoutePolicy{in.priority, in.failures_max, in.stretch, Millis(in.headroom_ms), in.needs_ticket}};
+}
+
 std::string KeyOf(const InboxKey &name)
 {
 	std::string key = name.is_cancellation ? std::string(1, CANCEL_PREFIX) : std::string();
@@ -95,6 +113,9 @@
 	out.begun = spec.requested_at.Value();
 	out.account = spec.account.Value();
 	out.config = spec.config;
+	if (spec.policy) {
+		out.policy = PolicyToWire(VersionedPolicy{spec.config, *spec.policy});
+	}
 	return PackRecord<wire::SubmissionRecord>(out);
 }
 
@@ -115,6 +136,9 @@
 	spec.requested_at = Millis(in->begun);
 	spec.account = AccountName(in->account);
 	spec.config = in->config;
+	if (in->policy) {
+		spec.policy = PolicyFromWire(*in->policy).policy;
+	}
 	return spec;
 }
 
--- a/src/jobs/job_codec.h
+++ b/src/jobs/job_codec.h
@@ -4,6 +4,10 @@
 
 #include "job_type.h"
 
+namespace glade::shard {
+struct PolicyRecordT;
+}
+
 /** Stored state of a task. */
 struct StoredTask {
 	TaskPhase phase = TaskPhase::TP_WAITING; ///< Phase of the task.
@@ -51,6 +55,10 @@
 /** @return Decoded key of a caller's record. @param key The encoded key, not empty. */
 InboxKey ParseInboxKey(std::string_view key);
 
+/** @return The policy, as it is stored in records. @param policy A route's policy. */
+std::unique_ptr<glade::shard::PolicyRecordT> PolicyToWire(const VersionedPolicy &policy);
+/** @return The policy. @param in The policy, as it is stored in records. */
+VersionedPolicy PolicyFromWire(const glade::shard::PolicyRecordT &in);
 /** @return Encoded submission, without the id of the job, which is in the record's key. */
 std::string EncodeSubmission(const JobSpec &spec);
 /** @return Encoded progress of a job. */
--- a/src/jobs/job_type.h
+++ b/src/jobs/job_type.h
@@ -54,6 +54,25 @@
 	bool operator==(const StepSpec &) const = default;
 };
 
+/** What a configuration says about the jobs of a route. */
+struct RoutePolicy {
+	int64_t priority = 0;      ///< Lower numbers are served first.
+	uint32_t failures_max = 1; ///< Number of failed runs of a task that fails the job.
+	double stretch = 1.0;      ///< The objective is `stretch` times the longest chain of steps, plus `headroom`.
+	Millis headroom;           ///< Added to the stretched chain.
+	bool needs_ticket = false; ///< Starts need a ticket of the placement policy, which allows only some boxes.
+
+	bool operator==(const RoutePolicy &) const = default;
+};
+
+/** A route's policy and the version of the configuration that it is from. */
+struct VersionedPolicy {
+	uint64_t config = 0; ///< Version of the configuration.
+	RoutePolicy policy;  ///< The policy.
+
+	bool operator==(const VersionedPolicy &) const = default;
+};
+
 /** A job, as submitted by its caller. */
 struct JobSpec {
 	JobId id;                    ///< Id of the job.
@@ -66,6 +85,7 @@
 	uint32_t repeats = 0;        ///< Number of occurrences; 0 for a single one that is due at once.
 	Millis requested_at;         ///< Wall time of the caller's first request, as far as known.
 	uint64_t config = 0;         ///< Version of the configuration by which its shard was chosen; 0 when not known.
+	std::optional<RoutePolicy> policy; ///< Policy of the route in this configuration; unset when not known.
 
 	/** @return Number of occurrences, at least 1. */
 	[[nodiscard]] uint32_t Occurrences() const { return this->repeats == 0 ? 1 : this->repeats; }
@@ -104,16 +124,12 @@
 
 /** Configuration of a route. */
 struct JobRoute {
-	RouteName name;            ///< Name of the route.
-	std::string host;          ///< Host name in callers' requests.
-	std::string path_prefix;   ///< Path prefix of its jobs.
-	ServiceName service;       ///< Service whose boxes run the jobs.
-	int64_t priority = 0;      ///< Lower numbers are served first.
-	uint32_t failures_max = 1; ///< Number of failed runs of a task that fails the job.
-	double stretch = 1.0;      ///< The objective is `stretch` times the longest chain of steps, plus `headroom`.
-	Millis headroom;           ///< Added to the stretched chain.
-	bool needs_ticket = false; ///< Starts need a ticket of the placement policy, which allows only some boxes.
-	bool keyless = false;      ///< Callers need no key; its jobs belong to no account.
+	RouteName name;          ///< Name of the route.
+	std::string host;        ///< Host name in callers' requests.
+	std::string path_prefix; ///< Path prefix of its jobs.
+	ServiceName service;     ///< Service whose boxes run the jobs.
+	RoutePolicy policy;      ///< How its jobs are treated.
+	bool keyless = false;    ///< Callers need no key; its jobs belong to no account.
 };
 
 /** Configuration of a service. */
--- a/src/jobs/route_codec.cpp
+++ b/src/jobs/route_codec.cpp
@@ -2,6 +2,7 @@
 #include "route_codec.h"
 
 #include "../store/record_codec.h"
+#include "job_codec.h"
 
 #include <algorithm>
 #include <iterator>
@@ -24,6 +25,9 @@
 	out.redirect_to = state.redirect_to.Value();
 	std::ranges::transform(state.other_shards, std::back_inserter(out.other_shards),
 						   [](const ServiceName &it) { return it.Value(); });
+	if (state.policy) {
+		out.policy = PolicyToWire(*state.policy);
+	}
 	return PackRecord<wire::RouteRecord>(out);
 }
 
@@ -40,6 +44,9 @@
 	state.redirect_to = ServiceName(in->redirect_to);
 	std::ranges::transform(in->other_shards, std::inserter(state.other_shards, state.other_shards.end()),
 						   [](const std::string &it) { return ServiceName(it); });
+	if (in->policy) {
+		state.policy = PolicyFromWire(*in->policy);
+	}
 	return state;
 }
 
--- a/src/jobs/route_shards.cpp
+++ b/src/jobs/route_shards.cpp
@@ -39,6 +39,9 @@
 	if (entry.state.revision <= state.revision) {
 		entry.state = state;
 		entry.durable_revision = state.revision;
+		if (state.policy) {
+			this->shard.SetLastPolicy(route, *state.policy);
+		}
 	}
 }
 
@@ -73,9 +76,26 @@
 void RouteShards::Configure(const JobConfig &config)
 {
 	this->config = config;
-	if (this->begun) {
-		this->WantConfigured();
+	if (!this->begun) {
+		return;
+	}
+	this->WantConfigured();
+	for (auto &[route, entry] : this->routes) {
+		if (this->UpdatePolicy(route, entry.state)) {
+			this->Record(route, entry);
+		}
+	}
+}
+
+bool RouteShards::UpdatePolicy(const RouteName &route, RouteState &state)
+{
+	const JobRoute *configured = this->config.FindRoute(route);
+	if (configured == nullptr || (state.policy && state.policy->policy == configured->policy)) {
+		return false;
 	}
+	state.policy = VersionedPolicy{this->config.version, configured->policy};
+	this->shard.SetLastPolicy(route, *state.policy);
+	return true;
 }
 
 uint64_t RouteShards::ServedVersion(const RouteName &route, const RouteState &state) const
@@ -222,6 +242,7 @@
 
 void RouteShards::Record(const RouteName &route, RouteEntry &entry)
 {
+	this->UpdatePolicy(route, entry.state);
 	const uint64_t revision = ++entry.state.revision;
 	this->shard.Record(KeyedRecord{ROUTE_PREFIX + route.Value(), EncodeRoute(entry.state)},
 					   [this, route, revision, still = std::weak_ptr<bool>(this->alive)](ResultCode code) {
--- a/src/jobs/route_shards.h
+++ b/src/jobs/route_shards.h
@@ -138,6 +138,8 @@
 	void Register();
 	void OnRegistered(const std::map<RouteName, uint64_t> &wanted, const std::vector<RouteRegistration> &found);
 
+	/** Takes over the route's policy from the configuration, if that has the route. @return Whether it has changed. */
+	bool UpdatePolicy(const RouteName &route, RouteState &state);
 	/** Records a route's state. */
 	void Record(const RouteName &route, RouteEntry &entry);
 	void OnRecorded(const RouteName &route, uint64_t revision);
--- a/src/jobs/route_type.h
+++ b/src/jobs/route_type.h
@@ -19,7 +19,9 @@
 	uint64_t redirected = 0;            ///< Version as of which another shard takes the route's jobs; 0 if none does.
 	ServiceName redirect_to;            ///< Service of that shard.
 	std::set<ServiceName> other_shards; ///< Services of other shards that may have jobs of the route.
-	uint64_t revision = 0;              ///< Rises with each record of the route: the highest is the newest.
+	/** Policy of the route in the newest configuration that had it; unset when not known. */
+	std::optional<VersionedPolicy> policy;
+	uint64_t revision = 0; ///< Rises with each record of the route: the highest is the newest.
 
 	bool operator==(const RouteState &) const = default;
 };
--- a/src/jobs/shard_base.h
+++ b/src/jobs/shard_base.h
@@ -80,6 +80,9 @@
 	/** Takes in a submission or cancellation, to be recorded with the next append together with the placements that
 	 * follow from it, or answers it at once when it can't be recorded here. @param incoming Record of the caller. */
 	void Accept(IncomingRecord incoming);
+	/** Sets the policy that jobs of a route have while the configuration lacks it. @param route Name of the route.
+	 * @param policy The newest policy of the route that was in force. */
+	void SetLastPolicy(const RouteName &route, const VersionedPolicy &policy);
 	/** Applies a configuration. @param config The configuration. */
 	void Configure(const JobConfig &config);
 	/** Applies a change of the evacuated zones: nothing is started there, and lasting tasks move away as their limits
@@ -185,18 +188,19 @@
 	std::map<BoxId, OrderFence> fences; ///< Tokens of orders, by the id that they are sent to.
 	/** Highest token of the ids that aren't in `fences` any more: a box that reports again has seen its last one. */
 	FenceToken forgotten_fence;
-	ShardLimits limits;                        ///< Time limits.
-	Millis owned_since;                        ///< When this ownership started.
-	Millis earlier_leases_until;               ///< Until then an earlier owner may renew leases.
-	Millis log_unreachable_at{-1000000};       ///< When the log was last found unreachable; initially long ago.
-	bool begun = false;                        ///< Whether Begin() was called.
-	bool turn_scheduled = false;               ///< Whether a turn is scheduled to run at once.
-	bool place_wanted = false;                 ///< Whether a turn skipped placing because an append was under way.
-	bool superseded = false;                   ///< Whether a box has seen a higher token.
-	JobConfig config;                          ///< The configuration in force.
-	EvacuatedZones evacuated;                  ///< The evacuated zones.
-	ShardJobs jobs;                            ///< All jobs, also those that are over.
-	std::map<RouteName, size_t> jobs_by_route; ///< Number of jobs of each route that has some.
+	ShardLimits limits;                  ///< Time limits.
+	Millis owned_since;                  ///< When this ownership started.
+	Millis earlier_leases_until;         ///< Until then an earlier owner may renew leases.
+	Millis log_unreachable_at{-1000000}; ///< When the log was last found unreachable; initially long ago.
+	bool begun = false;                  ///< Whether Begin() was called.
+	bool turn_scheduled = false;         ///< Whether a turn is scheduled to run at once.
+	bool place_wanted = false;           ///< Whether a turn skipped placing because an append was under way.
+	bool superseded = false;             ///< Whether a box has seen a higher token.
+	JobConfig config;                    ///< The configuration in force.
+	EvacuatedZones evacuated;            ///< The evacuated zones.
+	ShardJobs jobs;                      ///< All jobs, also those that are over.
+	std::map<RouteName, VersionedPolicy> last_policies; ///< See SetLastPolicy().
+	std::map<RouteName, size_t> jobs_by_route;          ///< Number of jobs of each route that has some.
 	/** Routes of cancelled jobs that haven't arrived; an empty one when it isn't known. */
 	std::map<JobId, RouteName> cancelled_early;
 	std::map<JobId, ShardJob *> live;                  ///< Jobs that are not over.
@@ -451,7 +455,7 @@
 	/** @return Whether the task has so many crashes that it isn't started any more. */
 	[[nodiscard]] static bool AtCrashLimit(const StoredTask &task);
 	/** @return Whether the task waits and hasn't reached the crash limit. */
-	[[nodiscard]] static bool Startable(const ShardTask &task);
+	[[nodiscard]] static bool Startable(const ShardJob &job, const ShardTask &task);
 	/** Logs a counted crash. @param box The box. @param id The task. @param last_start Whether no other job's task had
 	 * just started there. */
 	void LogCrash(const ShardBox &box, const TaskId &id, bool last_start);
--- a/src/jobs/shard_crashes.cpp
+++ b/src/jobs/shard_crashes.cpp
@@ -136,7 +136,8 @@
 bool Shard::QuarantineWanted(const TaskId &id) const
 {
 	const ShardTask *task = this->FindTask(id);
-	return task != nullptr && Startable(*task) && this->WaitsForQuarantine(*task) && !this->jobs.at(id.job).Over();
+	return task != nullptr && Startable(this->jobs.at(id.job), *task) && this->WaitsForQuarantine(*task) &&
+		   !this->jobs.at(id.job).Over();
 }
 
 void Shard::ReserveQuarantineBox(PlaceRound &round)
@@ -176,9 +177,10 @@
 	return task.crashes + task.crashes_possible >= CRASHES_MAX;
 }
 
-bool Shard::Startable(const ShardTask &task)
+bool Shard::Startable(const ShardJob &job, const ShardTask &task)
 {
-	return task.phase == TaskPhase::TP_WAITING && !AtCrashLimit(task);
+	/* Without a policy it isn't known whether a task may be started again after a failed run. */
+	return task.phase == TaskPhase::TP_WAITING && !AtCrashLimit(task) && (job.has_policy || task.failures == 0);
 }
 
 bool Shard::FailsJob(const ShardJob &job, const TaskId &id, bool crash_attributed)
--- a/src/jobs/shard_jobs.cpp
+++ b/src/jobs/shard_jobs.cpp
@@ -65,7 +65,6 @@
 	ShardJob job;
 	job.spec = spec;
 	job.taken_at = this->scheduler.Now();
-	job.route.name = spec.route;
 	for (const StepSpec &step : spec.steps) {
 		job.step_offsets.push_back(job.per_occurrence);
 		job.per_occurrence += step.count;
@@ -77,12 +76,31 @@
 
 void Shard::ApplyRoute(ShardJob &job) const
 {
-	/* Jobs of a removed route keep its last configuration. */
 	if (const JobRoute *route = this->config.FindRoute(job.spec.route); route != nullptr) {
-		job.route = *route;
+		job.policy = route->policy;
+		job.has_policy = true;
+		return;
+	}
+	/* Jobs of a removed route keep its last policy. */
+	if (job.has_policy) {
+		return;
+	}
+	const auto last = this->last_policies.find(job.spec.route);
+	const uint64_t recorded_version = last == this->last_policies.end() ? 0 : last->second.config;
+	if (recorded_version > 0 && (!job.spec.policy || recorded_version >= job.spec.config)) {
+		job.policy = last->second.policy;
+		job.has_policy = true;
+	} else if (job.spec.policy) {
+		job.policy = *job.spec.policy;
+		job.has_policy = true;
 	}
 }
 
+void Shard::SetLastPolicy(const RouteName &route, const VersionedPolicy &policy)
+{
+	this->last_policies[route] = policy;
+}
+
 void Shard::Submit(const JobSpec &spec, bool recorded)
 {
 	if (const auto known = this->jobs.find(spec.id); known != this->jobs.end()) {
--- a/src/jobs/shard_place.cpp
+++ b/src/jobs/shard_place.cpp
@@ -88,7 +88,7 @@
 
 bool Shard::MayRun(const ShardJob &job, const TaskId &first, const ShardBox &box) const
 {
-	return !job.route.needs_ticket ||
+	return !job.policy.needs_ticket ||
 		   this->tickets.Find(StepId{first.job, first.occurrence, first.step}, box.report.incarnation) != nullptr;
 }
 
@@ -189,7 +189,7 @@
 		id.index = index;
 		const ShardTask &task = job.tasks[job.IndexOf(id)];
 		const StartKind kind = this->StartKindOf(task);
-		if (!Startable(task) || (kind != StartKind::SK_CRASH_CAUSE && round.FitsNowhere(spec.demand))) {
+		if (!Startable(job, task) || (kind != StartKind::SK_CRASH_CAUSE && round.FitsNowhere(spec.demand))) {
 			continue;
 		}
 		if (!this->book.Fits(job.spec.account, spec.demand)) {
@@ -197,14 +197,14 @@
 		}
 		OpenBox *it = this->ChooseBox(round.open, job, first, kind);
 		if (it == nullptr) {
-			if (job.route.needs_ticket) {
+			if (job.policy.needs_ticket) {
 				this->WantTickets(round, job, first);
 			}
 			if (kind != StartKind::SK_PLAIN) {
 				continue; /* The other tasks of the step may still start. */
 			}
 			/* Tasks with the same or a larger demand need not be tried in this round. */
-			if (!job.route.needs_ticket && spec.required_label.empty() && spec.per_box == 0) {
+			if (!job.policy.needs_ticket && spec.required_label.empty() && spec.per_box == 0) {
 				round.unplaceable.push_back(spec.demand);
 			}
 			if (!this->MayUseQuarantine(round, job)) {
@@ -240,7 +240,8 @@
 	const StepSpec &spec = job.spec.steps[step];
 	const TaskId first{job.spec.id, occurrence, step, 0};
 	const auto members = job.tasks | std::views::drop(job.IndexOf(first)) | std::views::take(spec.count);
-	if (!std::ranges::all_of(members, Startable) || !this->book.Fits(job.spec.account, spec.demand.Times(spec.count))) {
+	if (!std::ranges::all_of(members, [&job](const ShardTask &it) { return Startable(job, it); }) ||
+		!this->book.Fits(job.spec.account, spec.demand.Times(spec.count))) {
 		return;
 	}
 	const uint32_t last_run =
@@ -260,7 +261,7 @@
 	const StartKind kind = suspect ? StartKind::SK_SUSPECT : StartKind::SK_PLAIN;
 	const bool found =
 			std::ranges::any_of(choices, [&](auto &open) { return this->PickGang(open, job, first, kind, picks); });
-	if (!found && job.route.needs_ticket) {
+	if (!found && job.policy.needs_ticket) {
 		this->WantTickets(round, job, first);
 	}
 	for (TaskId id = first; const uint32_t index : std::views::iota(0U, found ? spec.count : 0U)) {
@@ -343,7 +344,7 @@
 	}
 	const ShardJob &job = this->jobs.at(start.task.job);
 	StartOrder order = this->MakeStart(start, *task, *until);
-	if (order.ticket.empty() && job.route.needs_ticket) {
+	if (order.ticket.empty() && job.policy.needs_ticket) {
 		this->GiveUpStart(start.task, *task, RunEnding::RE_STOPPED, "ticket_over");
 		return;
 	}
--- a/src/jobs/shard_rank.cpp
+++ b/src/jobs/shard_rank.cpp
@@ -48,7 +48,7 @@
 		const auto tasks = job.tasks | std::views::drop(first) | std::views::take(step.count);
 		const auto open =
 				std::ranges::count_if(tasks, [](const ShardTask &it) { return it.phase != TaskPhase::TP_DONE; });
-		const auto waiting = std::ranges::count_if(tasks, Startable);
+		const auto waiting = std::ranges::count_if(tasks, [&job](const ShardTask &it) { return Startable(job, it); });
 		out.lasting = out.lasting || step.lasting;
 		for (const uint32_t before : step.after) {
 			chain_all[n] = std::max(chain_all[n], chain_all[before]);
@@ -80,14 +80,14 @@
 
 double Shard::ObjectiveOf(const ShardJob &job)
 {
-	return job.route.stretch * job.outlook.chain_all + static_cast<double>(job.route.headroom.Value());
+	return job.policy.stretch * job.outlook.chain_all + static_cast<double>(job.policy.headroom.Value());
 }
 
 JobRank Shard::RankOf(const ShardJob &job, Millis wall_now)
 {
 	const JobOutlook &outlook = job.outlook;
 	JobRank rank;
-	rank.priority = job.route.priority;
+	rank.priority = job.policy.priority;
 	rank.waiting_work = outlook.waiting_work;
 	const auto age = static_cast<double>((wall_now - job.spec.requested_at).Value());
 	const double objective = ObjectiveOf(job);
@@ -166,7 +166,8 @@
 		for (uint32_t step = 0; step < job.spec.steps.size() && this->Due(job, occurrence); step++) {
 			const size_t first = job.IndexOf(TaskId{job.spec.id, occurrence, step, 0});
 			const auto tasks = job.tasks | std::views::drop(first) | std::views::take(job.spec.steps[step].count);
-			const auto waiting = std::ranges::count_if(tasks, Startable);
+			const auto waiting =
+					std::ranges::count_if(tasks, [&job](const ShardTask &it) { return Startable(job, it); });
 			if (waiting > 0 && this->StepReady(job, occurrence, step)) {
 				sum += job.spec.steps[step].demand.Times(waiting);
 			}
--- a/src/jobs/shard_runs.cpp
+++ b/src/jobs/shard_runs.cpp
@@ -97,7 +97,7 @@
 {
 	task.failures++;
 	const StepSpec &step = job.spec.steps[id.step];
-	if (!step.lasting && !job.Over() && task.failures >= job.route.failures_max) {
+	if (!step.lasting && !job.Over() && job.has_policy && task.failures >= job.policy.failures_max) {
 		this->EndJob(job, JobPhase::JP_FAILED, "task_failed");
 		return;
 	}
--- a/src/jobs/shard_type.h
+++ b/src/jobs/shard_type.h
@@ -138,7 +138,9 @@
 	std::vector<uint32_t> step_offsets; ///< Index of the first task of each step within an occurrence.
 	uint32_t per_occurrence = 0;        ///< Tasks per occurrence.
 	Millis taken_at;                    ///< When this owner learned of the job.
-	JobRoute route;                     ///< Configuration of its route; the last one once the route was removed.
+	RoutePolicy policy;                 ///< Policy of its route: the newest one that is known.
+	/** Whether any policy of the route is known. While none is, a failed task is neither restarted nor given up. */
+	bool has_policy = false;
 
 	/** @return Whether the job has completed, failed or been cancelled. */
 	[[nodiscard]] bool Over() const { return this->phase > JobPhase::JP_RUNNING; }
--- a/src/node/job_api.cpp
+++ b/src/node/job_api.cpp
@@ -36,6 +36,9 @@
 {
 	JobSpec routed = spec;
 	routed.config = this->config.version;
+	if (const JobRoute *route = this->config.FindRoute(spec.route); route != nullptr) {
+		routed.policy = route->policy;
+	}
 	this->BeginRecording(std::make_shared<Pending>(
 			Pending{service, KeyedRecord{KeyOf(InboxKey{spec.id, spec.account}), EncodeSubmission(routed)},
 					this->scheduler.Now(), deadline, false, std::move(done)}));
--- a/tests/job_world.h
+++ b/tests/job_world.h
@@ -435,7 +435,8 @@
 
 	static JobRoute MakeRoute(const std::string &name, const std::string &service, int64_t priority)
 	{
-		return JobRoute{RouteName(name), "h", "/" + name + "/", ServiceName(service), priority, 3, 1.6, Millis(600)};
+		return JobRoute{RouteName(name), "h", "/" + name + "/", ServiceName(service),
+						RoutePolicy{priority, 3, 1.6, Millis(600)}};
 	}
 
 	static BoxReport MakeBox(const std::string &service, int n)
--- a/tests/owner/main.cpp
+++ b/tests/owner/main.cpp
@@ -88,7 +88,7 @@
 	{
 		JobConfig config;
 		config.version = 1;
-		config.routes = {JobRoute{RouteName("r"), "h", "/r/", SERVICE, 0, 3, 1.6, Millis(600)}};
+		config.routes = {JobRoute{RouteName("r"), "h", "/r/", SERVICE, RoutePolicy{0, 3, 1.6, Millis(600)}}};
 		config.services = {JobService{SERVICE, true, false}};
 		this->shard.Configure(config);
 		for (const BoxReport &it : this->agents.Reports(SERVICE, BOX_CAPACITY)) {
--- a/tests/test_advice.cpp
+++ b/tests/test_advice.cpp
@@ -11,7 +11,7 @@
 struct PolicyWorld : public JobWorld {
 	PolicyWorld() : JobWorld(0)
 	{
-		this->config.routes[0].needs_ticket = true;
+		this->config.routes[0].policy.needs_ticket = true;
 		this->site.ticket_valid = [this](const BoxReport &box, const StartOrder &order) {
 			return box.service != ServiceName("calc") || this->advisor.IsValid(order);
 		};
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -28,9 +28,9 @@
 	CHECK(config->version == 7);
 	const JobRoute *route = config->FindRoute(RouteName("r"));
 	REQUIRE(route != nullptr);
-	CHECK(route->headroom == Millis(600));
-	CHECK(route->failures_max == 3);
-	CHECK(route->stretch == doctest::Approx(1.6));
+	CHECK(route->policy.headroom == Millis(600));
+	CHECK(route->policy.failures_max == 3);
+	CHECK(route->policy.stretch == doctest::Approx(1.6));
 	CHECK(config->Match("h.example", "/a/b/0011223344556677")->name == RouteName("q"));
 	CHECK(config->Match("h.example", "/a/0011223344556677")->name == RouteName("r"));
 	CHECK(config->Match("other.example", "/a/x") == nullptr);
