Shards: policies are recorded by a new owner too; refused records keep their order; announcements are repeated once a second

A configuration that came while an owner loaded its shard left the route's policy unrecorded until the next one. Of two records with one key the older could have been appended last after a refusal by the log: those that are kept go first now.

--- a/src/jobs/route_shards.cpp
+++ b/src/jobs/route_shards.cpp
@@ -12,6 +12,9 @@
 constexpr Millis ASK_TIMEOUT(1000);    ///< Time after which a question counts as unanswered.
 constexpr Millis RECORD_TIMEOUT(3000); ///< Time after which an attempt to record something elsewhere has failed.
 constexpr Millis RETRY_DELAY(100);     ///< Delay before a failed call is repeated.
+/** Delay before another shard is told again that a route is served here. Nothing waits for it: the shard is also asked
+ * before a job is taken. */
+constexpr Millis ANNOUNCE_INTERVAL(1000);
 /** Time for which a job that was sent on isn't called unknown: longer than another shard's view of its inbox may lag.
  */
 constexpr Millis LEFT_FOR(4000);
@@ -54,7 +57,7 @@
 void RouteShards::Begin()
 {
 	this->begun = true;
-	this->WantConfigured();
+	this->ApplyConfig();
 	/* Jobs that were recorded before routes were: their shard has to be registered, too. */
 	for (const RouteName &route : this->shard.RoutesOfJobs()) {
 		if (!this->routes.contains(route) && !this->to_register.contains(route)) {
@@ -76,9 +79,13 @@
 void RouteShards::Configure(const JobConfig &config)
 {
 	this->config = config;
-	if (!this->begun) {
-		return;
+	if (this->begun) {
+		this->ApplyConfig();
 	}
+}
+
+void RouteShards::ApplyConfig()
+{
 	this->WantConfigured();
 	for (auto &[route, entry] : this->routes) {
 		if (this->UpdatePolicy(route, entry.state)) {
@@ -116,7 +123,7 @@
 bool RouteShards::ServesAlone(const RouteName &route) const
 {
 	const auto it = this->routes.find(route);
-	return it != this->routes.end() && this->ServedVersion(route, it->second.state) > 0 &&
+	return it != this->routes.end() && it->second.state.registered > it->second.state.redirected &&
 		   std::ranges::includes(it->second.empty_shards, it->second.state.other_shards);
 }
 
@@ -304,7 +311,7 @@
 		RouteEntry &entry = this->routes.at(question.route);
 		const bool outdated = question.version != this->ServedVersion(question.route, entry.state);
 		if (answer.code != ResultCode::RC_OK || outdated) {
-			this->After(RETRY_DELAY, [this, question] { this->AnnounceTo(question.route, question.service); });
+			this->After(ANNOUNCE_INTERVAL, [this, question] { this->AnnounceTo(question.route, question.service); });
 			return;
 		}
 		entry.announcing.erase(question.service);
--- a/src/jobs/route_shards.h
+++ b/src/jobs/route_shards.h
@@ -131,6 +131,8 @@
 	/** Runs a function later, unless this object was destroyed. */
 	void After(Millis delay, Done function);
 
+	/** Registers for the configuration's routes, and records their policies. */
+	void ApplyConfig();
 	/** Asks for a registration as of a version. */
 	void Want(const RouteName &route, uint64_t version);
 	void WantConfigured();
--- a/src/jobs/shard_records.cpp
+++ b/src/jobs/shard_records.cpp
@@ -277,12 +277,13 @@
 	std::ranges::copy(batch.stops, std::back_inserter(this->stops));
 	std::ranges::copy(batch.phases | std::views::keys, std::inserter(this->dirty, this->dirty.end()));
 	std::vector<IncomingRecord> refused;
+	std::vector<IncomingRecord> kept;
 	for (const IncomingRecord &it : batch.caller_records) {
 		const auto job = this->jobs.find(it.inbox_key.job);
 		const bool stays = !it.spec || (job != this->jobs.end() && job->second.recorded);
 		if (stays) {
 			/* A cancellation has already taken effect, and a job that also arrived in the inbox is kept. */
-			this->accepted.push_back(it);
+			kept.push_back(it);
 			continue;
 		}
 		if (job != this->jobs.end()) {
@@ -290,6 +291,8 @@
 		}
 		refused.push_back(it);
 	}
+	/* Before those that came meanwhile: of two records with one key the newer one has to be the last. */
+	this->accepted.insert(this->accepted.begin(), kept.begin(), kept.end());
 	this->counters.records_refused += refused.size();
 	this->log.Write("records_refused", {{"service", this->service.Value()},
 										{"refused", std::to_string(refused.size())},
