Soak: a route that comes to another service, is removed and added again, beside all other faults

One job of four goes to it. Configurations that move the route have a random source of their own and rotate no keys.

--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -16,6 +16,7 @@
 constexpr uint32_t FAILING_ONE_IN = 20;   ///< One job of this many always fails.
 constexpr size_t CRASHING_ONE_IN = 17;    ///< One job of this many crashes its boxes, unless it is long-running.
 constexpr uint32_t CANCELLED_ONE_IN = 10; ///< One job of this many is cancelled.
+constexpr size_t ROAMING_ONE_IN = 4;      ///< One job of this many is submitted on the route that changes its service.
 
 QJsonObject StepJson(const StepSpec &step)
 {
@@ -53,7 +54,7 @@
 {
 	auto job = std::make_unique<SoakJob>();
 	const std::string digits = std::to_string(this->jobs.size());
-	job->service = this->RandomBelow(2) == 0 ? "calc" : "grid";
+	job->route = this->RandomBelow(2) == 0 ? "calc" : "grid";
 	job->spec.id = JobId(std::string(16 - digits.size(), 'a') + digits);
 	job->spec.payload = "payload of " + digits;
 	SiteJob site_job;
@@ -88,7 +89,11 @@
 	}
 	job->body = BodyOf(QJsonObject{{"spec", QString::fromStdString(job->spec.payload)}, {"steps", steps}});
 	site_job.spec = job->spec;
-	site_job.service = ServiceName(job->service);
+	site_job.service = ServiceName(job->route);
+	if (this->jobs.size() % ROAMING_ONE_IN == 0) {
+		job->route = ROAMING_ROUTE;
+		site_job.later_services = {ServiceName("calc"), ServiceName("grid")};
+	}
 	this->boxes.site.AddJob(site_job);
 	return job;
 }
@@ -145,7 +150,7 @@
 {
 	SoakNode &node = this->RandomNode();
 	job.attempts++;
-	this->Send(node, "POST", "/" + job.service + "/" + job.spec.id.Value(), job.body,
+	this->Send(node, "POST", "/" + job.route + "/" + job.spec.id.Value(), job.body,
 			   [this, &job](const HttpReply &reply) { this->OnSubmitReply(job, reply); });
 }
 
@@ -153,7 +158,8 @@
 {
 	constexpr int STATUS_OK = 200;
 	const bool refused = reply.result == CallResult::CR_NOT_SENT ||
-						 (reply.result == CallResult::CR_ANSWERED && (reply.status == 503 || reply.status == 429));
+						 (reply.result == CallResult::CR_ANSWERED &&
+						  (reply.status == 503 || reply.status == 429 || reply.status == 404));
 	if (reply.result == CallResult::CR_ANSWERED && reply.status == STATUS_OK) {
 		job.accepted_at = this->scheduler.Now();
 		if (this->RandomBelow(3) == 0) {
@@ -170,7 +176,7 @@
 void SoakWorld::Cancel(SoakJob &job)
 {
 	this->boxes.site.JobOf(job.spec.id).cancel_sent = true;
-	this->Send(this->RandomNode(), "DELETE", "/" + job.service + "/" + job.spec.id.Value(), {},
+	this->Send(this->RandomNode(), "DELETE", "/" + job.route + "/" + job.spec.id.Value(), {},
 			   [this, &job](const HttpReply &reply) {
 				   if (reply.result == CallResult::CR_ANSWERED && reply.status == 200) {
 					   job.cancelled = true;
@@ -187,7 +193,7 @@
 		return;
 	}
 	job.poll_pending = true;
-	this->Send(this->RandomNode(), "GET", "/" + job.service + "/" + job.spec.id.Value(), {},
+	this->Send(this->RandomNode(), "GET", "/" + job.route + "/" + job.spec.id.Value(), {},
 			   [this, &job](const HttpReply &reply) {
 				   job.poll_pending = false;
 				   if (reply.result != CallResult::CR_ANSWERED) {
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -4,7 +4,9 @@
 #include <QJsonArray>
 
 #include <algorithm>
+#include <array>
 #include <iostream>
+#include <map>
 
 namespace {
 
@@ -26,6 +28,8 @@
 constexpr size_t MAX_VALID_KEYS = 2;    ///< Number of API keys that are valid at a time.
 constexpr int64_t ACCOUNT_MAXIMUM_HIGH = 200000; ///< Account maximum in thousandths of a core, above all boxes.
 constexpr int64_t ACCOUNT_MAXIMUM_LOW = 100000;  ///< Account maximum in thousandths of a core, lower but sufficient.
+constexpr Millis MOVE_INTERVAL_MIN(400);         ///< Shortest time between two changes of a route's service.
+constexpr Millis MOVE_INTERVAL_MAX(4000);        ///< Longest time between two changes of a route's service.
 constexpr Millis CONFIG_TIMEOUT(3000);           ///< Time until a configuration is in force on all nodes.
 constexpr Millis STOP_TIMEOUT(7000);             ///< Time limit of a planned stop.
 constexpr const char *LARGE_NODE_CPU = "0.5";    ///< Cores of each of the first LARGE_NODES nodes.
@@ -39,7 +43,8 @@
 
 SoakWorld::SoakWorld(const SoakOptions &options)
 		: options(options), random(options.seed), capacity_random(options.seed), crash_random(options.seed),
-		  store(this->scheduler, PARTITIONS, options.seed), boxes(this->scheduler, options.seed),
+		  roaming_random(options.seed), store(this->scheduler, PARTITIONS, options.seed),
+		  boxes(this->scheduler, options.seed),
 		  evacuations(this->scheduler, this->store.store, this->boxes.site, options.seed),
 		  caller(this->scheduler, DialLimits{Millis(500), Millis(60000), 8})
 {
@@ -83,6 +88,7 @@
 			this->InjectNextFault();
 			this->ChangeCapacity();
 			this->CrashBoxes();
+			this->MoveRoute();
 			this->evacuations.Start();
 		}
 		this->scheduler.After(this->options.faults_for, [this] { this->EndFaults(); });
@@ -142,47 +148,74 @@
 
 void SoakWorld::PublishConfig(bool with_extra)
 {
+	this->version += 1 + this->RandomBelow(3);
+	/* Each configuration adds a key and revokes the oldest. */
+	this->keys.push_back("key-" + std::to_string(this->version));
+	if (this->keys.size() > MAX_VALID_KEYS) {
+		this->revoked_key = this->keys.front();
+		this->keys.pop_front();
+	}
+	this->AppendConfig(with_extra);
+}
+
+QJsonArray SoakWorld::RoutesJson(bool with_extra) const
+{
+	std::map<std::string, std::string> services_by_route{{"calc", "calc"}, {"grid", "grid"}};
+	if (with_extra) {
+		services_by_route["extra"] = "calc";
+	}
+	if (!this->roaming_service.empty()) {
+		services_by_route[ROAMING_ROUTE] = this->roaming_service;
+	}
 	QJsonArray routes;
-	for (const char *name : {"calc", "grid", "extra"}) {
-		if (std::string(name) == "extra" && !with_extra) {
-			continue;
-		}
-		routes.append(QJsonObject{{"name", name},
+	for (const auto &[name, service] : services_by_route) {
+		routes.append(QJsonObject{{"name", QString::fromStdString(name)},
 								  {"host", "soak"},
-								  {"path-prefix", "/" + QString(name) + "/"},
-								  {"service", std::string(name) == "extra" ? "calc" : name},
-								  {"auth-exempt", std::string(name) != "grid"},
+								  {"path-prefix", "/" + QString::fromStdString(name) + "/"},
+								  {"service", QString::fromStdString(service)},
+								  {"auth-exempt", name != "grid"},
 								  {"priority", 0},
 								  {"max-attempts", 3},
 								  {"stretch", 1.6},
 								  {"target-latency-ms", 600}});
 	}
+	return routes;
+}
+
+void SoakWorld::AppendConfig(bool with_extra)
+{
 	QJsonArray services;
 	for (const char *name : {"calc", "grid"}) {
 		services.append(QJsonObject{{"name", name}, {"admission-check", true}});
 	}
-	this->version += 1 + this->RandomBelow(3);
-	/* Each configuration adds a key and revokes the oldest, and sets the account's maximum by whether the version is
-	 * odd or even. */
-	this->keys.push_back("key-" + std::to_string(this->version));
-	if (this->keys.size() > MAX_VALID_KEYS) {
-		this->revoked_key = this->keys.front();
-		this->keys.pop_front();
-	}
 	QJsonArray keys;
 	std::ranges::for_each(this->keys, [&keys](const std::string &it) { keys.append(QString::fromStdString(it)); });
+	/* The account's maximum goes by whether the version of the newest key is odd or even. */
 	const int64_t cores = this->keys.back().back() % 2 == 0 ? ACCOUNT_MAXIMUM_LOW : ACCOUNT_MAXIMUM_HIGH;
 	const QJsonArray accounts{QJsonObject{{"name", "soak"},
 										  {"api-keys", keys},
 										  {"weight", 10},
 										  {"maximum", QJsonObject{{"cpu", static_cast<qint64>(cores)}}}}};
 	const QJsonObject json{{"version", static_cast<qint64>(this->version)},
-						   {"routes", routes},
+						   {"routes", this->RoutesJson(with_extra)},
 						   {"services", services},
 						   {"tenants", accounts}};
 	this->store.store.Append(PartitionId{"keyed.op", 0}, {KeyedRecord{"config", BodyOf(json)}}, AppendCondition{});
 }
 
+void SoakWorld::MoveRoute()
+{
+	if (this->load_ended) {
+		return;
+	}
+	const std::array<std::string, 3> services{"calc", "grid", ""};
+	this->roaming_service = services[this->roaming_random() % services.size()];
+	this->version++;
+	this->AppendConfig(true);
+	const auto spread = static_cast<uint32_t>((MOVE_INTERVAL_MAX - MOVE_INTERVAL_MIN).Value());
+	this->scheduler.After(MOVE_INTERVAL_MIN + Millis(this->roaming_random() % spread), [this] { this->MoveRoute(); });
+}
+
 void SoakWorld::InjectNextFault()
 {
 	if (this->load_ended) {
@@ -206,6 +239,9 @@
 {
 	this->load_ended = true;
 	this->evacuations.End();
+	this->roaming_service = "grid"; /* Jobs are queried until they have ended, so their route stays from now on. */
+	this->version++;
+	this->AppendConfig(true);
 	/* No fault is begun any more; the active ones end within FAULT_MAX. */
 	this->scheduler.After(FAULT_MAX, [this] {
 		this->faults_ended_at = this->scheduler.Now();
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -24,10 +24,12 @@
 	bool calm = false;       ///< Whether to inject no faults.
 };
 
+inline constexpr const char *ROAMING_ROUTE = "roam"; ///< Route that changes its service, is removed and added again.
+
 /** A job from its caller's point of view. */
 struct SoakJob {
 	JobSpec spec;                      ///< As submitted.
-	std::string service;               ///< Name of its service.
+	std::string route;                 ///< Name of its route, as in the path of requests.
 	std::string body;                  ///< Body of the submission.
 	int attempts = 0;                  ///< Number of submissions.
 	bool uncertain = false;            ///< Whether an unconfirmed submission may have been accepted.
@@ -67,6 +69,8 @@
 	std::mt19937 random;                                 ///< Makes the random choices that no other generator makes.
 	std::minstd_rand capacity_random;                    ///< Chooses boxes whose capacity changes.
 	std::minstd_rand crash_random;                       ///< Chooses crashes of boxes.
+	std::minstd_rand roaming_random;                     ///< Chooses services of the route that changes its service.
+	std::string roaming_service{"calc"};                 ///< Service of that route; empty while it is removed.
 	SoakStore store;                                     ///< Store server.
 	SoakBoxes boxes;                                     ///< Server of the boxes.
 	SoakEvacuations evacuations;                         ///< Evacuations of zones.
@@ -94,7 +98,13 @@
 	/* soak_world.cpp */
 	void AddBoxes();
 	void PublishReports();
+	/** Publishes a configuration with a new key. */
 	void PublishConfig(bool with_extra);
+	/** Appends a configuration with the current version, keys and routes. */
+	void AppendConfig(bool with_extra);
+	[[nodiscard]] QJsonArray RoutesJson(bool with_extra) const;
+	/** Sends a route to another service, removes it or adds it, now and at an interval. */
+	void MoveRoute();
 	void InjectNextFault();
 	void EndFaults();
 	void WaitUntilSettled();
