--- a/src/jobs/route_shards.h
+++ b/src/jobs/route_shards.h
@@ -77,6 +77,8 @@
 private:
 	using Done = std::function<void()>;
 
+	static constexpr Millis RETRY_DELAY = Millis(100); ///< Delay before a failed call is repeated.
+
 	/** A route, with what needn't be recorded. */
 	struct RouteEntry {
 		RouteState state;                                ///< State; the log may have an older one.
@@ -119,6 +121,7 @@
 	std::map<JobId, Millis> left;                    ///< Jobs sent on, and until when UJ_LEFT is told of them.
 	std::shared_ptr<bool> alive = std::make_shared<bool>(true); ///< Expires with this object.
 
+	/* route_shards.cpp */
 	/** @return Version as of which this shard serves a route; 0 if it doesn't. */
 	[[nodiscard]] uint64_t ServedVersion(const RouteName &route, const RouteState &state) const;
 	/** @return Whether another shard's claim to a route replaces this one's: the newer version counts, and of two equal
@@ -138,6 +141,8 @@
 	void WantConfigured();
 	/** Starts a registration unless one is under way. */
 	void Register();
+	void OnRegisterAnswer(const std::map<RouteName, uint64_t> &wanted, ResultCode code,
+						  const std::vector<RouteRegistration> &found);
 	void OnRegistered(const std::map<RouteName, uint64_t> &wanted, const std::vector<RouteRegistration> &found);
 
 	/** Takes over the route's policy from the configuration, if that has the route. @return Whether it has changed. */
@@ -155,6 +160,7 @@
 	/** Applies what an answer says of the asked shard. */
 	void NoteAnswer(const RouteQuestion &question, const RouteAnswer &answer);
 
+	/* route_shards_jobs.cpp */
 	/** Decides again about the held records of a route. */
 	void Reconsider(const RouteName &route);
 	/** Takes a held job, sends it on or asks the next shard about it. @param key Its key in the inbox. */
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -212,8 +212,9 @@
 	this->roaming_service = services[this->roaming_random() % services.size()];
 	this->version++;
 	this->AppendConfig(true);
-	const auto spread = static_cast<uint32_t>((MOVE_INTERVAL_MAX - MOVE_INTERVAL_MIN).Value());
-	this->scheduler.After(MOVE_INTERVAL_MIN + Millis(this->roaming_random() % spread), [this] { this->MoveRoute(); });
+	const auto spread = static_cast<uint64_t>((MOVE_INTERVAL_MAX - MOVE_INTERVAL_MIN).Value());
+	this->scheduler.After(MOVE_INTERVAL_MIN + Millis(static_cast<int64_t>(this->roaming_random() % spread)),
+						  [this] { this->MoveRoute(); });
 }
 
 void SoakWorld::InjectNextFault()
