--- a/src/jobs/route_shards.cpp
+++ b/src/jobs/route_shards.cpp
@@ -1,7 +1,6 @@
 /** @file route_shards.cpp Keeps each job in one shard while the configuration sends its route to changing services. */
 #include "route_shards.h"
 
-
 #include <algorithm>
 #include <ranges>
 #include <utility>
