A shard knows each shard that a configuration has sent its route to, also before that one has registered

Cause: a node appends a job to the inbox of the shard that its configuration names; that shard asks the others only once it is registered. While the log refused its registration the route went back, and the earlier shard, which is asked then, had never heard of it.

Change: a shard notes the service of each configuration that sends one of its routes elsewhere, in the route's record, as a shard that may have jobs. Why it works: a query goes on to that shard, which knows what its inbox holds or answers 503.

--- a/src/jobs/route_shards.cpp
+++ b/src/jobs/route_shards.cpp
@@ -81,7 +81,8 @@
 {
 	this->WantConfigured();
 	for (auto &[route, entry] : this->routes) {
-		if (this->UpdatePolicy(route, entry.state)) {
+		const bool new_policy = this->UpdatePolicy(route, entry.state);
+		if (this->NoteConfiguredShard(route, entry.state) || new_policy) {
 			this->Record(route, entry);
 		}
 	}
@@ -98,6 +99,13 @@
 	return true;
 }
 
+bool RouteShards::NoteConfiguredShard(const RouteName &route, RouteState &state)
+{
+	const JobRoute *configured = this->config.FindRoute(route);
+	return configured != nullptr && configured->service != this->service &&
+		   state.other_shards.insert(configured->service).second;
+}
+
 uint64_t RouteShards::ServedVersion(const RouteName &route, const RouteState &state) const
 {
 	if (state.registered <= state.redirected) {
--- a/src/jobs/route_shards.h
+++ b/src/jobs/route_shards.h
@@ -147,6 +147,9 @@
 
 	/** Takes over the route's policy from the configuration, if that has the route. @return Whether it has changed. */
 	bool UpdatePolicy(const RouteName &route, RouteState &state);
+	/** Notes the shard that a configuration sends a route to: its inbox may accept jobs before it is registered, and so
+	 * before it has asked this one. @return Whether it was not known. */
+	bool NoteConfiguredShard(const RouteName &route, RouteState &state);
 	/** Records a route's state. */
 	void Record(const RouteName &route, RouteEntry &entry);
 	void OnRecorded(const RouteName &route, uint64_t revision);
--- a/tests/test_route_moved.cpp
+++ b/tests/test_route_moved.cpp
@@ -369,3 +369,25 @@
 	CHECK(answer.code == ResultCode::RC_OK);
 	CHECK(answer.waiting == 2);
 }
+
+TEST_CASE("a job accepted by a shard that can't register yet isn't called unknown when its route goes back")
+{
+	RouteWorld world;
+	world.world.clock.RunUntil(Millis(4000));
+	SetFaults(world.world, [](StoreFaults &it) { it.silent_partitions = {PartitionId{"keyed.routes", 0}}; });
+	world.Publish({}, SERVICES[1]);
+	const WorldJob &job = world.Plan(Millis(100), JobWorld::Chain(1), Millis(500));
+	world.world.clock.RunUntil(Millis(4500));
+	REQUIRE(job.accepted);
+	world.world.clock.RunUntil(Millis(4500) + VISIBLE_AFTER);
+	SetFaults(world.world, [](StoreFaults &it) { it.refusing = true; });
+	world.Publish({}, SERVICES[0]);
+	/* The owners' knowledge counts as complete for a while after their last read and append. */
+	for (int n = 0; n < 20; n++) {
+		world.world.clock.RunUntil(world.world.clock.Now() + Millis(100));
+		CHECK(world.Find(*world.world.nodes.front(), job) != Found::NO);
+	}
+	SetFaults(world.world, [](StoreFaults &it) { it = StoreFaults(); });
+	world.world.clock.RunUntil(SIMULATED_TIME);
+	world.CheckOutcome();
+}
