--- a/src/error_type.h
+++ b/src/error_type.h
@@ -73,6 +73,7 @@
 	X(LOG_FORGOTTEN, 4003, "records were dropped by retention", 0)                                                     \
 	X(LOG_THROTTLED, 4004, "append limit of the log service reached", 0)                                               \
 	X(LOG_RECORDING, 4005, "append waits or is under way; its result follows", 0)                                      \
+	X(LOG_REJECTED, 4006, "append is larger than the log accepts; not written", 0)                                     \
 	X(PEER_UNAVAILABLE, 4101, "process can't be reached", 0)                                                           \
 	X(OUTCOME_UNKNOWN, 4102, "outcome is not known yet; ask again with the id", 0)                                     \
 	X(STATE_MISMATCH, 4103, "state hash differs at the same offset", 0)
--- a/src/standin/memory/keyed_store.cpp
+++ b/src/standin/memory/keyed_store.cpp
@@ -17,6 +17,9 @@
 KeyedAppendAnswer KeyedStore::Append(const PartitionId &partition, const std::vector<KeyedRecord> &records,
 									 const AppendCondition &condition)
 {
+	if (this->Exceeds(records)) {
+		return {ResultCode::RC_LOG_REJECTED, 0};
+	}
 	Partition &part = this->partitions[partition];
 	if (!condition.producer.empty()) {
 		Producer &producer = part.producers[condition.producer];
@@ -62,6 +65,18 @@
 	return answer;
 }
 
+bool KeyedStore::Exceeds(const std::vector<KeyedRecord> &records) const
+{
+	size_t sum = 0;
+	for (const size_t it : records | std::views::transform(EncodedSize)) {
+		if (it > this->limits.record_bytes) {
+			return true;
+		}
+		sum += it;
+	}
+	return sum > this->limits.call_bytes;
+}
+
 KeyedReadAnswer KeyedStore::Read(const PartitionId &partition, uint64_t from) const
 {
 	KeyedReadAnswer answer{ResultCode::RC_OK, {}, from};
--- a/src/standin/memory/keyed_store.h
+++ b/src/standin/memory/keyed_store.h
@@ -36,6 +36,7 @@
 	void ReassignPartitions();
 
 	std::function<void()> on_append; ///< Called after each append.
+	AppendLimits limits;             ///< Sizes above which appends are rejected.
 
 private:
 	/** Appends of one producer to a partition. */
@@ -75,6 +76,8 @@
 	std::map<PartitionId, Partition> partitions; ///< Partitions in use.
 	std::map<std::string, Group> groups;         ///< Groups by name.
 
+	/** @return Whether an append is larger than `limits`. @param records Its records. */
+	[[nodiscard]] bool Exceeds(const std::vector<KeyedRecord> &records) const;
 	void AssignPartitions(Group &group) const;
 	void CompleteHandovers(Group &group) const;
 };
@@ -110,6 +113,7 @@
 	void Leave(const std::string &group, const std::string &member, std::function<void()> done) override;
 	void Holders(const std::string &group, std::function<void(ResultCode, std::vector<PartitionHolder>)> done) override;
 
+	[[nodiscard]] AppendLimits Limits() const override { return this->store.limits; }
 	[[nodiscard]] Millis AnswerLostAt() const override { return this->lost_at; }
 
 	StoreFaults faults; ///< Faults in force.
--- a/src/store/keyed_log.h
+++ b/src/store/keyed_log.h
@@ -26,6 +26,21 @@
 	bool operator==(const KeyedRecord &) const = default;
 };
 
+/** Sizes above which the log rejects an append for good. */
+struct AppendLimits {
+	size_t record_bytes = 262144; ///< Largest encoded record: see EncodedSize().
+	size_t call_bytes = 2097152;  ///< Largest sum of the encoded records of an append.
+
+	bool operator==(const AppendLimits &) const = default;
+};
+
+/** @return Upper bound of the bytes that a record takes in an append. @param record The record. */
+inline size_t EncodedSize(const KeyedRecord &record)
+{
+	constexpr size_t LENGTH_BYTES = 5; /* Length of the record and of its key. */
+	return LENGTH_BYTES + record.key.size() + (record.value ? record.value->size() : 0);
+}
+
 /** Conditions under which an append is accepted. */
 struct AppendCondition {
 	std::optional<uint64_t> at; ///< Offset at which the partition must end; none for any.
@@ -37,7 +52,8 @@
 /** Answer to an append. */
 struct KeyedAppendAnswer {
 	/** RC_OK, RC_FENCED, RC_STALE_TERM (the condition `at` or the sequence didn't hold), RC_LOG_THROTTLED (not
-	 * written), RC_LOG_UNAVAILABLE (not sent, not written) or RC_LOG_ANSWER_LOST (outcome unknown). */
+	 * written), RC_LOG_UNAVAILABLE (not sent, not written), RC_LOG_REJECTED (larger than Limits(), not written) or
+	 * RC_LOG_ANSWER_LOST (outcome unknown). */
 	ResultCode code = ResultCode::RC_LOG_ANSWER_LOST;
 	uint64_t end = 0; ///< With RC_OK, offset after the last record.
 };
@@ -103,6 +119,8 @@
 	 * code and the holders. */
 	virtual void Holders(const std::string &group,
 						 std::function<void(ResultCode, std::vector<PartitionHolder>)> done) = 0;
+	/** @return Sizes above which an append is rejected. */
+	[[nodiscard]] virtual AppendLimits Limits() const { return AppendLimits(); }
 	/** @return When the answer to a call was last found to be lost; NEVER_LOST when none was. */
 	[[nodiscard]] virtual Millis AnswerLostAt() const { return NEVER_LOST; }
 
