Records and appends of a shard are never larger than the log accepts

What callers saw: LOST.

Cause: the sizes that the store accepts (record_bytes, call_bytes) were never compared with what is appended. A batch has all that is to be recorded at one moment, and a job had one record, whatever its size; the answer 400 counted as a lost one, so that the same append was repeated for good, ahead of all others, by this owner and by the next.

Change: PairedJournal divides a batch by size into several appends, in order, and bounds what it repeats; the batch is durable when all are, and is refused only while nothing of it is written. A job's progress has several records, of 1,024 tasks or fewer, halved while one is too long; of a large job only records with changed tasks are written. Each task is restored from the newest record that has it, so a batch of which only the first appends were written leaves each task in a state that no start or acknowledgement had followed yet. A checkpoint that no record can hold is left out (line checkpoints_left_out). A submission that no record can hold is rejected at once with 413. The inbox's writer bounds its appends. 400 and 413 mean "not written" (RC_LOG_REJECTED).

Weighed: dropping checkpoints from the record until it fits (no help for the timed job of 19,200 tasks); one append a job (11 ms each; a takeover of 14,000 jobs would take minutes).

--- a/src/jobs/job_codec.cpp
+++ b/src/jobs/job_codec.cpp
@@ -150,6 +150,8 @@
 	out.route = progress.route.Value();
 	out.changed = progress.changed.Value();
 	out.revision = progress.revision;
+	out.first_task = static_cast<uint32_t>(progress.first_task);
+	out.task_count = static_cast<uint32_t>(progress.task_count);
 	std::map<BoxIncarnation, uint16_t> places;
 	for (const StoredTask &task : progress.tasks) {
 		auto row = std::make_unique<wire::TaskRecordT>();
@@ -185,6 +187,8 @@
 	progress.route = RouteName(in->route);
 	progress.changed = Millis(in->changed);
 	progress.revision = in->revision;
+	progress.first_task = in->first_task;
+	progress.task_count = in->task_count;
 	for (const auto &row : in->tasks) {
 		if (row->box > in->boxes.size() || row->phase > static_cast<uint8_t>(TaskPhase::TP_DONE)) {
 			return std::nullopt;
--- a/src/jobs/job_codec.h
+++ b/src/jobs/job_codec.h
@@ -35,7 +35,9 @@
 	RouteName route;                      ///< Route of the job.
 	Millis changed;                       ///< Wall time of the record.
 	uint64_t revision = 0;                ///< Rises with each record of the job: the highest is the newest.
-	std::vector<StoredTask> tasks;        ///< By occurrence, step, index.
+	std::vector<StoredTask> tasks;        ///< By occurrence, step, index; a record may have only some of them.
+	size_t first_task = 0;                ///< Index of the first of `tasks` among all tasks of the job.
+	size_t task_count = 0;                ///< Number of tasks of the job; 0 in records from before it was recorded.
 
 	bool operator==(const StoredProgress &) const = default;
 };
--- a/src/jobs/shard_base.h
+++ b/src/jobs/shard_base.h
@@ -7,6 +7,7 @@
 #include "../store/paired_journal.h"
 #include "evacuation_type.h"
 #include "order_fence.h"
+#include "progress_records.h"
 #include "shard_type.h"
 #include "ticket_cache.h"
 
@@ -38,8 +39,8 @@
 	Shard(const Shard &) = delete;
 	Shard &operator=(const Shard &) = delete;
 
-	/** Restores recorded progress; of two records of a job the newer one wins. To be called before Begin(). @param id
-	 * Id of the job. @param progress Recorded progress. */
+	/** Restores recorded progress; of two records of a task the newer one wins. To be called before Begin(). @param id
+	 * Id of the job. @param progress Recorded progress, perhaps with some of the tasks only. */
 	void Restore(const JobId &id, const StoredProgress &progress);
 	/** Notes that the previous owner has released the shard, or that there was none. To be called before Begin().
 	 * @param span How long owners before that one may still renew leases. Each owner passes on what is left of it: when
@@ -204,7 +205,7 @@
 	/** Routes of cancelled jobs that haven't arrived; an empty one when it isn't known. */
 	std::map<JobId, RouteName> cancelled_early;
 	std::map<JobId, ShardJob *> live;                  ///< Jobs that are not over.
-	std::map<JobId, StoredProgress> restored;          ///< Recorded progress of jobs whose submission hasn't arrived.
+	std::map<JobId, RestoredProgress> restored;        ///< Recorded progress of jobs whose submission hasn't arrived.
 	std::set<std::pair<JobId, AccountName>> cancelled; ///< Job and caller's account; also of jobs that haven't arrived.
 	AccountBook book;                                  ///< Resources that accounts use here.
 	std::map<BoxIncarnation, ShardBox> boxes;          ///< Boxes of the service.
@@ -273,6 +274,9 @@
 	void Withdraw(uint64_t number);
 	void ApplyIncoming();
 	[[nodiscard]] StoredProgress ProgressOf(const ShardJob &job) const;
+	/** Adds the records of a job's progress, as a new revision. @param job The job. @param[out] records Receives the
+	 * records. */
+	void AppendProgressOf(ShardJob &job, std::vector<KeyedRecord> &records);
 	void Commit();
 	[[nodiscard]] Batch BuildBatch(std::vector<KeyedRecord> &records);
 	void OnCommitted(const Batch &batch);
--- a/src/jobs/shard_jobs.cpp
+++ b/src/jobs/shard_jobs.cpp
@@ -54,10 +54,7 @@
 
 void Shard::Restore(const JobId &id, const StoredProgress &progress)
 {
-	const auto [it, first] = this->restored.try_emplace(id, progress);
-	if (!first && it->second.revision < progress.revision) {
-		it->second = progress;
-	}
+	this->restored[id].Add(progress);
 }
 
 ShardJob Shard::MakeJob(const JobSpec &spec) const
@@ -115,12 +112,13 @@
 	job.recorded = recorded;
 	this->ApplyRoute(job);
 	if (const auto old = this->restored.find(spec.id); old != this->restored.end()) {
-		job.phase = job.durable_phase = old->second.phase;
-		job.revision = old->second.revision;
+		const StoredProgress &progress = old->second.Result();
+		job.phase = job.durable_phase = progress.phase;
+		job.revision = progress.revision;
 		/* A record of another size can only come from a fault: the tasks start in their initial state, but the recorded
 		 * phase counts. */
-		if (old->second.tasks.size() == job.tasks.size()) {
-			std::ranges::transform(old->second.tasks, job.tasks.begin(), [&job](const StoredTask &it) {
+		if (progress.tasks.size() == job.tasks.size()) {
+			std::ranges::transform(progress.tasks, job.tasks.begin(), [&job](const StoredTask &it) {
 				ShardTask task;
 				static_cast<StoredTask &>(task) = it;
 				task.run_state = RunState::RS_RESTORED;
@@ -253,7 +251,7 @@
 		return JobView{true, it->second.durable_phase, it->second.spec.account, it->second.recorded};
 	}
 	if (const auto it = this->restored.find(id); it != this->restored.end()) {
-		return JobView{true, it->second.phase, AccountName()};
+		return JobView{true, it->second.Result().phase, AccountName()};
 	}
 	return JobView{};
 }
--- a/src/jobs/shard_owner.cpp
+++ b/src/jobs/shard_owner.cpp
@@ -147,7 +147,7 @@
 			return;
 		}
 	} else if (const auto progress = DecodeProgress(bytes); progress) {
-		this->shard->Restore(JobId(key), *progress);
+		this->shard->Restore(ParseProgressKey(key).job, *progress);
 		return;
 	}
 	this->NoteBadRecord(key);
--- a/src/jobs/shard_records.cpp
+++ b/src/jobs/shard_records.cpp
@@ -136,6 +136,22 @@
 	return out;
 }
 
+void Shard::AppendProgressOf(ShardJob &job, std::vector<KeyedRecord> &records)
+{
+	job.revision++;
+	const StoredProgress progress = this->ProgressOf(job);
+	ProgressRecords made =
+			MakeProgressRecords(job.spec.id, progress, job.recorded_tasks, this->journal.Limits().record_bytes);
+	std::ranges::move(made.records, std::back_inserter(records));
+	if (made.checkpoints_left_out > 0) {
+		this->log.Write("checkpoints_left_out",
+						{{"job", job.spec.id.Value()}, {"count", std::to_string(made.checkpoints_left_out)}});
+	}
+	if (progress.tasks.size() > TASKS_PER_RECORD) {
+		job.recorded_tasks = progress.tasks;
+	}
+}
+
 Shard::Batch Shard::BuildBatch(std::vector<KeyedRecord> &records)
 {
 	/* No append is under way, so all records passed in are either durable or belong to the dirty jobs. */
@@ -155,8 +171,7 @@
 	}
 	for (const JobId &id : std::exchange(this->dirty, {})) {
 		ShardJob &job = this->jobs.at(id);
-		job.revision++;
-		records.push_back(KeyedRecord{id.Value(), EncodeProgress(this->ProgressOf(job))});
+		this->AppendProgressOf(job, records);
 		batch.phases[id] = job.phase;
 	}
 	batch.starts = std::exchange(this->starts, {});
@@ -275,7 +290,10 @@
 {
 	std::ranges::copy(batch.starts, std::back_inserter(this->starts));
 	std::ranges::copy(batch.stops, std::back_inserter(this->stops));
-	std::ranges::copy(batch.phases | std::views::keys, std::inserter(this->dirty, this->dirty.end()));
+	for (const JobId &id : batch.phases | std::views::keys) {
+		this->dirty.insert(id);
+		this->jobs.at(id).recorded_tasks.clear();
+	}
 	std::vector<IncomingRecord> refused;
 	std::vector<IncomingRecord> kept;
 	for (const IncomingRecord &it : batch.caller_records) {
--- a/src/jobs/shard_type.h
+++ b/src/jobs/shard_type.h
@@ -129,6 +129,8 @@
 	JobPhase durable_phase = JobPhase::JP_QUEUED; ///< Recorded phase; only this one is reported.
 	std::vector<ShardTask> tasks;                 ///< By occurrence, step, index.
 	uint64_t revision = 0;                        ///< Revision of the newest record.
+	/** The tasks as recorded last, if the job has several records; empty when all of them are to be written. */
+	std::vector<StoredTask> recorded_tasks;
 	bool recorded = false; ///< Whether the log has the submission; otherwise it may still be refused.
 	/** Whether a box is known to have started a run. Jobs whose start orders are still queued count as waiting;
 	 * otherwise an owner short of processor time reports only 2 of 24 jobs that have waited for 5 s. */
--- a/src/node/inbox_writer.cpp
+++ b/src/node/inbox_writer.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr size_t BATCH_RECORDS_MAX = 100; ///< Records per append: about 200 KB, far below the size limit of a call.
+constexpr size_t BATCH_RECORDS_MAX = 100; ///< Records per append: about 200 KB, mostly far below the log's limit.
 constexpr double SMOOTHING_WEIGHT = 0.3;  ///< Weight of the newest append in the smoothed duration.
 constexpr double TIMEOUT_FACTOR = 4;      ///< Append timeout as a multiple of the smoothed duration.
 constexpr Millis TIMEOUT_MIN(700); ///< Minimum append timeout: the store can become slow from one append to the next.
@@ -90,6 +90,8 @@
 	/* While the inbox may be unreachable, only records that may be stored already are sent. The others can still be
 	 * refused with certainty. */
 	const bool uncertain_only = this->lost_in_a_row > 0 && std::ranges::any_of(this->queue, &QueuedRecord::uncertain);
+	const size_t bytes_max = this->log.Limits().call_bytes;
+	size_t bytes = 0;
 	std::vector<KeyedRecord> records;
 	std::vector<Done> sent;
 	std::vector<Done> overdue;
@@ -97,9 +99,11 @@
 	for (QueuedRecord &it : std::exchange(this->queue, {})) {
 		if (it.deadline <= now) {
 			overdue.push_back(std::move(it.done));
-		} else if (records.size() == BATCH_RECORDS_MAX || (uncertain_only && !it.uncertain)) {
+		} else if (records.size() == BATCH_RECORDS_MAX || bytes + EncodedSize(it.record) > bytes_max ||
+				   (uncertain_only && !it.uncertain)) {
 			remaining.push_back(std::move(it));
 		} else {
+			bytes += EncodedSize(it.record);
 			records.push_back(std::move(it.record));
 			sent.push_back(std::move(it.done));
 		}
--- a/src/node/job_api.cpp
+++ b/src/node/job_api.cpp
@@ -15,7 +15,8 @@
 /** Time since the caller's request after which a further refusal by the log is passed on to the caller: another node or
  * a later retry serves it sooner. A quarter of the shortest objective of a job is 150 ms. */
 constexpr Millis REFUSAL_TIMEOUT(120);
-constexpr Millis ANSWER_MARGIN(60); ///< Time that an answer takes to reach the caller.
+constexpr Millis ANSWER_MARGIN(60);          ///< Time that an answer takes to reach the caller.
+constexpr size_t RECORD_BYTES_RESERVED = 16; ///< What prefixes may add to the key of a caller's record.
 
 } // namespace
 
@@ -61,6 +62,10 @@
 void JobApi::BeginRecording(const std::shared_ptr<Pending> &pending)
 {
 	this->in_progress++;
+	if (EncodedSize(pending->record) + RECORD_BYTES_RESERVED > this->log.Limits().record_bytes) {
+		this->Finish(pending, ResultCode::RC_BODY_TOO_LARGE);
+		return;
+	}
 	this->scheduler.After(std::max(pending->deadline - ANSWER_MARGIN - this->scheduler.Now(), Millis(1)),
 						  [this, pending, still = std::weak_ptr<bool>(this->alive)] {
 							  if (!still.expired()) {
--- a/src/program/settings_tables.cpp
+++ b/src/program/settings_tables.cpp
@@ -144,6 +144,10 @@
 		SettingSpec{"cpu", SK_DECIMAL, "1", 1, 1024000, "",
 					"Number of cores that this process may use; nodes with at least twice as many take shards first."},
 		SettingSpec{"partitions", SK_NUMBER, "12", 1, 10000, "", "Number of partitions of a topic of the store."},
+		SettingSpec{"store_record_bytes", SK_NUMBER, "262144", 4096, MAX_SIZE_BYTES, "",
+					"Largest record that the store accepts, in bytes."},
+		SettingSpec{"store_call_bytes", SK_NUMBER, "2097152", 16384, MAX_SIZE_BYTES, "",
+					"Largest sum of the records of one append that the store accepts, in bytes."},
 		SettingSpec{"group_silence", SK_DURATION, "1500ms", 1000, ONE_DAY, "",
 					"Time without a join call after which the store removes a node from the group and its shards are "
 					"reassigned."},
--- a/src/store/paired_journal.cpp
+++ b/src/store/paired_journal.cpp
@@ -19,13 +19,39 @@
  * each, and a call carries up to 2 MB. */
 constexpr size_t MAX_JOINED_RECORDS = 1000;
 constexpr size_t MAX_REPEATED_RECORDS = 200; ///< With one append: about 400 KB, a fifth of what a call carries.
+/** A batch puts this part of what the log accepts into one append, so that a slow partition answers it within the
+ * timeouts; repeated records take as much again. */
+constexpr size_t APPENDS_PER_CALL_LIMIT = 4;
+
+/**
+ * Divides records, in their order, into parts that each have a bounded size but at least one record.
+ * @param records The records.
+ * @param bytes Most bytes of a part.
+ * @return The parts; one without records if there are none.
+ */
+std::deque<std::vector<KeyedRecord>> DivideBySize(std::vector<KeyedRecord> records, size_t bytes)
+{
+	std::deque<std::vector<KeyedRecord>> parts(1);
+	size_t sum = 0;
+	for (KeyedRecord &it : records) {
+		const size_t size = EncodedSize(it);
+		if (!parts.back().empty() && sum + size > bytes) {
+			parts.emplace_back();
+			sum = 0;
+		}
+		sum += size;
+		parts.back().push_back(std::move(it));
+	}
+	return parts;
+}
 
 } // namespace
 
 PairedJournal::PairedJournal(Scheduler &scheduler, KeyedLog &log, EventLog &events, JournalPair pair,
 							 const ClaimNumber &claim)
-		: scheduler(scheduler), events(events), pair(std::move(pair)), main(scheduler, log, this->pair.main, claim),
-		  spare(scheduler, log, this->pair.spare, claim), finished_at(scheduler.Now())
+		: scheduler(scheduler), events(events), pair(std::move(pair)), limits(log.Limits()),
+		  main(scheduler, log, this->pair.main, claim), spare(scheduler, log, this->pair.spare, claim),
+		  finished_at(scheduler.Now())
 {
 	this->main.on_refused = [this] { this->OnRefused(); };
 	this->spare.on_refused = [this] { this->OnRefused(); };
@@ -95,6 +121,19 @@
 	} else {
 		return;
 	}
+	this->current->remaining = DivideBySize(std::move(this->current->records), this->AppendBytesMax());
+	this->SendNextPart();
+}
+
+size_t PairedJournal::AppendBytesMax() const
+{
+	return this->limits.call_bytes / APPENDS_PER_CALL_LIMIT;
+}
+
+void PairedJournal::SendNextPart()
+{
+	this->current->records = std::move(this->current->remaining.front());
+	this->current->remaining.pop_front();
 	this->sent_at = this->scheduler.Now();
 	if (this->main.Busy()) {
 		this->SendToSpare();
@@ -107,11 +146,7 @@
 {
 	std::vector<KeyedRecord> records = this->current->records;
 	std::ranges::for_each(records, [this](const KeyedRecord &it) { this->missing.erase(it.key); });
-	this->repeated.clear();
-	for (const auto &[key, it] : this->missing | std::views::take(MAX_REPEATED_RECORDS)) {
-		records.push_back(it.record);
-		this->repeated.emplace(key, it.number);
-	}
+	this->AddRepeats(records);
 	const uint64_t number = this->current->number;
 	this->current->in_main = true;
 	this->timer = this->scheduler.After(this->MainTimeout(), [this, number] {
@@ -122,6 +157,20 @@
 	this->main.Append(std::move(records), [this, number] { this->OnMain(number); });
 }
 
+void PairedJournal::AddRepeats(std::vector<KeyedRecord> &records)
+{
+	this->repeated.clear();
+	size_t sum = 0;
+	for (const auto &[key, it] : this->missing | std::views::take(MAX_REPEATED_RECORDS)) {
+		sum += EncodedSize(it.record);
+		if (sum > this->AppendBytesMax() && !this->repeated.empty()) {
+			return;
+		}
+		records.push_back(it.record);
+		this->repeated.emplace(key, it.number);
+	}
+}
+
 void PairedJournal::SendToSpare()
 {
 	if (!std::exchange(this->bypassing, true)) {
@@ -199,9 +248,11 @@
 						   [](const std::string &it) {
 							   return KeyedRecord{it, std::nullopt};
 						   });
-	this->spare.Append(std::move(records), [] {
-		/* Nothing waits for this: records that stay in the spare partition are older than those in the main one. */
-	});
+	for (std::vector<KeyedRecord> &it : DivideBySize(std::move(records), this->AppendBytesMax())) {
+		this->spare.Append(std::move(it), [] {
+			/* Nothing waits for this: records that stay in the spare partition are older than those in the main one. */
+		});
+	}
 }
 
 void PairedJournal::OnRefused()
@@ -231,6 +282,14 @@
 void PairedJournal::FinishBatch()
 {
 	this->scheduler.Cancel(this->timer);
+	if (!this->current->remaining.empty()) {
+		/* From now on it can't be said that nothing was written. */
+		this->current->refused = nullptr;
+		this->current->number = ++this->last_number;
+		this->current->in_main = this->current->in_spare = false;
+		this->SendNextPart();
+		return;
+	}
 	this->finished_at = this->scheduler.Now();
 	this->last_duration = this->finished_at - this->sent_at;
 	const std::vector<Done> callbacks = std::move(this->current->done);
--- a/src/store/paired_journal.h
+++ b/src/store/paired_journal.h
@@ -49,14 +49,19 @@
 	PairedJournal &operator=(const PairedJournal &) = delete;
 
 	/**
-	 * Appends records in order. Queued appends without `refused` are joined into one batch.
-	 * @param records Records to append; all or none are written.
-	 * @param done Called once they are durable; never when this ownership has ended.
+	 * Appends records in order. Queued appends without `refused` are joined into one batch; a batch that is too large
+	 * for one append is written by several.
+	 * @param records Records to append, none larger than Limits() allows. If this ownership ends meanwhile, the log may
+	 * have only the first ones.
+	 * @param done Called once all are durable; never when this ownership has ended.
 	 * @param refused Called instead when the log has refused them for a while, and it is certain that none is or will
 	 * be written. Null to repeat the append until it succeeds.
 	 */
 	void Append(std::vector<KeyedRecord> records, Done done, Done refused = nullptr);
 
+	/** @return Sizes that the log accepts. */
+	[[nodiscard]] const AppendLimits &Limits() const { return this->limits; }
+
 	/** @return Whether a batch is in progress. */
 	[[nodiscard]] bool Busy() const { return this->current.has_value(); }
 
@@ -93,14 +98,16 @@
 	 * slow store, and a batch that took longer met an outage that is over. */
 	static constexpr Millis MAX_IDLE_EXTENSION = Millis(500);
 
-	/** Records that are written with one append. */
+	/** Records that are appended together. */
 	struct Batch {
-		uint64_t number = 0;              ///< Number of the batch in this ownership.
-		std::vector<KeyedRecord> records; ///< Records to append.
-		std::vector<Done> done;           ///< Called when the records are durable.
-		Done refused;                     ///< Called when certainly not written; null to retry forever.
-		bool in_main = false;             ///< Whether it was sent to the main partition.
-		bool in_spare = false;            ///< Whether it was sent to the spare partition.
+		uint64_t number = 0; ///< Number of the append in this ownership.
+		std::vector<KeyedRecord>
+				records; ///< Records of the append in progress, or of all appends before the first one.
+		std::deque<std::vector<KeyedRecord>> remaining; ///< Records of the appends that follow.
+		std::vector<Done> done;                         ///< Called when all records are durable.
+		Done refused;          ///< Called when certainly nothing is written; null to retry forever.
+		bool in_main = false;  ///< Whether it was sent to the main partition.
+		bool in_spare = false; ///< Whether it was sent to the spare partition.
 	};
 
 	/** A record that only the spare partition has. */
@@ -112,6 +119,7 @@
 	Scheduler &scheduler;                         ///< Clock and timers.
 	EventLog &events;                             ///< Event log.
 	JournalPair pair;                             ///< Partitions to append to.
+	AppendLimits limits;                          ///< Sizes that the log accepts.
 	OwnerJournal main;                            ///< Appends to the main partition.
 	OwnerJournal spare;                           ///< Appends to the spare partition.
 	std::deque<Batch> queue;                      ///< Batches that are not sent yet.
@@ -132,6 +140,12 @@
 	[[nodiscard]] Millis MainTimeout() const;
 	[[nodiscard]] Batch TakeNextBatch();
 	void StartNext();
+	/** Sends the next append of the current batch. */
+	void SendNextPart();
+	/** @return Most bytes of records that a batch puts into one append. */
+	[[nodiscard]] size_t AppendBytesMax() const;
+	/** Chooses the records that the next append to the main partition repeats. @param[out] records Receives them. */
+	void AddRepeats(std::vector<KeyedRecord> &records);
 	void SendToMain();
 	void SendToSpare();
 	void OnMain(uint64_t number);
--- a/tests/test_record_limits.cpp
+++ b/tests/test_record_limits.cpp
@@ -1,6 +1,8 @@
 /** @file test_record_limits.cpp The log rejects large appends and records for good: no service stops at one. */
 #include "job_world.h"
 
+#include "jobs/progress_records.h"
+
 #include <doctest/doctest.h>
 
 #include <algorithm>
@@ -36,6 +38,34 @@
 	return steps;
 }
 
+/** @return Progress with numbered runs. @param count Number of tasks. @param revision Revision of the progress. */
+StoredProgress MakeProgress(size_t count, uint64_t revision)
+{
+	StoredProgress progress;
+	progress.phase = JobPhase::JP_RUNNING;
+	progress.route = RouteName("r");
+	progress.revision = revision;
+	for (size_t n = 0; n < count; n++) {
+		StoredTask task;
+		task.run = RunNumber(static_cast<uint32_t>(n + 1));
+		progress.tasks.push_back(task);
+	}
+	return progress;
+}
+
+/** @return What a later owner restores. @param records Records in the log. */
+StoredProgress Restored(const std::vector<KeyedRecord> &records)
+{
+	RestoredProgress restored;
+	for (const KeyedRecord &it : records) {
+		const std::optional<StoredProgress> progress = DecodeProgress(*it.value);
+		REQUIRE(progress);
+		CHECK(ParseProgressKey(it.key).first_task == progress->first_task);
+		restored.Add(*progress);
+	}
+	return restored.Result();
+}
+
 } // namespace
 
 TEST_CASE("a service goes on when its owner has more to record than one append may carry")
@@ -82,3 +112,68 @@
 		CHECK(world.site.violations == std::vector<std::string>{});
 	}
 }
+
+TEST_CASE("a submission that no record of the log can hold is rejected at once")
+{
+	JobWorld world;
+	world.store.limits = SMALL_LIMITS;
+	world.clock.RunUntil(SETTLED);
+	WorldJob &job = world.Plan(Millis(1000000), "calc", JobWorld::Chain(1));
+	job.spec.payload = std::string(SMALL_LIMITS.record_bytes, 'p');
+	std::optional<ResultCode> result;
+	world.nodes.front()->job_api.Submit(job.spec, job.service, world.clock.Now() + Millis(3000),
+										[&result](ResultCode code) { result = code; });
+	world.clock.RunUntil(SETTLED + Millis(10));
+	CHECK(result == ResultCode::RC_BODY_TOO_LARGE);
+	CHECK(HttpStatusOf(ResultCode::RC_BODY_TOO_LARGE) == 413);
+}
+
+TEST_CASE("progress is divided into records that the log accepts, and restored from them in any order")
+{
+	const JobId id("0011223344556677");
+	const StoredProgress progress = MakeProgress(5000, 7);
+	ProgressRecords made = MakeProgressRecords(id, progress, {}, SMALL_LIMITS.record_bytes);
+	CHECK(made.records.size() > 5);
+	for (const KeyedRecord &it : made.records) {
+		CHECK(EncodedSize(it) <= SMALL_LIMITS.record_bytes);
+		CHECK(ParseProgressKey(it.key).job == id);
+	}
+	std::ranges::reverse(made.records);
+	CHECK(Restored(made.records).tasks == progress.tasks);
+	CHECK(Restored(made.records).phase == progress.phase);
+}
+
+TEST_CASE("of a large job only records with changed tasks are written, and the newest record of a task counts")
+{
+	const JobId id("0011223344556677");
+	const StoredProgress before = MakeProgress(5000, 7);
+	StoredProgress after = before;
+	after.revision++;
+	after.phase = JobPhase::JP_COMPLETED;
+	after.tasks[4500].failures = 3;
+	ProgressRecords made = MakeProgressRecords(id, before, {}, 1000000);
+	const ProgressRecords changed = MakeProgressRecords(id, after, before.tasks, 1000000);
+	CHECK(made.records.size() == 5);
+	CHECK(changed.records.size() == 2);
+	std::ranges::copy(changed.records, std::back_inserter(made.records));
+	CHECK(Restored(made.records).tasks == after.tasks);
+	CHECK(Restored(made.records).phase == JobPhase::JP_COMPLETED);
+	std::ranges::reverse(made.records);
+	CHECK(Restored(made.records).tasks == after.tasks);
+	CHECK(Restored(made.records).phase == JobPhase::JP_COMPLETED);
+}
+
+TEST_CASE("a checkpoint that is longer than a record is left out, and its task is recorded")
+{
+	StoredProgress progress = MakeProgress(40, 1);
+	progress.tasks[20].saved = std::string(SMALL_LIMITS.record_bytes, 's');
+	progress.tasks[21].saved = "short";
+	const ProgressRecords made =
+			MakeProgressRecords(JobId("0011223344556677"), progress, {}, SMALL_LIMITS.record_bytes);
+	CHECK(made.checkpoints_left_out == 1);
+	const StoredProgress restored = Restored(made.records);
+	REQUIRE(restored.tasks.size() == 40);
+	CHECK(restored.tasks[20].saved.empty());
+	CHECK(restored.tasks[20].run == RunNumber(21));
+	CHECK(restored.tasks[21].saved == "short");
+}
