An order that a dying box leaves unanswered doesn't hold its runs

What callers saw: LOST.

Cause: when an order got no answer and the box had answered any other one since it was sent, the box counted as one that keeps running and leaves orders unanswered. From then on each start order may arrive later (MayStillArrive) for 14 s. A box that has just died looks the same: it has answered one of two orders sent in the same moment.

Change: an order counts only if the box was still up when its answer was due (the time that the box may hold back its answer, and 250 ms), or answers another order after that one has timed out.

--- a/src/jobs/shard_base.h
+++ b/src/jobs/shard_base.h
@@ -375,8 +375,9 @@
 	void WantRecordedStop(const TaskId &id, ShardTask &task, const char *reason);
 	void OnStopRecorded(const PendingStop &stop);
 	void SendStop(const TaskId &id);
-	/** @return Context of an order that is sent to the box now. @param box The box. @param token Token of the order. */
-	[[nodiscard]] SentOrder SentOrderTo(const ShardBox &box, FenceToken token) const;
+	/** @return Context of an order that is sent to the box now. @param box The box. @param token Token of the order.
+	 * @param wait How long the box may hold back its answer. */
+	[[nodiscard]] SentOrder SentOrderTo(const ShardBox &box, FenceToken token, Millis wait = Millis(0)) const;
 	/** Notes what the outcome of an order says about the box. @return Whether the caller is to process the answer: not
 	 * when the token was refused or the incarnation has ended. */
 	bool ProcessOutcome(const SentOrder &sent, const OrderAnswer &answer);
@@ -409,7 +410,10 @@
 	[[nodiscard]] Millis EndsExpected(const ShardBox &box);
 	/** @return How long a box may hold back its answer to the next lease order. */
 	[[nodiscard]] Millis LeaseWait(const ShardBox &box) const;
-	void NoteOutcome(ShardBox &box, Millis sent, OrderOutcome outcome);
+	void NoteOutcome(ShardBox &box, const SentOrder &sent, OrderOutcome outcome);
+	/** Notes whether a box that keeps running leaves orders unanswered: see MayStillArrive(). @param box The box.
+	 * @param sent An order to it. @param outcome The order's outcome. */
+	void NoteUnanswered(ShardBox &box, const SentOrder &sent, OrderOutcome outcome);
 	void Adopt(ShardBox &box);
 	void ProcessRunning(ShardBox &box, const std::vector<RunningRow> &rows, Millis sent);
 	/** @return Whether any end in the list is new. */
--- a/src/jobs/shard_boxes.cpp
+++ b/src/jobs/shard_boxes.cpp
@@ -208,13 +208,26 @@
 	return box.placed.empty() && !box.unknown_runs ? IDLE_WAIT : this->limits.lease_wait;
 }
 
-void Shard::NoteOutcome(ShardBox &box, Millis sent, OrderOutcome outcome)
+void Shard::NoteUnanswered(ShardBox &box, const SentOrder &sent, OrderOutcome outcome)
+{
+	/* A box that ends leaves orders unanswered, too. So an order counts only if the box was still up when its answer
+	 * was due, or answers another one later. */
+	if (outcome == OrderOutcome::OO_NOT_SENT) {
+		return;
+	}
+	const bool answered = outcome != OrderOutcome::OO_UNKNOWN;
+	if (answered ? std::exchange(box.order_unanswered, false) : box.answered_at >= sent.answer_due) {
+		this->order_unanswered_at = this->scheduler.Now();
+	} else if (!answered) {
+		box.order_unanswered = true;
+	}
+}
+
+void Shard::NoteOutcome(ShardBox &box, const SentOrder &sent, OrderOutcome outcome)
 {
 	const Millis now = this->scheduler.Now();
 	const bool answered = outcome != OrderOutcome::OO_NOT_SENT && outcome != OrderOutcome::OO_UNKNOWN;
-	if (answered ? box.unanswered > 0 : outcome == OrderOutcome::OO_UNKNOWN && box.answered_at >= sent) {
-		this->order_unanswered_at = now;
-	}
+	this->NoteUnanswered(box, sent, outcome);
 	if (!answered) {
 		this->NoteMayHaveRestarted(box);
 	}
@@ -222,7 +235,7 @@
 		box.unreachable = true;
 	} else if (answered) {
 		box.answered_at = now;
-		box.up_at = std::max(box.up_at, sent);
+		box.up_at = std::max(box.up_at, sent.at);
 		box.unanswered = 0;
 		box.unreachable = false;
 	} else {
@@ -230,7 +243,7 @@
 		box.unanswered_at = now;
 		/* An answer since then shows that only this order was lost, so the box keeps accepting tasks. When 40% of the
 		 * answers are lost and one loss was enough, half of the boxes accepted none. */
-		box.unanswered += box.answered_at < sent ? 1 : 0;
+		box.unanswered += box.answered_at < sent.at ? 1 : 0;
 		box.unreachable = box.unreachable || box.unanswered >= UNREACHABLE_AFTER_UNANSWERED;
 	}
 }
@@ -280,7 +293,7 @@
 	box.lease_ordered_at = now;
 	this->counters.looks++;
 	this->orders.Lease(box.report, order,
-					   [this, sent = this->SentOrderTo(box, order.fence), acknowledged = order.ends_noted,
+					   [this, sent = this->SentOrderTo(box, order.fence, order.wait), acknowledged = order.ends_noted,
 						still = std::weak_ptr<bool>(this->alive)](const LeaseAnswer &answer) {
 						   if (!still.expired()) {
 							   this->OnLease(sent, acknowledged, answer);
--- a/src/jobs/shard_runs.cpp
+++ b/src/jobs/shard_runs.cpp
@@ -14,6 +14,8 @@
 /** A box whose clock is lower may have restarted unnoticed: the clock of its next incarnation can be as high by the
  * time at which that one answers, since answers take up to 3 s and clocks differ by 2%. */
 constexpr Millis CLOCK_DISTINCT_FROM(5000);
+/** Time within which a box that runs answers an order, also when it or the owner runs five times slower. */
+constexpr Millis ANSWERED_WITHIN(250);
 
 } // namespace
 
@@ -205,7 +207,7 @@
 					  });
 }
 
-SentOrder Shard::SentOrderTo(const ShardBox &box, FenceToken token) const
+SentOrder Shard::SentOrderTo(const ShardBox &box, FenceToken token, Millis wait) const
 {
 	const Millis now = this->scheduler.Now();
 	std::optional<Millis> clock_min;
@@ -213,7 +215,7 @@
 		const auto passed = static_cast<double>((now - box.clock_at).Value()) * CLOCK_RATE_MIN;
 		clock_min = *box.clock + Millis(static_cast<int64_t>(passed));
 	}
-	return SentOrder{box.report.incarnation, token, now, box.clock, clock_min};
+	return SentOrder{box.report.incarnation, token, now, box.clock, clock_min, now + wait + ANSWERED_WITHIN};
 }
 
 bool Shard::FromOtherIncarnation(const SentOrder &sent, const OrderAnswer &answer)
@@ -252,7 +254,7 @@
 	if (box->second.over) {
 		return false;
 	}
-	this->NoteOutcome(box->second, sent.at, answer.outcome);
+	this->NoteOutcome(box->second, sent, answer.outcome);
 	return true;
 }
 
--- a/src/jobs/shard_type.h
+++ b/src/jobs/shard_type.h
@@ -165,9 +165,11 @@
 	BoxReport report;       ///< Newest report of its agent.
 	bool has_report = true; ///< Whether a report of it exists at present.
 	bool adopted = false;   ///< It has listed its runs for this owner, so it refuses orders of earlier owners.
-	bool lease_order_under_way = false;   ///< A lease order is under way.
-	bool unreachable = false;             ///< It can't be reached, or two orders in a row got no answer.
-	uint32_t unanswered = 0;              ///< Orders in a row that got no answer.
+	bool lease_order_under_way = false; ///< A lease order is under way.
+	bool unreachable = false;           ///< It can't be reached, or two orders in a row got no answer.
+	uint32_t unanswered = 0;            ///< Orders in a row that got no answer.
+	/** An order got no answer: the next answer shows that the box has kept running meanwhile. */
+	bool order_unanswered = false;
 	Millis unanswered_at{-1000000};       ///< When an order last timed out; initially long ago, as if never.
 	Millis unanswered_again_at{-1000000}; ///< When an order last timed out within 5 s of another one.
 	/** This incarnation has certainly ended. Runs that its successor may still start stay placed here: see `held_ids`
@@ -217,6 +219,7 @@
 	/** Clock of the incarnation as last reported; a lower one in an answer is that of a later incarnation. */
 	std::optional<Millis> clock;
 	std::optional<Millis> clock_min; ///< Lowest clock of the incarnation when it was sent, unless it was suspended.
+	Millis answer_due; ///< By then a box that keeps running has answered, unless the order or its answer was lost.
 };
 
 /** Whether a job can still meet its objective. Lower values are served first. */
