A later owner doesn't hold a run whose start orders can't arrive any more

What callers saw: LOST. A box is lost for good together with the owner of its service: a long-running task that has run there for minutes is not started again for 14 s after the takeover, and each further takeover begins the 14 s anew.

Cause: a restored run counted as one whose start order may still arrive at the box's next incarnation, for 14 s from the takeover, whatever the owner before knew. That a box is known to have ended made it later (14 s) than if it were not (9.2 s).

Change: the record of a long-running task says how long its run is known to have lasted (RunAge). 14 s after the last order for it it is settled, and a later owner ends it at once when its box has ended. It costs two records more a start. Safe: no owner orders a settled run again; runs that aren't settled in the record are held as before.

--- a/src/jobs/job_codec.h
+++ b/src/jobs/job_codec.h
@@ -8,6 +8,13 @@
 struct PolicyRecordT;
 }
 
+/** How long the current run of a long-running task is known to have lasted; the numbers are stored. */
+enum class RunAge : uint8_t {
+	RA_NEW = 0,      ///< Nothing is known.
+	RA_OUTLIVED = 1, ///< Its box was up long enough after the start to show that the task doesn't crash boxes.
+	RA_SETTLED = 2,  ///< It began so long ago that no start order for it can still be carried out.
+};
+
 /** Stored state of a task. */
 struct StoredTask {
 	TaskPhase phase = TaskPhase::TP_WAITING; ///< Phase of the task.
@@ -25,6 +32,8 @@
 	uint32_t crashes_possible = 0;
 	/** It was stopped once so that another pool gets its box. Recorded before the stop order is sent. */
 	bool gave_way = false;
+	/** Recorded so that a later owner need neither hold the run nor suspect its task when its box has ended. */
+	RunAge run_age = RunAge::RA_NEW;
 
 	bool operator==(const StoredTask &) const = default;
 };
--- a/src/jobs/shard_base.h
+++ b/src/jobs/shard_base.h
@@ -468,6 +468,9 @@
 	 * just started there. */
 	void LogCrash(const ShardBox &box, const TaskId &id, bool last_start);
 	void ClearSuspicion(const ShardBox &box, const TaskId &id, ShardTask &task);
+	/** Records how long a run of a long-running task has lasted, when that has become known. @param box The box. @param
+	 * id The task. @param task Its state. */
+	void NoteRunAge(const ShardBox &box, const TaskId &id, ShardTask &task);
 	/** @return Whether crashes fail the job. @param job The job. @param id Task with the newest crash.
 	 * @param crash_attributed Whether that crash is attributed to the task. */
 	[[nodiscard]] static bool FailsJob(const ShardJob &job, const TaskId &id, bool crash_attributed);
--- a/src/jobs/shard_boxes.cpp
+++ b/src/jobs/shard_boxes.cpp
@@ -405,6 +405,7 @@
 		}
 		task->at_full_pace = row.share == FULL_PACE;
 		this->ClearSuspicion(box, row.task, *task);
+		this->NoteRunAge(box, row.task, *task);
 		if (task->stop_wanted && !task->stop_confirmed) {
 			this->SendStop(row.task);
 		}
--- a/src/jobs/shard_crashes.cpp
+++ b/src/jobs/shard_crashes.cpp
@@ -267,6 +267,23 @@
 	this->MarkDirty(id.job);
 }
 
+void Shard::NoteRunAge(const ShardBox &box, const TaskId &id, ShardTask &task)
+{
+	if (!this->jobs.at(id.job).spec.steps[id.step].lasting) {
+		return;
+	}
+	RunAge age = task.run_age;
+	if (!task.answerer_unsure && this->scheduler.Now() - task.last_ordered_at >= ORDER_DELAY_MAX) {
+		age = RunAge::RA_SETTLED;
+	} else if (KnownUpFor(box, task, ISOLATION_FOR)) {
+		age = std::max(age, RunAge::RA_OUTLIVED);
+	}
+	if (age > task.run_age) {
+		task.run_age = age;
+		this->MarkDirty(id.job);
+	}
+}
+
 bool Shard::StartsIsolated(const ShardTask &task) const
 {
 	return task.suspect && (task.crashes + task.crashes_possible >= CRASHES_CONFIRMED ||
--- a/src/jobs/shard_incarnations.cpp
+++ b/src/jobs/shard_incarnations.cpp
@@ -89,6 +89,9 @@
 	 * that was sent after that one started or, if boxes that keep running leave orders unanswered, also an earlier one.
 	 */
 	const bool restored = task.run_state == RunState::RS_RESTORED;
+	if (restored && task.run_age == RunAge::RA_SETTLED) {
+		return false; /* The owners before have sent their orders for it long ago. */
+	}
 	const bool may_arrive = box.has_successor || restored || now - this->order_unanswered_at < ORDER_DELAY_MAX;
 	const bool recorded_only = task.run_state == RunState::RS_RECORDING;
 	const bool answered = task.run_state == RunState::RS_RUNNING && !task.uncertain && !task.answerer_unsure;
--- a/src/jobs/shard_jobs.cpp
+++ b/src/jobs/shard_jobs.cpp
@@ -118,7 +118,7 @@
 		/* A record of another size can only come from a fault: the tasks start in their initial state, but the recorded
 		 * phase counts. */
 		if (progress.tasks.size() == job.tasks.size()) {
-			std::ranges::transform(progress.tasks, job.tasks.begin(), [&job](const StoredTask &it) {
+			std::ranges::transform(progress.tasks, job.tasks.begin(), [this, &job](const StoredTask &it) {
 				ShardTask task;
 				static_cast<StoredTask &>(task) = it;
 				task.run_state = RunState::RS_RESTORED;
@@ -126,6 +126,8 @@
 				task.stop_wanted = task.stop_recorded = task.leaving;
 				task.phase_since = task.ordered_at = job.taken_at;
 				task.order_known = false;
+				/* An earlier owner that stood still may go on for this long. */
+				task.last_ordered_at = job.taken_at + this->limits.owner_term;
 				task.suspect = it.crashes + it.crashes_possible > 0;
 				return task;
 			});
--- a/src/jobs/shard_place.cpp
+++ b/src/jobs/shard_place.cpp
@@ -284,6 +284,7 @@
 	task.stop_wanted = task.stop_sent = task.stop_confirmed = false;
 	task.leaving = task.stop_recorded = false;
 	task.order_known = true;
+	task.run_age = RunAge::RA_NEW;
 	task.phase_since = this->scheduler.Now();
 	box.last_start = id.job;
 	box.last_start_at = task.phase_since;
@@ -355,6 +356,7 @@
 	order.fence = this->FenceOf(it->second).ForStart(start.task, start.run, this->scheduler.Now());
 	this->NoteLeaseRequested(it->second, *until);
 	task->run_state = RunState::RS_ORDERED;
+	task->last_ordered_at = this->scheduler.Now();
 	if (!task->uncertain) {
 		task->ordered_at = this->scheduler.Now();
 	}
--- a/src/jobs/shard_type.h
+++ b/src/jobs/shard_type.h
@@ -100,6 +100,7 @@
 	int64_t pace = FULL_PACE;  ///< Pace last ordered, in percent.
 	bool order_known = true;   ///< Whether this owner, not an earlier one, has ordered the current run.
 	Millis ordered_at;         ///< When the first start order for the run was sent.
+	Millis last_ordered_at;    ///< When the last one was sent, at the latest.
 	Millis saved_at;           ///< When the list that first showed its newest checkpoint was requested.
 	Millis confirmed_at;       ///< When an answer of the box first showed that the run had started.
 	/** Suspected of crashing boxes: a box crashed just after it had started the task or before it had confirmed the
--- a/tests/test_held_runs.cpp
+++ b/tests/test_held_runs.cpp
@@ -83,3 +83,20 @@
 		CHECK(world.site.violations == std::vector<std::string>{});
 	}
 }
+
+TEST_CASE("a long-running task runs elsewhere soon after its box was lost together with its owner just after its start")
+{
+	JobWorld world;
+	world.site.restart_delay = NEVER;
+	world.ReportEndedIncarnations();
+	const WorldJob &job = world.Plan(Millis(4000), "calc", JobWorld::Lasting(1));
+	while (world.site.Running(job.spec.id) == 0) {
+		REQUIRE(world.clock.RunNextTimer());
+	}
+	world.clock.RunUntil(world.clock.Now() + Millis(20));
+	world.site.Crash(BoxOf(world, job));
+	ReplaceOwner(world);
+	world.clock.RunUntil(world.clock.Now() + RESTARTED_BY);
+	CHECK(world.site.Running(job.spec.id) == 1);
+	CHECK(world.site.violations == std::vector<std::string>{});
+}
