The loss of a run counts once as a possible crash, and not when the run is known to have lived

What callers saw: LOST. A long-running task whose box and owner are lost together four times is never started again, by no owner.

Cause: a run that an owner had restored counted as a possible crash however long it had run, and one lost run counted again for each owner that found it. Four such counts are the limit, for good.

Change: it is recorded whether the loss of the current run was decided on; a restored run that has outlived its start (RunAge) isn't held against its task; a box that is still up and lists a lapsed run of the task clears its counts.

--- a/src/jobs/job_codec.cpp
+++ b/src/jobs/job_codec.cpp
@@ -163,6 +163,7 @@
 		row->crashes = task.crashes;
 		row->crashes_possible = task.crashes_possible;
 		row->gave_way = task.gave_way;
+		row->loss_counted = task.loss_counted;
 		row->run_age = static_cast<uint8_t>(task.run_age);
 		if (!task.box.id.Value().empty()) {
 			const auto [it, added] = places.emplace(task.box, static_cast<uint16_t>(places.size() + 1));
@@ -203,6 +204,7 @@
 		task.crashes = row->crashes;
 		task.crashes_possible = row->crashes_possible;
 		task.gave_way = row->gave_way;
+		task.loss_counted = row->loss_counted;
 		task.run_age = static_cast<RunAge>(std::min(row->run_age, static_cast<uint8_t>(RunAge::RA_SETTLED)));
 		if (row->box > 0) {
 			const size_t place = row->box - 1U;
--- a/src/jobs/job_codec.h
+++ b/src/jobs/job_codec.h
@@ -34,6 +34,8 @@
 	bool gave_way = false;
 	/** Recorded so that a later owner need neither hold the run nor suspect its task when its box has ended. */
 	RunAge run_age = RunAge::RA_NEW;
+	/** Whether it was decided if the loss of the current run counts: several owners may find it lost. */
+	bool loss_counted = false;
 
 	bool operator==(const StoredTask &) const = default;
 };
--- a/src/jobs/shard_base.h
+++ b/src/jobs/shard_base.h
@@ -468,6 +468,10 @@
 	 * just started there. */
 	void LogCrash(const ShardBox &box, const TaskId &id, bool last_start);
 	void ClearSuspicion(const ShardBox &box, const TaskId &id, ShardTask &task);
+	void ForgetCrashes(const TaskId &id, ShardTask &task);
+	/** Clears the crash counts of a long-running task, since a box that is still up has listed a lapsed run of it.
+	 * @param id The task. @param task Its state. */
+	void ClearByLapse(const TaskId &id, ShardTask &task);
 	/** Records how long a run of a long-running task has lasted, when that has become known. @param box The box. @param
 	 * id The task. @param task Its state. */
 	void NoteRunAge(const ShardBox &box, const TaskId &id, ShardTask &task);
--- a/src/jobs/shard_boxes.cpp
+++ b/src/jobs/shard_boxes.cpp
@@ -438,6 +438,9 @@
 		if (task == nullptr) {
 			continue;
 		}
+		if (row.ending == RunEnding::RE_LAPSED) {
+			this->ClearByLapse(row.task, *task);
+		}
 		if (this->ClaimRun(box, row.task, *task, row.run)) {
 			this->EndRun(row.task, row.ending, row.saved, "listed");
 		} else if (task->phase == TaskPhase::TP_WAITING && row.ending == RunEnding::RE_DONE) {
--- a/src/jobs/shard_crashes.cpp
+++ b/src/jobs/shard_crashes.cpp
@@ -199,15 +199,19 @@
 	const bool was_running = task.run_state == RunState::RS_RUNNING;
 	const bool restored = task.run_state == RunState::RS_RESTORED;
 	const Millis uptime = box.answered_at - StartedAt(task);
-	const bool ignored = evidence == CrashEvidence::CE_NONE || task.run_state == RunState::RS_RECORDING;
+	const bool ignored =
+			evidence == CrashEvidence::CE_NONE || task.run_state == RunState::RS_RECORDING || task.loss_counted;
 	/* A lasting task that reaches the crash limit is never started again, so it counts a crash only if its box is not
 	 * known to have outlived the time in which a task that crashes boxes does so. */
 	const bool lasting = job.spec.steps[id.step].lasting;
 	const bool outlived = box.answered_at - task.confirmed_at >= ISOLATION_FOR || KnownUpFor(box, task, JUST_STARTED);
 	const bool proven = lasting ? outlived : uptime >= PROVEN_AFTER;
-	if (ignored || (was_running && proven)) {
+	const bool recorded_outlived = lasting && restored && task.run_age != RunAge::RA_NEW;
+	if (ignored || recorded_outlived || (was_running && proven)) {
 		return false;
 	}
+	task.loss_counted = true;
+	this->MarkDirty(id.job);
 	const bool others = this->OthersJustStarted(box, id.job, true);
 	const bool may_be_cause = (!was_running && !restored) || JustStarted(box, task);
 	const bool was_suspect = std::exchange(task.suspect, task.suspect || may_be_cause || task.crashes > 0 || lasting);
@@ -261,12 +265,25 @@
 	if (!counted || !proven) {
 		return;
 	}
-	/* Since this box stayed up, the earlier ones have crashed for other reasons. */
+	this->ForgetCrashes(id, task);
+}
+
+void Shard::ForgetCrashes(const TaskId &id, ShardTask &task)
+{
+	/* Since a box has outlived a start of the task, the earlier ones have crashed for other reasons. */
 	task.suspect = task.crash_cause = false;
 	task.crashes = task.crashes_possible = 0;
 	this->MarkDirty(id.job);
 }
 
+void Shard::ClearByLapse(const TaskId &id, ShardTask &task)
+{
+	const bool counted = task.suspect || task.crashes + task.crashes_possible > 0;
+	if (counted && this->jobs.at(id.job).spec.steps[id.step].lasting) {
+		this->ForgetCrashes(id, task);
+	}
+}
+
 void Shard::NoteRunAge(const ShardBox &box, const TaskId &id, ShardTask &task)
 {
 	if (!this->jobs.at(id.job).spec.steps[id.step].lasting) {
--- a/src/jobs/shard_place.cpp
+++ b/src/jobs/shard_place.cpp
@@ -285,6 +285,7 @@
 	task.leaving = task.stop_recorded = false;
 	task.order_known = true;
 	task.run_age = RunAge::RA_NEW;
+	task.loss_counted = false;
 	task.phase_since = this->scheduler.Now();
 	box.last_start = id.job;
 	box.last_start_at = task.phase_since;
