Possible crashes alone never end a long-running task

What callers saw: as before this commit, LOST for good: the limit of four crashes was reached by losses that the task may not have caused, and nothing took the verdict back.

Change: a long-running task at the limit is started once more, isolated, when boxes are calm (no box lost, no order unanswered, the log reachable, this owner in office for 3 s), so that the next crash, if it comes, is certain. It is given up by four certain crashes, or by more than four of which one is certain. The rule on tasks that crash boxes allows two starts after the third crash; this is the second.

Weighed: a pause that grows (an innocent task would wait beyond 7 s, or a guilty one crash a box for each pause); only certain crashes count (with half of the answers lost a guilty task needs eight starts).

--- a/src/jobs/shard_base.h
+++ b/src/jobs/shard_base.h
@@ -212,6 +212,7 @@
 	/** Last reports of incarnations whose report was removed; used until Begin(). */
 	std::map<BoxIncarnation, BoxReport> removed_reports;
 	Millis order_unanswered_at{-1000000}; ///< When a box was last found running after an order without an answer.
+	Millis box_lost_at{-1000000};         ///< When a box was last lost other than as planned; initially long ago.
 	std::set<BoxId> held_ids;             ///< Ids of ended incarnations that may have runs which the next one starts.
 	std::map<BoxId, BoxReport> older_reports;    ///< Reports of incarnations that started before a known one.
 	std::map<RouteName, double> run_times;       ///< Run times of a route's tasks in ms: geometric moving average.
@@ -462,8 +463,18 @@
 	bool NoteCrash(const ShardBox &box, const TaskId &id, CrashEvidence evidence);
 	/** @return Whether the task has so many crashes that it isn't started any more. */
 	[[nodiscard]] static bool AtCrashLimit(const StoredTask &task);
-	/** @return Whether the task waits and hasn't reached the crash limit. */
-	[[nodiscard]] static bool Startable(const ShardJob &job, const ShardTask &task);
+	/** @return Whether a task isn't started any more because it crashes its boxes. @param step Its step. @param task
+	 * The task. */
+	[[nodiscard]] static bool GivenUp(const StepSpec &step, const StoredTask &task);
+	/** @return Whether it would be certain now that a start has crashed its box: see CALM_AFTER. */
+	[[nodiscard]] bool Calm() const;
+	/** @return Whether a lasting task at the crash limit waits until boxes are calm. @param step Its step. @param task
+	 * The task. */
+	[[nodiscard]] bool WaitsForCalm(const StepSpec &step, const StoredTask &task) const;
+	/** @return Whether the task waits and isn't given up. @param job The job. @param step Its step. @param task The
+	 * task.
+	 */
+	[[nodiscard]] static bool Startable(const ShardJob &job, const StepSpec &step, const ShardTask &task);
 	/** Logs a counted crash. @param box The box. @param id The task. @param last_start Whether no other job's task had
 	 * just started there. */
 	void LogCrash(const ShardBox &box, const TaskId &id, bool last_start);
--- a/src/jobs/shard_crashes.cpp
+++ b/src/jobs/shard_crashes.cpp
@@ -44,8 +44,11 @@
 constexpr uint32_t CRASHES_CONFIRMED = 2;
 /** A task isn't started any more after this many crashes, certain and possible ones, and its job fails unless the task
  * is lasting. After three crashes a task may be started twice more (platform rules), and one crash of each kind may not
- * have been counted. */
+ * have been counted. A lasting task of which not all crashes are certain is started once more, when boxes are calm. */
 constexpr uint32_t CRASHES_MAX = 4;
+/** Boxes are calm when none was lost for this time, all orders were answered and the log was reachable: then it is
+ * certain whether a start crashes its box. A lasting task must run again 7 s after the last fault (platform rules). */
+constexpr Millis CALM_AFTER(3000);
 /** One in this many open boxes, but at least one box, may be isolated at a time. If more were isolated, ordinary jobs
  * would wait while boxes crash for other reasons. */
 constexpr size_t BOXES_PER_ISOLATED_START = 2;
@@ -136,8 +139,8 @@
 bool Shard::QuarantineWanted(const TaskId &id) const
 {
 	const ShardTask *task = this->FindTask(id);
-	return task != nullptr && Startable(this->jobs.at(id.job), *task) && this->WaitsForQuarantine(*task) &&
-		   !this->jobs.at(id.job).Over();
+	return task != nullptr && Startable(this->jobs.at(id.job), this->jobs.at(id.job).spec.steps[id.step], *task) &&
+		   this->WaitsForQuarantine(*task) && !this->jobs.at(id.job).Over();
 }
 
 void Shard::ReserveQuarantineBox(PlaceRound &round)
@@ -177,17 +180,39 @@
 	return task.crashes + task.crashes_possible >= CRASHES_MAX;
 }
 
-bool Shard::Startable(const ShardJob &job, const ShardTask &task)
+bool Shard::GivenUp(const StepSpec &step, const StoredTask &task)
+{
+	if (!step.lasting) {
+		return AtCrashLimit(task);
+	}
+	/* Possible crashes alone never end a task that is to run until it is cancelled. */
+	return task.crashes >= CRASHES_MAX || (task.crashes > 0 && task.crashes + task.crashes_possible > CRASHES_MAX);
+}
+
+bool Shard::Calm() const
+{
+	const Millis since =
+			std::max({this->owned_since, this->order_unanswered_at, this->log_unreachable_at, this->box_lost_at});
+	return this->scheduler.Now() - since >= CALM_AFTER;
+}
+
+bool Shard::WaitsForCalm(const StepSpec &step, const StoredTask &task) const
+{
+	return step.lasting && AtCrashLimit(task) && !this->Calm();
+}
+
+bool Shard::Startable(const ShardJob &job, const StepSpec &step, const ShardTask &task)
 {
 	/* Without a policy it isn't known whether a task may be started again after a failed run. */
-	return task.phase == TaskPhase::TP_WAITING && !AtCrashLimit(task) && (job.has_policy || task.failures == 0);
+	return task.phase == TaskPhase::TP_WAITING && !GivenUp(step, task) && (job.has_policy || task.failures == 0);
 }
 
 bool Shard::FailsJob(const ShardJob &job, const TaskId &id, bool crash_attributed)
 {
 	const ShardTask &task = job.tasks[job.IndexOf(id)];
-	if (job.spec.steps[id.step].lasting) {
-		return std::ranges::all_of(job.tasks, [](const ShardTask &it) { return AtCrashLimit(it); });
+	const StepSpec &step = job.spec.steps[id.step];
+	if (step.lasting) {
+		return std::ranges::all_of(job.tasks, [&step](const ShardTask &it) { return GivenUp(step, it); });
 	}
 	return AtCrashLimit(task) || (task.crashes >= CRASHES_CONFIRMED && crash_attributed);
 }
--- a/src/jobs/shard_incarnations.cpp
+++ b/src/jobs/shard_incarnations.cpp
@@ -109,6 +109,9 @@
 
 void Shard::LoseBox(ShardBox &box, const char *reason, CrashEvidence evidence)
 {
+	if (evidence != CrashEvidence::CE_NONE) {
+		this->box_lost_at = this->scheduler.Now();
+	}
 	/* Counts crashes of all tasks before any is removed, since NoteCrash() checks which others had just started. */
 	std::set<JobId> failing;
 	for (const TaskId &id : box.placed) {
--- a/src/jobs/shard_place.cpp
+++ b/src/jobs/shard_place.cpp
@@ -189,7 +189,8 @@
 		id.index = index;
 		const ShardTask &task = job.tasks[job.IndexOf(id)];
 		const StartKind kind = this->StartKindOf(task);
-		if (!Startable(job, task) || (kind != StartKind::SK_CRASH_CAUSE && round.FitsNowhere(spec.demand))) {
+		if (!Startable(job, spec, task) || this->WaitsForCalm(spec, task) ||
+			(kind != StartKind::SK_CRASH_CAUSE && round.FitsNowhere(spec.demand))) {
 			continue;
 		}
 		if (!this->book.Fits(job.spec.account, spec.demand)) {
@@ -240,8 +241,10 @@
 	const StepSpec &spec = job.spec.steps[step];
 	const TaskId first{job.spec.id, occurrence, step, 0};
 	const auto members = job.tasks | std::views::drop(job.IndexOf(first)) | std::views::take(spec.count);
-	if (!std::ranges::all_of(members, [&job](const ShardTask &it) { return Startable(job, it); }) ||
-		!this->book.Fits(job.spec.account, spec.demand.Times(spec.count))) {
+	const auto may_start = [&](const ShardTask &it) {
+		return Startable(job, spec, it) && !this->WaitsForCalm(spec, it);
+	};
+	if (!std::ranges::all_of(members, may_start) || !this->book.Fits(job.spec.account, spec.demand.Times(spec.count))) {
 		return;
 	}
 	const uint32_t last_run =
--- a/src/jobs/shard_rank.cpp
+++ b/src/jobs/shard_rank.cpp
@@ -48,7 +48,8 @@
 		const auto tasks = job.tasks | std::views::drop(first) | std::views::take(step.count);
 		const auto open =
 				std::ranges::count_if(tasks, [](const ShardTask &it) { return it.phase != TaskPhase::TP_DONE; });
-		const auto waiting = std::ranges::count_if(tasks, [&job](const ShardTask &it) { return Startable(job, it); });
+		const auto waiting =
+				std::ranges::count_if(tasks, [&](const ShardTask &it) { return Startable(job, step, it); });
 		out.lasting = out.lasting || step.lasting;
 		for (const uint32_t before : step.after) {
 			chain_all[n] = std::max(chain_all[n], chain_all[before]);
@@ -164,12 +165,13 @@
 	Resources sum;
 	for (const uint32_t occurrence : std::views::iota(0U, job.spec.Occurrences())) {
 		for (uint32_t step = 0; step < job.spec.steps.size() && this->Due(job, occurrence); step++) {
+			const StepSpec &spec = job.spec.steps[step];
 			const size_t first = job.IndexOf(TaskId{job.spec.id, occurrence, step, 0});
-			const auto tasks = job.tasks | std::views::drop(first) | std::views::take(job.spec.steps[step].count);
+			const auto tasks = job.tasks | std::views::drop(first) | std::views::take(spec.count);
 			const auto waiting =
-					std::ranges::count_if(tasks, [&job](const ShardTask &it) { return Startable(job, it); });
+					std::ranges::count_if(tasks, [&](const ShardTask &it) { return Startable(job, spec, it); });
 			if (waiting > 0 && this->StepReady(job, occurrence, step)) {
-				sum += job.spec.steps[step].demand.Times(waiting);
+				sum += spec.demand.Times(waiting);
 			}
 		}
 	}
