A long-running task without a policy is started again after a failed run

Startable() wanted a policy of the route for a task that had failed once, though the failures of long-running tasks have no limit: with a removed route and a job recorded without a policy it waited for good. Found by reading; not seen in a run, no test of its own yet.

--- a/src/jobs/shard_crashes.cpp
+++ b/src/jobs/shard_crashes.cpp
@@ -203,8 +203,9 @@
 
 bool Shard::Startable(const ShardJob &job, const StepSpec &step, const ShardTask &task)
 {
-	/* Without a policy it isn't known whether a task may be started again after a failed run. */
-	return task.phase == TaskPhase::TP_WAITING && !GivenUp(step, task) && (job.has_policy || task.failures == 0);
+	/* Without a policy it isn't known whether a task may be started again after a failed run, unless it is lasting. */
+	const bool may_follow_failures = job.has_policy || task.failures == 0 || step.lasting;
+	return task.phase == TaskPhase::TP_WAITING && !GivenUp(step, task) && may_follow_failures;
 }
 
 bool Shard::FailsJob(const ShardJob &job, const TaskId &id, bool crash_attributed)
