Log lines about long-running tasks have a limit of their own

Cause: lines of a kind are limited together, 40 a second.

Change: EventLog::WriteLasting, which RateLimitedLog limits apart from Write(), 25 times as high; other logs write both alike. Weighed: event kinds of their own (lasting_ordered), which would break the search for run_ordered by a job's id and double the kinds; no limit at all, which the loss of a zone with hundreds of such tasks could turn into a flood.

--- a/src/event_log.h
+++ b/src/event_log.h
@@ -22,6 +22,16 @@
 	 * @param fields Fields of the line: the decision and its inputs.
 	 */
 	virtual void Write(const char *event, std::initializer_list<EventField> fields) = 0;
+	/**
+	 * Writes a line about a long-running task. Such lines are few and have a limit of their own, so that lines about
+	 * other tasks don't displace them.
+	 * @param event Name of the event; the kind of the line.
+	 * @param fields Fields of the line: the decision and its inputs.
+	 */
+	virtual void WriteLasting(const char *event, std::initializer_list<EventField> fields)
+	{
+		this->Write(event, fields);
+	}
 };
 
 /** Discards all lines; for tests and benchmarks. */
--- a/src/program/bounded_log.cpp
+++ b/src/program/bounded_log.cpp
@@ -5,11 +5,29 @@
 
 #include <vector>
 
+namespace {
+
+/** Factor of the limit for lines about long-running tasks: the loss of a zone ends some hundred of these at once. */
+constexpr uint32_t LASTING_LIMIT_FACTOR = 25;
+
+} // namespace
+
 void RateLimitedLog::Write(const char *event, std::initializer_list<EventField> fields)
 {
-	auto it = this->windows.find(std::string_view(event));
-	if (it == this->windows.end()) {
-		it = this->windows.emplace(event, Window{}).first;
+	this->WriteWithin(this->windows, this->per_second, event, fields);
+}
+
+void RateLimitedLog::WriteLasting(const char *event, std::initializer_list<EventField> fields)
+{
+	this->WriteWithin(this->lasting_windows, this->per_second * LASTING_LIMIT_FACTOR, event, fields);
+}
+
+void RateLimitedLog::WriteWithin(Windows &kinds, uint32_t limit, const char *event,
+								 std::initializer_list<EventField> fields)
+{
+	auto it = kinds.find(std::string_view(event));
+	if (it == kinds.end()) {
+		it = kinds.emplace(event, Window{}).first;
 	}
 	Window &window = it->second;
 	const int64_t second = this->scheduler.Now().Value() / MS_PER_SECOND;
@@ -19,7 +37,7 @@
 		}
 		window = Window{second, 0, 0};
 	}
-	if (window.written >= this->per_second) {
+	if (window.written >= limit) {
 		window.omitted++;
 		this->dropped++;
 		return;
--- a/src/program/bounded_log.h
+++ b/src/program/bounded_log.h
@@ -18,6 +18,7 @@
 	RateLimitedLog(Scheduler &scheduler, uint32_t per_second) : scheduler(scheduler), per_second(per_second) {}
 
 	void Write(const char *event, std::initializer_list<EventField> fields) override;
+	void WriteLasting(const char *event, std::initializer_list<EventField> fields) override;
 
 	/** @return Number of lines dropped so far. */
 	[[nodiscard]] uint64_t DroppedLines() const { return this->dropped; }
@@ -30,10 +31,18 @@
 		uint32_t omitted = 0; ///< Number of lines dropped.
 	};
 
-	Scheduler &scheduler;                               ///< Clock.
-	uint32_t per_second;                                ///< Maximum number of lines of one kind per second.
-	uint64_t dropped = 0;                               ///< Number of lines of all kinds dropped so far.
-	std::map<std::string, Window, std::less<>> windows; ///< Current window of each kind of line.
+	/** Current window of each kind of line. */
+	using Windows = std::map<std::string, Window, std::less<>>;
+
+	Scheduler &scheduler;    ///< Clock.
+	uint32_t per_second;     ///< Maximum number of lines of one kind per second.
+	uint64_t dropped = 0;    ///< Number of lines of all kinds dropped so far.
+	Windows windows;         ///< Windows of lines written with Write().
+	Windows lasting_windows; ///< Windows of lines written with WriteLasting().
+
+	/** Writes a line unless its window is full. @param kinds Windows to which it belongs. @param limit Maximum number
+	 * of lines of one kind per second. @param event Kind of the line. @param fields Its fields. */
+	void WriteWithin(Windows &kinds, uint32_t limit, const char *event, std::initializer_list<EventField> fields);
 };
 
 #endif /* BOUNDED_LOG_H */
