Lines of a long-running task: possible crashes, the crash limit, held runs

Cause: a task that isn't started any more after four crashes, or whose run is held when its box has ended, left no line that says so; possible crashes were counted without a line.

Change: crash_counted for possible crashes, too, with certain=yes or no (answered_for_ms is -1 when the start wasn't confirmed); crash_limit when a task reaches the limit; run_held (why: has_successor, restored, orders_unanswered; box_over) when a box ends and runs stay placed there.

--- a/src/jobs/shard_base.h
+++ b/src/jobs/shard_base.h
@@ -447,6 +447,8 @@
 	[[nodiscard]] bool MayStillArrive(const ShardBox &box, const ShardTask &task) const;
 	void ResolveLostRuns(ShardBox &box, const char *reason);
 	void LoseBox(ShardBox &box, const char *reason, CrashEvidence evidence);
+	/** Logs the runs that are held when a box has ended. @param box The box. @param reason Why it has ended. */
+	void LogHeldRuns(const ShardBox &box, const char *reason);
 	/** @return Whether ended incarnations of an id still have runs that the next one may start. */
 	[[nodiscard]] bool HoldsRuns(const BoxId &id);
 	void ResolveHeldRuns(const BoxId &id, const char *reason);
@@ -464,9 +466,9 @@
 	[[nodiscard]] static bool AtCrashLimit(const StoredTask &task);
 	/** @return Whether the task waits and hasn't reached the crash limit. */
 	[[nodiscard]] static bool Startable(const ShardJob &job, const ShardTask &task);
-	/** Logs a counted crash. @param box The box. @param id The task. @param last_start Whether no other job's task had
-	 * just started there. */
-	void LogCrash(const ShardBox &box, const TaskId &id, bool last_start);
+	/** Logs a counted crash. @param box The box. @param id The task. @param certain Whether the box has certainly
+	 * crashed while it ran the task. @param last_start Whether no other job's task had just started there. */
+	void LogCrash(const ShardBox &box, const TaskId &id, bool certain, bool last_start);
 	void ClearSuspicion(const ShardBox &box, const TaskId &id, ShardTask &task);
 	/** @return Whether crashes fail the job. @param job The job. @param id Task with the newest crash.
 	 * @param crash_attributed Whether that crash is attributed to the task. */
@@ -506,6 +508,11 @@
 	/** @return Whether few enough boxes are isolated for other jobs that this job's suspects may start. */
 	[[nodiscard]] static bool MayIsolate(const std::vector<OpenBox> &open, const JobId &job);
 
+	/* shard_waits.cpp */
+	/** Writes a line about a task. @param job The job. @param id The task. @param event Kind of the line. @param
+	 * fields Its fields. */
+	void LogTask(const ShardJob &job, const TaskId &id, const char *event, std::initializer_list<EventField> fields);
+
 	/* shard_drain.cpp */
 	/** Stops the tasks on a box that is about to shut down, but for those that may still end there. */
 	void StopTasksOnLeaving(ShardBox &box);
--- a/src/jobs/shard_crashes.cpp
+++ b/src/jobs/shard_crashes.cpp
@@ -217,6 +217,9 @@
 		 * is counted, since owners that fail one after another would otherwise hide a crash each. */
 		const bool explained_by_others = !was_running && !restored && others && !was_suspect;
 		task.crashes_possible += explained_by_others ? 0 : 1;
+		if (!explained_by_others) {
+			this->LogCrash(box, id, false, JustStarted(box, task) && !others);
+		}
 		return FailsJob(job, id, false);
 	}
 	task.crashes++;
@@ -226,7 +229,7 @@
 	if (just_started) {
 		this->SpaceStarts();
 	}
-	this->LogCrash(box, id, sole_start);
+	this->LogCrash(box, id, true, sole_start);
 	/* A crash is attributed to each sole crash cause that had just started when nothing else had: these are started
 	 * together so that only one box is lost. */
 	const bool attributed =
@@ -238,18 +241,31 @@
 	return FailsJob(job, id, attributed);
 }
 
-void Shard::LogCrash(const ShardBox &box, const TaskId &id, bool last_start)
+void Shard::LogCrash(const ShardBox &box, const TaskId &id, bool certain, bool last_start)
 {
 	const ShardJob &job = this->jobs.at(id.job);
 	const ShardTask &task = job.tasks[job.IndexOf(id)];
-	this->log.Write("crash_counted", {{"job", id.job.Value()},
-									  {"task", std::to_string(job.IndexOf(id))},
-									  {"run", std::to_string(task.run.Value())},
-									  {"incarnation", IncarnationText(box.report.incarnation)},
-									  {"answered_for_ms", std::to_string((box.answered_at - StartedAt(task)).Value())},
-									  {"last_start", last_start ? "yes" : "no"},
-									  {"crashes", std::to_string(task.crashes)},
-									  {"possible", std::to_string(task.crashes_possible)}});
+	/* Without a confirmed start it isn't known how long the box has answered after it. */
+	const bool confirmed = task.run_state == RunState::RS_RUNNING;
+	const Millis answered_for = confirmed ? box.answered_at - StartedAt(task) : Millis(-1);
+	this->LogTask(job, id, "crash_counted",
+				  {{"job", id.job.Value()},
+				   {"task", std::to_string(job.IndexOf(id))},
+				   {"run", std::to_string(task.run.Value())},
+				   {"incarnation", IncarnationText(box.report.incarnation)},
+				   {"certain", certain ? "yes" : "no"},
+				   {"answered_for_ms", std::to_string(answered_for.Value())},
+				   {"last_start", last_start ? "yes" : "no"},
+				   {"crashes", std::to_string(task.crashes)},
+				   {"possible", std::to_string(task.crashes_possible)}});
+	if (task.crashes + task.crashes_possible == CRASHES_MAX) {
+		this->LogTask(job, id, "crash_limit",
+					  {{"job", id.job.Value()},
+					   {"task", std::to_string(job.IndexOf(id))},
+					   {"run", std::to_string(task.run.Value())},
+					   {"crashes", std::to_string(task.crashes)},
+					   {"possible", std::to_string(task.crashes_possible)}});
+	}
 }
 
 void Shard::ClearSuspicion(const ShardBox &box, const TaskId &id, ShardTask &task)
--- a/src/jobs/shard_incarnations.cpp
+++ b/src/jobs/shard_incarnations.cpp
@@ -66,6 +66,7 @@
 	this->LoseBox(box, reason, this->EvidenceOf(box));
 	if (!box.placed.empty()) {
 		this->held_ids.insert(box.report.incarnation.id);
+		this->LogHeldRuns(box, reason);
 	}
 	this->ScheduleTurn();
 	if (const auto older = this->older_reports.extract(box.report.incarnation.id); !older.empty()) {
@@ -122,6 +123,22 @@
 	}
 }
 
+void Shard::LogHeldRuns(const ShardBox &box, const char *reason)
+{
+	for (const TaskId &id : box.placed) {
+		const ShardJob &job = this->jobs.at(id.job);
+		const ShardTask &task = job.tasks[job.IndexOf(id)];
+		const char *unanswered = task.run_state == RunState::RS_RESTORED ? "restored" : "orders_unanswered";
+		this->LogTask(job, id, "run_held",
+					  {{"job", id.job.Value()},
+					   {"task", std::to_string(job.IndexOf(id))},
+					   {"run", std::to_string(task.run.Value())},
+					   {"box", IncarnationText(box.report.incarnation)},
+					   {"why", box.has_successor ? "has_successor" : unanswered},
+					   {"box_over", reason}});
+	}
+}
+
 bool Shard::HoldsRuns(const BoxId &id)
 {
 	return std::ranges::any_of(this->IncarnationsOf(id),
--- a/src/jobs/shard_place.cpp
+++ b/src/jobs/shard_place.cpp
@@ -362,12 +362,13 @@
 	it->second.last_start_at = this->scheduler.Now();
 	this->starts_under_way++;
 	this->counters.starts++;
-	this->log.Write("run_ordered", {{"job", start.task.job.Value()},
-									{"task", std::to_string(job.IndexOf(start.task))},
-									{"run", std::to_string(start.run.Value())},
-									{"box", IncarnationText(task->box)},
-									{"repeated", task->uncertain ? "yes" : "no"},
-									{"waited_ms", std::to_string((this->scheduler.Now() - job.taken_at).Value())}});
+	this->LogTask(job, start.task, "run_ordered",
+				  {{"job", start.task.job.Value()},
+				   {"task", std::to_string(job.IndexOf(start.task))},
+				   {"run", std::to_string(start.run.Value())},
+				   {"box", IncarnationText(task->box)},
+				   {"repeated", task->uncertain ? "yes" : "no"},
+				   {"waited_ms", std::to_string((this->scheduler.Now() - job.taken_at).Value())}});
 	this->orders.Start(it->second.report, order,
 					   [this, start, sent = this->SentOrderTo(it->second, order.fence),
 						still = std::weak_ptr<bool>(this->alive)](const OrderAnswer &answer) {
@@ -455,10 +456,11 @@
 		}
 		return;
 	}
-	this->log.Write("start_failed", {{"job", id.job.Value()},
-									 {"run", std::to_string(run.Value())},
-									 {"box", IncarnationText(incarnation)},
-									 {"outcome", NameOf(answer.outcome)}});
+	this->LogTask(this->jobs.at(id.job), id, "start_failed",
+				  {{"job", id.job.Value()},
+				   {"run", std::to_string(run.Value())},
+				   {"box", IncarnationText(incarnation)},
+				   {"outcome", NameOf(answer.outcome)}});
 	if (answer.outcome == OrderOutcome::OO_UNKNOWN) {
 		this->OnStartUnknown(id, *task);
 	} else {
--- a/src/jobs/shard_runs.cpp
+++ b/src/jobs/shard_runs.cpp
@@ -44,13 +44,14 @@
 	ShardTask &task = job.tasks[job.IndexOf(id)];
 	const StepSpec &step = job.spec.steps[id.step];
 	const Millis ran = this->scheduler.Now() - task.phase_since;
-	this->log.Write("run_ended", {{"job", id.job.Value()},
-								  {"task", std::to_string(job.IndexOf(id))},
-								  {"run", std::to_string(task.run.Value())},
-								  {"box", IncarnationText(task.box)},
-								  {"ending", NameOf(ending)},
-								  {"why", reason},
-								  {"ran_ms", std::to_string(ran.Value())}});
+	this->LogTask(job, id, "run_ended",
+				  {{"job", id.job.Value()},
+				   {"task", std::to_string(job.IndexOf(id))},
+				   {"run", std::to_string(task.run.Value())},
+				   {"box", IncarnationText(task.box)},
+				   {"ending", NameOf(ending)},
+				   {"why", reason},
+				   {"ran_ms", std::to_string(ran.Value())}});
 	if (!saved.empty()) {
 		task.saved = saved;
 	}
@@ -141,11 +142,12 @@
 		return;
 	}
 	task.stop_wanted = true;
-	this->log.Write("run_stopping", {{"job", id.job.Value()},
-									 {"task", std::to_string(this->jobs.at(id.job).IndexOf(id))},
-									 {"run", std::to_string(task.run.Value())},
-									 {"box", IncarnationText(task.box)},
-									 {"why", reason}});
+	this->LogTask(this->jobs.at(id.job), id, "run_stopping",
+				  {{"job", id.job.Value()},
+				   {"task", std::to_string(this->jobs.at(id.job).IndexOf(id))},
+				   {"run", std::to_string(task.run.Value())},
+				   {"box", IncarnationText(task.box)},
+				   {"why", reason}});
 	if (task.run_state != RunState::RS_RECORDING) {
 		this->SendStop(id);
 	}
