The owner tells why a long-running task is without a run, and since when

Cause: nothing told on-call whether a long-running task waits for room, a box, the log or for good.

Change: once a second the owner goes through its jobs with long-running tasks and notes the reason (wait_reason.h) for each task without a run that it knows of. One line, lasting_waiting, for each task that is without a run for 3 s, again every 3 s; the gauge glade_lasting_waiting by service and reason, and lasting_waiting in the dump. Boxes are walked only while such a task could be placed, once a check, and compared once for each step.

The metrics page and the dump were not read from a running node.

--- a/src/jobs/shard_base.h
+++ b/src/jobs/shard_base.h
@@ -10,6 +10,7 @@
 #include "progress_records.h"
 #include "shard_type.h"
 #include "ticket_cache.h"
+#include "wait_reason.h"
 
 #include <deque>
 #include <map>
@@ -143,6 +144,8 @@
 	[[nodiscard]] BoxCounts CountBoxes() const;
 	/** @return Boxes by incarnation. */
 	[[nodiscard]] const std::map<BoxIncarnation, ShardBox> &Boxes() const { return this->boxes; }
+	/** @return Long-running tasks that are without a run, as of the last check. */
+	[[nodiscard]] const std::map<TaskId, LastingWait> &LastingWaits() const { return this->waits; }
 	/** @return Resources that accounts use here. */
 	[[nodiscard]] const AccountBook &Accounts() const { return this->book; }
 	/** @return Jobs by id, also those that are over. */
@@ -170,6 +173,14 @@
 		RunNumber run; ///< Number of the run.
 	};
 
+	/** State of one check of the long-running tasks. */
+	struct WaitCheck {
+		std::map<TaskId, LastingWait> before;     ///< What the check before has found.
+		std::optional<std::vector<OpenBox>> open; ///< Boxes that accept tasks, once they are needed.
+		/** Why no box is chosen, by the first task of a step and the kind of start. */
+		std::map<std::pair<TaskId, StartKind>, WaitReason> no_box;
+	};
+
 	/** A batch of records passed to the journal: what to continue with once it is durable. */
 	struct Batch {
 		std::vector<PendingStart> starts;           ///< Starts to send.
@@ -240,10 +251,13 @@
 	Millis starts_waited_at{-1000000}; ///< When recorded starts last had to wait; initially long ago.
 	/** Work that may be lost now by stopping late tasks, in thousandths of a core times ms. */
 	double loss_allowed = 0;
-	Millis loss_refilled_at;                                    ///< When `loss_allowed` was last raised.
-	TicketCache tickets;                                        ///< Tickets of the placement policy.
-	ShardCounters counters;                                     ///< Counters.
-	TimerId timer;                                              ///< Next turn.
+	Millis loss_refilled_at;             ///< When `loss_allowed` was last raised.
+	std::set<JobId> lasting_jobs;        ///< Jobs with lasting tasks; may include some that are over.
+	std::map<TaskId, LastingWait> waits; ///< See LastingWaits().
+	Millis waits_noted_at{-1000000};     ///< When NoteWaits() last checked; initially long ago.
+	TicketCache tickets;                 ///< Tickets of the placement policy.
+	ShardCounters counters;              ///< Counters.
+	TimerId timer;                       ///< Next turn.
 	std::shared_ptr<bool> alive = std::make_shared<bool>(true); ///< Expires with this object.
 
 	/* shard_jobs.cpp */
@@ -331,6 +345,8 @@
 	/* shard_place.cpp */
 	void Place();
 	[[nodiscard]] PlaceRound BeginRound();
+	/** @return Boxes that accept tasks now. */
+	[[nodiscard]] std::vector<OpenBox> OpenBoxes();
 	void PlaceJob(PlaceRound &round, ShardJob &job);
 	void PlaceStep(PlaceRound &round, ShardJob &job, uint32_t occurrence, uint32_t step);
 	void PlaceGang(PlaceRound &round, ShardJob &job, uint32_t occurrence, uint32_t step);
@@ -512,6 +528,20 @@
 	/** Writes a line about a task. @param job The job. @param id The task. @param event Kind of the line. @param
 	 * fields Its fields. */
 	void LogTask(const ShardJob &job, const TaskId &id, const char *event, std::initializer_list<EventField> fields);
+	/** Finds out which lasting tasks are without a run, and logs those that are for long. */
+	void NoteWaits();
+	void NoteWaitsOf(WaitCheck &check, const ShardJob &job);
+	void NoteWait(const WaitCheck &check, const ShardJob &job, const TaskId &id, WaitReason reason);
+	/** @return When the task was last known to run, or when its wait began. */
+	[[nodiscard]] Millis LastKnownToRun(const ShardTask &task) const;
+	/** @return Why a lasting task is without a run; nothing when it runs. */
+	[[nodiscard]] std::optional<WaitReason> WhyWithoutRun(WaitCheck &check, const ShardJob &job, const TaskId &id);
+	/** @return Why nothing can be recorded; nothing when it can. */
+	[[nodiscard]] std::optional<WaitReason> WhyNotRecorded() const;
+	/** @return Why a placed task doesn't run; nothing when it does. */
+	[[nodiscard]] std::optional<WaitReason> WhyNotRunning(const ShardTask &task) const;
+	[[nodiscard]] WaitReason WhyNotPlaced(WaitCheck &check, const ShardJob &job, const TaskId &id);
+	[[nodiscard]] WaitReason WhyNoBox(WaitCheck &check, const ShardJob &job, const TaskId &first, StartKind kind);
 
 	/* shard_drain.cpp */
 	/** Stops the tasks on a box that is about to shut down, but for those that may still end there. */
--- a/src/jobs/shard_jobs.cpp
+++ b/src/jobs/shard_jobs.cpp
@@ -169,6 +169,9 @@
 	});
 	if (!kept.Over()) {
 		this->live.emplace(spec.id, &kept);
+		if (std::ranges::any_of(spec.steps, &StepSpec::lasting)) {
+			this->lasting_jobs.insert(spec.id);
+		}
 	}
 	if (this->Cancelled(spec.id, spec.account)) {
 		this->EndJob(kept, JobPhase::JP_CANCELLED, "cancelled");
@@ -328,6 +331,7 @@
 		this->Place();
 		this->Commit();
 	}
+	this->NoteWaits();
 	if (!this->turn_scheduled) {
 		const Millis pause = std::min(IDLE_TURN_INTERVAL, check_again);
 		this->turn_due = this->scheduler.Now() + pause;
--- a/src/jobs/shard_place.cpp
+++ b/src/jobs/shard_place.cpp
@@ -29,21 +29,28 @@
 
 PlaceRound Shard::BeginRound()
 {
+	this->counters.rounds++;
 	PlaceRound round;
+	round.open = this->OpenBoxes();
+	return round;
+}
+
+std::vector<OpenBox> Shard::OpenBoxes()
+{
+	std::vector<OpenBox> open;
 	const Millis now = this->scheduler.Now();
 	const bool spaced = this->StartsSpaced();
-	this->counters.rounds++;
 	this->counters.boxes_walked += this->boxes.size();
 	for (ShardBox &box : this->boxes | std::views::values) {
 		if (AcceptsTasks(box, now)) {
 			Resources free = box.report.capacity;
 			free -= box.used;
 			this->counters.tasks_walked += box.suspects.size();
-			round.open.push_back(OpenBox{&box, this->IsolatedJobOn(box),
-										 spaced ? this->RecentStartOn(box) : std::nullopt, false, free});
+			open.push_back(OpenBox{&box, this->IsolatedJobOn(box), spaced ? this->RecentStartOn(box) : std::nullopt,
+								   false, free});
 		}
 	}
-	return round;
+	return open;
 }
 
 void Shard::Place()
--- a/src/node/metrics_page.cpp
+++ b/src/node/metrics_page.cpp
@@ -77,6 +77,21 @@
 	return std::ranges::count_if(shard.Jobs() | std::views::values, [](const ShardJob &it) { return !it.Over(); });
 }
 
+/** @return Number of long-running tasks of a shard without a run, by reason. */
+int64_t CountWaits(const Shard &shard, WaitReason reason)
+{
+	return std::ranges::count(shard.LastingWaits() | std::views::values, reason, &LastingWait::reason);
+}
+
+QJsonObject DumpWaits(const Shard &shard)
+{
+	QJsonObject out;
+	for (const WaitReason it : WAIT_REASONS) {
+		out[NameOf(it)] = static_cast<qint64>(CountWaits(shard, it));
+	}
+	return out;
+}
+
 } // namespace
 
 QJsonObject DumpNode(const NodeCore &core)
@@ -112,6 +127,7 @@
 			row["tasks_evacuated"] = static_cast<qint64>(shard->CountBoxes().evacuated_tasks);
 			row["accounts"] = DumpAccounts(shard->Accounts());
 			row["version_of_all"] = static_cast<qint64>(shard->Accounts().MinAppliedVersion());
+			row["lasting_waiting"] = DumpWaits(*shard);
 			row["journal_detours"] = static_cast<qint64>(shard->Detours());
 			for (const CounterRow &counter : COUNTERS) {
 				row[counter.name] = static_cast<qint64>(shard->Counters().*counter.member);
@@ -153,6 +169,10 @@
 		}
 		text += "glade_jobs_live" + label + std::to_string(LiveJobs(*shard)) + "\n";
 		text += "glade_tasks_evacuated" + label + std::to_string(shard->CountBoxes().evacuated_tasks) + "\n";
+		for (const WaitReason it : WAIT_REASONS) {
+			text += "glade_lasting_waiting{service=\"" + service.Value() + "\",reason=\"" + NameOf(it) + "\"} " +
+					std::to_string(CountWaits(*shard, it)) + "\n";
+		}
 		text += "glade_journal_detours" + label + std::to_string(shard->Detours()) + "\n";
 		for (const AccountBook::NamedUse &it : shard->Accounts().Largest(ACCOUNTS_SHOWN)) {
 			text += "glade_account_used_cpu{service=\"" + service.Value() + "\",account=\"" + it.account.Value() +
