A restored run ends when its box is back under another id

What callers saw: LOST, on real processes. The next owner knows the run's incarnation by its id alone and waits until the leases of earlier owners must have ended, 9.2 s after the takeover.

Cause: the record of a placement had no name of the box, so an owner that had not seen the old report couldn't tell that the report of the new id is of the same box.

Change: the record has the box's name; an incarnation without a report ends when its box reports a later one under another id. Safe: a box has one agent, as NoteOtherId() relies on already, and the later start time excludes an old report.

Test: test_held_runs, "back under another id while all nodes were away": not running after 7 s before, now it does.

--- a/src/jobs/job_codec.cpp
+++ b/src/jobs/job_codec.cpp
@@ -171,6 +171,7 @@
 			if (added) {
 				out.boxes.push_back(task.box.id.Value());
 				out.started.push_back(task.box.started.Value());
+				out.box_names.push_back(task.box_name.Value());
 			}
 		}
 		out.tasks.push_back(std::move(row));
@@ -211,6 +212,7 @@
 			/* Earlier versions record no start time: such an incarnation counts as older than any with a start time. */
 			task.box = BoxIncarnation{BoxId(in->boxes[place]),
 									  Millis(place < in->started.size() ? in->started[place] : 0)};
+			task.box_name = BoxName(place < in->box_names.size() ? in->box_names[place] : std::string());
 		}
 		progress.tasks.push_back(std::move(task));
 	}
--- a/src/jobs/job_codec.h
+++ b/src/jobs/job_codec.h
@@ -21,6 +21,7 @@
 	RunNumber run;                           ///< Newest run; also one that has ended.
 	uint32_t failures = 0;                   ///< Number of failed runs.
 	BoxIncarnation box;                      ///< Where it may run, while placed.
+	BoxName box_name;                        ///< Name of that box; empty if it isn't recorded.
 	std::string saved;                       ///< Checkpoint to resume from.
 	/** The current run is to be stopped for planned maintenance. Recorded before the stop order is sent: a box lists a
 	 * run at full pace until it has ended, so the next owner would otherwise count the task as working. */
--- a/src/jobs/shard_base.h
+++ b/src/jobs/shard_base.h
@@ -451,6 +451,8 @@
 	/** @return Whether ended incarnations of an id still have runs that the next one may start. */
 	[[nodiscard]] bool HoldsRuns(const BoxId &id);
 	void ResolveHeldRuns(const BoxId &id, const char *reason);
+	/** Ends the incarnations under other ids that a box had before. @param report Report of its current one. */
+	void EndEarlierIds(const BoxReport &report);
 	void NoteOtherId(const BoxReport &report);
 	/** Moves a run to the box if it was placed on an ended incarnation of the same id. @return Whether a run listed by
 	 * the box is the current run of the task and is placed there. */
--- a/src/jobs/shard_boxes.cpp
+++ b/src/jobs/shard_boxes.cpp
@@ -69,7 +69,7 @@
 	}
 	this->EndOtherIncarnations(box);
 	if (added) {
-		this->NoteOtherId(report);
+		this->EndEarlierIds(report);
 	}
 	box.has_report = true;
 	if (!changed) {
--- a/src/jobs/shard_incarnations.cpp
+++ b/src/jobs/shard_incarnations.cpp
@@ -146,6 +146,19 @@
 	}
 }
 
+void Shard::EndEarlierIds(const BoxReport &report)
+{
+	/* An owner that has restored a run may know nothing else of the incarnation that it was placed on. */
+	for (auto &[incarnation, box] : this->boxes) {
+		const bool earlier =
+				incarnation.id != report.incarnation.id && incarnation.started < report.incarnation.started;
+		if (earlier && !box.has_report && box.report.box == report.box) {
+			this->EndIncarnation(box, "other_id");
+		}
+	}
+	this->NoteOtherId(report);
+}
+
 void Shard::NoteOtherId(const BoxReport &report)
 {
 	/* A machine has one agent, so no agent answers under its earlier ids. */
--- a/src/jobs/shard_jobs.cpp
+++ b/src/jobs/shard_jobs.cpp
@@ -149,6 +149,7 @@
 		if (added) {
 			/* Its report has not arrived yet, if there is one. */
 			it->second.report.incarnation = task.box;
+			it->second.report.box = task.box_name;
 			this->RaiseFence(task.box.id);
 			it->second.has_report = false;
 			it->second.leases_expire_at = this->EarlierLeasesEnd();
@@ -235,6 +236,9 @@
 		if (ShardBox *newest = this->IncarnationsOf(incarnation.id).back(); !newest->over) {
 			this->EndOtherIncarnations(*newest);
 		}
+		if (box.has_report && !box.over) {
+			this->EndEarlierIds(box.report);
+		}
 		/* The box itself answers whether its unlisted agent has another incarnation by now. Without the removed
 		 * report's address, its tasks would wait until its lease must have expired. */
 		if (const auto it = this->removed_reports.find(incarnation);
--- a/src/jobs/shard_place.cpp
+++ b/src/jobs/shard_place.cpp
@@ -282,6 +282,7 @@
 	task.phase = TaskPhase::TP_PLACED;
 	task.run = run;
 	task.box = box.report.incarnation;
+	task.box_name = box.report.box;
 	task.run_state = RunState::RS_RECORDING;
 	task.uncertain = task.answerer_unsure = false;
 	task.stop_wanted = task.stop_sent = task.stop_confirmed = false;
--- a/src/jobs/shard_runs.cpp
+++ b/src/jobs/shard_runs.cpp
@@ -29,6 +29,7 @@
 		this->book.Remove(job.spec.account, job.spec.steps[id.step].demand);
 	}
 	task.box = BoxIncarnation();
+	task.box_name = BoxName();
 	task.phase = TaskPhase::TP_WAITING;
 	task.stop_wanted = task.stop_sent = task.stop_confirmed = false;
 	task.leaving = task.stop_recorded = false;
--- a/tests/test_held_runs.cpp
+++ b/tests/test_held_runs.cpp
@@ -84,6 +84,24 @@
 	}
 }
 
+TEST_CASE("a long-running task runs again soon after its box is back under another id while all nodes were away")
+{
+	JobWorld world;
+	world.site.keep_box_id = false;
+	world.site.restart_delay = Millis(250);
+	const WorldJob &job = world.Plan(Millis(1000), "calc", JobWorld::Lasting(1));
+	world.clock.RunUntil(LOST_AT);
+	world.site.Crash(BoxOf(world, job));
+	std::ranges::for_each(world.nodes, [](const auto &it) { JobWorld::Kill(*it); });
+	world.clock.RunUntil(world.clock.Now() + Millis(1000));
+	for (const char *name : {"node-0", "node-1", "node-2"}) {
+		world.Boot(name);
+	}
+	world.clock.RunUntil(world.clock.Now() + RESTARTED_BY);
+	CHECK(world.site.Running(job.spec.id) == 1);
+	CHECK(world.site.violations == std::vector<std::string>{});
+}
+
 TEST_CASE("a long-running task runs elsewhere soon after its box was lost together with its owner just after its start")
 {
 	JobWorld world;
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -119,7 +119,7 @@
 	progress.route = RouteName("r");
 	progress.changed = Millis(5);
 	progress.tasks = {StoredTask{TaskPhase::TP_PLACED, RunNumber(2), 1,
-								 BoxIncarnation{BoxId("i-1"), Millis(1700000000123)}, "saved"},
+								 BoxIncarnation{BoxId("i-1"), Millis(1700000000123)}, BoxName("box-1"), "saved"},
 					  StoredTask{}};
 	CHECK(DecodeProgress(EncodeProgress(progress)) == progress);
 	const StoredOwner owner{9, "10.0.0.1:7060", true, Millis(1200)};
