A follower that is behind the end of its partition doesn't claim to be current

What callers saw: LOST.

Cause: a read answers 1 MB at most. KeyedFollower took the time of each answered read, and of the first page of a load, for the time up to which it knows all records, also when the answer stopped short of the end. An owner whose inbox held records of seconds took itself for fresh (ShardOwner::Fresh) and called jobs unknown that it had not read yet. Two traces: a job in the inbox at 42.199 s, the 410 at 48.416 s, jobs taken from the inbox at 46.96 and 48.79 s.

Change: that time moves on only when an answer reaches the end, or a load is complete.

Test: test_keyed_follower, 112 wrong checks before, 0 after.

--- a/src/store/keyed_follower.cpp
+++ b/src/store/keyed_follower.cpp
@@ -53,7 +53,7 @@
 	if (!this->load_end) {
 		/* Pages are no snapshot: what is appended during the load is read from the end that the first page gave. */
 		this->load_end = page.end;
-		this->current_as_of = sent_at;
+		this->load_sent_at = sent_at;
 	}
 	for (const KeyedRecord &record : page.records) {
 		this->loaded_keys.insert(record.key);
@@ -65,6 +65,7 @@
 	}
 	this->DropMissing();
 	this->next = *this->load_end;
+	this->current_as_of = this->load_sent_at;
 	this->confirmed_as_of = std::max(this->confirmed_as_of, this->current_as_of);
 	const bool first = !std::exchange(this->loaded, true);
 	if (first && this->on_loaded) {
@@ -106,7 +107,9 @@
 		this->Schedule(this->timing.retry_after, &KeyedFollower::ReadNext);
 		return;
 	}
-	this->current_as_of = sent_at;
+	if (answer.next >= answer.end) {
+		this->current_as_of = sent_at; /* Otherwise records follow that the answer had no room for. */
+	}
 	this->last_answer_at = this->scheduler.Now();
 	this->ReportNew(answer);
 	this->NoteConfirmed(answer, sent_at, this->timing.wait);
--- a/src/store/keyed_follower.h
+++ b/src/store/keyed_follower.h
@@ -44,8 +44,8 @@
 	/** @return Whether the newest records of all keys were reported once. */
 	[[nodiscard]] bool Loaded() const { return this->loaded; }
 
-	/** @return Time up to which all appends are known: when the last answered read, or the first page of a load, was
-	 * requested. */
+	/** @return Time up to which all appends are known: when the last read that reached the end of the partition, or the
+	 * first page of the last complete load, was requested. */
 	[[nodiscard]] Millis CurrentAsOf() const { return this->current_as_of; }
 
 	/** @return Time up to which all appends were reported. Later than CurrentAsOf() if the log has waited for a record
@@ -70,6 +70,7 @@
 	bool loaded = false;               ///< See Loaded().
 	uint64_t next = 0;                 ///< Offset of the next read.
 	std::optional<uint64_t> load_end;  ///< End of the partition in the first page of the load in progress.
+	Millis load_sent_at;               ///< When the first page of the load in progress was requested.
 	std::set<std::string> live_keys;   ///< Keys that have a value.
 	std::set<std::string> loaded_keys; ///< Keys seen by the load in progress.
 	Millis current_as_of;              ///< See CurrentAsOf().
