Soak: a long-running task that is without a run for over 7 s breaks a promise

Lasting tasks were looked at when all has settled alone: a gap of 30 s before that passed. Now each one of an accepted job that nobody cancels is checked every 50 ms by what the boxes run: 7 s after its last run, its acceptance and the end of the last fault, with a box that has room in each service that may run it. The last line tells the longest gap since the faults.

--- a/src/standin/memory/box_site.cpp
+++ b/src/standin/memory/box_site.cpp
@@ -128,6 +128,25 @@
 	return n;
 }
 
+bool BoxSite::IsRunning(const TaskId &task) const
+{
+	return std::ranges::any_of(this->boxes | std::views::values,
+							   [&task](const Box &it) { return it.running.contains(task); });
+}
+
+bool BoxSite::HasRoom(const ServiceName &service, const TaskId &task) const
+{
+	const Resources demand = this->jobs.at(task.job).spec.steps.at(task.step).demand;
+	return std::ranges::any_of(this->boxes | std::views::values, [&](const Box &box) {
+		const bool usable = box.report.service == service && !box.down && !box.report.leaving &&
+							!this->no_starts_from.contains(box.report.zone);
+		Resources taken = demand;
+		std::ranges::for_each(box.running | std::views::values, [&taken](const Run &it) { taken += it.resources; });
+		return usable && box.report.capacity.Holds(taken) &&
+			   std::ranges::count(box.running | std::views::keys, task.job, &TaskId::job) == 0;
+	});
+}
+
 BoxSite::Box *BoxSite::Find(const BoxReport &report)
 {
 	const auto it = this->boxes.find(report.box);
--- a/src/standin/memory/box_site.h
+++ b/src/standin/memory/box_site.h
@@ -103,6 +103,11 @@
 	[[nodiscard]] bool Started(const JobId &id) const { return this->started_jobs.contains(id); }
 	/** @return Number of running tasks of a job. @param id The job. */
 	[[nodiscard]] size_t Running(const JobId &id) const;
+	/** @return Whether a task runs on some box. @param task The task. */
+	[[nodiscard]] bool IsRunning(const TaskId &task) const;
+	/** @return Whether a box that is up and may be used has room for a task, and runs none of its job.
+	 * @param service Service of the box. @param task The task. */
+	[[nodiscard]] bool HasRoom(const ServiceName &service, const TaskId &task) const;
 
 	/* Execute an order at once, as the box's agent does; see BoxOrders. Pace() only checks incarnation and fence. */
 	OrderAnswer Start(const BoxReport &box, const StartOrder &order);
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -46,7 +46,8 @@
 		  roaming_random(options.seed), store(this->scheduler, PARTITIONS, options.seed),
 		  boxes(this->scheduler, options.seed),
 		  evacuations(this->scheduler, this->store.store, this->boxes.site, options.seed),
-		  caller(this->scheduler, DialLimits{Millis(500), Millis(60000), 8})
+		  caller(this->scheduler, DialLimits{Millis(500), Millis(60000), 8}),
+		  lasting(this->scheduler, this->boxes.site, this->jobs, [this] { return this->NodesUp(); })
 {
 }
 
@@ -84,6 +85,7 @@
 	this->scheduler.After(WARM_UP, [this] {
 		this->traffic_started_at = this->scheduler.Now();
 		this->SubmitNextJob();
+		this->lasting.Start();
 		if (!this->options.calm) {
 			this->InjectNextFault();
 			this->ChangeCapacity();
@@ -230,6 +232,7 @@
 	if (kind.cuts_store) {
 		this->evacuations.NoteOutage(this->scheduler.Now() + span);
 	}
+	this->lasting.NoteFault(this->scheduler.Now() + span);
 	if (const std::function<void()> end = kind.begin(); end) {
 		this->scheduler.After(span, end);
 	}
@@ -240,6 +243,7 @@
 {
 	this->load_ended = true;
 	this->evacuations.End();
+	this->lasting.NoteFault(this->scheduler.Now());
 	this->roaming_service = "grid"; /* Jobs are queried until they have ended, so their route stays from now on. */
 	this->version++;
 	this->AppendConfig(true);
@@ -286,6 +290,7 @@
 		site.restart_delay =
 				Millis(RESTART_MIN_MS + static_cast<int64_t>(this->crash_random() % (soon ? RESTART_SHORT_SPREAD_MS
 																						  : RESTART_LONG_SPREAD_MS)));
+		this->lasting.NoteFault(this->scheduler.Now() + site.restart_delay);
 		site.keep_box_id = this->crash_random() % NEW_ID_ONE_IN != 0;
 		site.Crash(all[this->crash_random() % all.size()].box);
 	}
@@ -293,6 +298,11 @@
 	this->scheduler.After(CRASH_INTERVAL, [this] { this->CrashBoxes(); });
 }
 
+bool SoakWorld::NodesUp() const
+{
+	return std::ranges::all_of(this->nodes, [](const auto &it) { return it->IsHealthy(); });
+}
+
 bool SoakWorld::AllSettled()
 {
 	return std::ranges::all_of(this->jobs, [this](const auto &job) {
@@ -394,6 +404,7 @@
 
 void SoakWorld::StopAll()
 {
+	this->lasting.End();
 	for (const auto &node : this->nodes) {
 		node->Finish();
 	}
@@ -415,6 +426,7 @@
 {
 	std::vector<std::string> out = this->failures;
 	std::ranges::copy(this->boxes.site.violations, std::back_inserter(out));
+	std::ranges::copy(this->lasting.violations, std::back_inserter(out));
 	for (const auto &node : this->nodes) {
 		if (!node->unexpected_exit.empty()) {
 			out.push_back(node->unexpected_exit);
@@ -429,5 +441,6 @@
 	return "seed=" + std::to_string(this->options.seed) + " jobs=" + std::to_string(this->jobs.size()) +
 		   " accepted=" + std::to_string(accepted) + " starts=" + std::to_string(this->boxes.site.starts) +
 		   " faults=" + std::to_string(this->faults) + " evacuations=" + std::to_string(this->evacuations.Count()) +
+		   " lasting_gap_ms=" + std::to_string(this->lasting.LongestGap().Value()) +
 		   " broken=" + std::to_string(this->Failures().size());
 }
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -6,6 +6,7 @@
 #include "program/bounded_log.h"
 #include "soak_boxes.h"
 #include "soak_evacuation.h"
+#include "soak_lasting.h"
 #include "soak_node.h"
 #include "soak_store.h"
 
@@ -78,6 +79,7 @@
 	std::vector<std::unique_ptr<SoakNode>> nodes;        ///< Node processes.
 	HttpCaller caller;                                   ///< Connections of callers.
 	std::vector<std::unique_ptr<SoakJob>> jobs;          ///< All submitted jobs.
+	SoakLastingCheck lasting;                            ///< Checks that long-running tasks run.
 	std::vector<Fault> fault_kinds;                      ///< Kinds of faults to choose from.
 	std::vector<std::string> failures;                   ///< Failed checks of callers and nodes.
 	std::function<void()> done;                          ///< Called at the end.
@@ -112,6 +114,7 @@
 	void CrashBoxes();
 	[[nodiscard]] bool HasExpectedState(const SoakJob &job) const;
 	bool AllSettled();
+	[[nodiscard]] bool NodesUp() const;
 	void CheckRemovedRoute();
 	void CheckKeys();
 	void CheckKey(SoakNode &node, const std::string &key);
