Soak: boxes crash at start orders, and a box of a long-running task is lost for good

One start order in 40 crashes its box within 20 ms, or just before it is carried out; the last fault is the loss of a box that runs a long-running task, which stays listed as down. The choices have a generator of their own, so that the other faults of a seed stay.

--- a/src/standin/memory/box_site.cpp
+++ b/src/standin/memory/box_site.cpp
@@ -128,10 +128,11 @@
 	return n;
 }
 
-bool BoxSite::IsRunning(const TaskId &task) const
+std::optional<BoxName> BoxSite::BoxOf(const TaskId &task) const
 {
-	return std::ranges::any_of(this->boxes | std::views::values,
-							   [&task](const Box &it) { return it.running.contains(task); });
+	const auto it = std::ranges::find_if(this->boxes | std::views::values,
+										 [&task](const Box &box) { return box.running.contains(task); });
+	return it.base() == this->boxes.end() ? std::nullopt : std::optional(it.base()->first);
 }
 
 bool BoxSite::HasRoom(const ServiceName &service, const TaskId &task) const
--- a/src/standin/memory/box_site.h
+++ b/src/standin/memory/box_site.h
@@ -103,8 +103,8 @@
 	[[nodiscard]] bool Started(const JobId &id) const { return this->started_jobs.contains(id); }
 	/** @return Number of running tasks of a job. @param id The job. */
 	[[nodiscard]] size_t Running(const JobId &id) const;
-	/** @return Whether a task runs on some box. @param task The task. */
-	[[nodiscard]] bool IsRunning(const TaskId &task) const;
+	/** @return The box that runs a task, if any. @param task The task. */
+	[[nodiscard]] std::optional<BoxName> BoxOf(const TaskId &task) const;
 	/** @return Whether a box that is up and may be used has room for a task, and runs none of its job.
 	 * @param service Service of the box. @param task The task. */
 	[[nodiscard]] bool HasRoom(const ServiceName &service, const TaskId &task) const;
--- a/tests/soak/soak_boxes.cpp
+++ b/tests/soak/soak_boxes.cpp
@@ -95,6 +95,11 @@
 		order.lease_until = until;
 		order.fence = fence;
 		work = [this, box, order] { return this->site.Start(*box, order); };
+		this->on_start(box->box);
+		if (this->site.Down(box->box)) {
+			answer->Disconnect();
+			return;
+		}
 	} else if (request.target == "/v1/run-stop") {
 		work = [this, box, task, run, fence] { return this->site.Stop(*box, task, run, fence); };
 	} else if (request.target == "/v1/hold") {
--- a/tests/soak/soak_boxes.h
+++ b/tests/soak/soak_boxes.h
@@ -28,9 +28,10 @@
 	/** @return Port of the control of machines. */
 	[[nodiscard]] quint16 ControlPort() const { return this->control.Port(); }
 
-	BoxSite site;                            ///< State of the boxes.
-	std::map<BoxName, SoakBoxFaults> faults; ///< Faults by box.
-	std::function<void()> on_restart;        ///< Called MAINTENANCE_TIME after a restart for maintenance.
+	BoxSite site;                                  ///< State of the boxes.
+	std::map<BoxName, SoakBoxFaults> faults;       ///< Faults by box.
+	std::function<void(const BoxName &)> on_start; ///< Called for each start order before it is executed.
+	std::function<void()> on_restart;              ///< Called MAINTENANCE_TIME after a restart for maintenance.
 
 private:
 	QtScheduler &scheduler;                 ///< Event loop.
--- a/tests/soak/soak_lasting.cpp
+++ b/tests/soak/soak_lasting.cpp
@@ -20,6 +20,17 @@
 	}
 }
 
+std::vector<BoxName> SoakLastingCheck::Boxes() const
+{
+	std::vector<BoxName> out;
+	for (const TaskId &task : this->sights | std::views::keys) {
+		if (const std::optional<BoxName> box = this->site.BoxOf(task)) {
+			out.push_back(*box);
+		}
+	}
+	return out;
+}
+
 void SoakLastingCheck::Check()
 {
 	if (!this->nodes_up()) {
@@ -47,7 +58,7 @@
 	const Millis now = this->scheduler.Now();
 	Sight &sight = this->sights.try_emplace(task, Sight{*job.accepted_at}).first->second;
 	const Millis gap = now - std::max(sight.last_run, this->faults_end_at);
-	if (this->site.IsRunning(task)) {
+	if (this->site.BoxOf(task)) {
 		sight = Sight{now};
 		return;
 	}
--- a/tests/soak/soak_lasting.h
+++ b/tests/soak/soak_lasting.h
@@ -25,6 +25,8 @@
 	/** Records a fault. @param until When it ends. */
 	void NoteFault(Millis until) { this->faults_end_at = std::max(this->faults_end_at, until); }
 
+	/** @return The box of each long-running task that runs. */
+	[[nodiscard]] std::vector<BoxName> Boxes() const;
 	/** @return Longest time without a run after the end of the faults. */
 	[[nodiscard]] Millis LongestGap() const { return this->longest_gap; }
 
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -20,6 +20,9 @@
 constexpr uint32_t RESTART_LONG_SPREAD_MS = 4400; ///< Largest addition for the other half of the crashes.
 constexpr uint32_t NEW_ID_ONE_IN = 4;             ///< One restart of this many is under a new id.
 constexpr Millis CRASH_RESTART_DELAY(1200);       ///< Time from a crash caused by a task to the restart.
+constexpr uint32_t CRASH_AT_START_ONE_IN = 40;    ///< One start order of this many crashes its box.
+constexpr uint32_t CRASH_AFTER_START_MS = 20;     ///< Longest time from the order to the crash.
+constexpr Millis NEVER(3600000);                  ///< Time from a crash to the restart of a box that is lost for good.
 constexpr Millis WARM_UP(3000);                   ///< Time for nodes to start and claim their partitions.
 constexpr Millis FAULT_MIN(300);                  ///< Shortest fault.
 constexpr Millis FAULT_MAX(4500);                 ///< Longest fault.
@@ -43,7 +46,7 @@
 
 SoakWorld::SoakWorld(const SoakOptions &options)
 		: options(options), random(options.seed), capacity_random(options.seed), crash_random(options.seed),
-		  roaming_random(options.seed), store(this->scheduler, PARTITIONS, options.seed),
+		  loss_random(options.seed), roaming_random(options.seed), store(this->scheduler, PARTITIONS, options.seed),
 		  boxes(this->scheduler, options.seed),
 		  evacuations(this->scheduler, this->store.store, this->boxes.site, options.seed),
 		  caller(this->scheduler, DialLimits{Millis(500), Millis(60000), 8}),
@@ -70,6 +73,7 @@
 	this->boxes.site.log = &this->log;
 	this->boxes.site.checks_capacity = false;
 	this->boxes.site.restart_delay = CRASH_RESTART_DELAY;
+	this->boxes.on_start = [this](const BoxName &box) { this->CrashAtStart(box); };
 	this->boxes.on_restart = [this] { this->PublishReports(); };
 	this->AddBoxes();
 	this->PublishConfig(true);
@@ -249,6 +253,7 @@
 	this->AppendConfig(true);
 	/* No fault is begun any more; the active ones end within FAULT_MAX. */
 	this->scheduler.After(FAULT_MAX, [this] {
+		this->LoseBox();
 		this->faults_ended_at = this->scheduler.Now();
 		this->WaitUntilSettled();
 	});
@@ -298,6 +303,32 @@
 	this->scheduler.After(CRASH_INTERVAL, [this] { this->CrashBoxes(); });
 }
 
+void SoakWorld::CrashAtStart(const BoxName &box)
+{
+	if (this->options.calm || this->load_ended || this->loss_random() % CRASH_AT_START_ONE_IN != 0) {
+		return;
+	}
+	const Millis delay(static_cast<int64_t>(this->loss_random() % CRASH_AFTER_START_MS));
+	this->lasting.NoteFault(this->scheduler.Now() + delay + this->boxes.site.restart_delay);
+	if (delay == Millis(0)) {
+		this->boxes.site.Crash(box);
+	} else {
+		this->scheduler.After(delay, [this, box] { this->boxes.site.Crash(box); });
+	}
+}
+
+void SoakWorld::LoseBox()
+{
+	const std::vector<BoxName> all = this->lasting.Boxes();
+	if (this->options.calm || all.empty()) {
+		return;
+	}
+	const Millis default_delay = std::exchange(this->boxes.site.restart_delay, NEVER);
+	this->boxes.site.Crash(all[this->loss_random() % all.size()]);
+	this->boxes.site.restart_delay = default_delay;
+	this->lasting.NoteFault(this->scheduler.Now());
+}
+
 bool SoakWorld::NodesUp() const
 {
 	return std::ranges::all_of(this->nodes, [](const auto &it) { return it->IsHealthy(); });
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -70,6 +70,7 @@
 	std::mt19937 random;                                 ///< Makes the random choices that no other generator makes.
 	std::minstd_rand capacity_random;                    ///< Chooses boxes whose capacity changes.
 	std::minstd_rand crash_random;                       ///< Chooses crashes of boxes.
+	std::minstd_rand loss_random;                        ///< Chooses boxes that are lost at a start or for good.
 	std::minstd_rand roaming_random;                     ///< Chooses services of the route that changes its service.
 	std::string roaming_service{"calc"};                 ///< Service of that route; empty while it is removed.
 	SoakStore store;                                     ///< Store server.
@@ -112,6 +113,10 @@
 	void WaitUntilSettled();
 	void ChangeCapacity();
 	void CrashBoxes();
+	/** Crashes a box, if chance has it, before it executes a start order or just after. */
+	void CrashAtStart(const BoxName &box);
+	/** Crashes a box of a long-running task for good; its machine stays listed as down. */
+	void LoseBox();
 	[[nodiscard]] bool HasExpectedState(const SoakJob &job) const;
 	bool AllSettled();
 	[[nodiscard]] bool NodesUp() const;
