--- a/src/event_log.h
+++ b/src/event_log.h
@@ -23,7 +23,7 @@
 	 */
 	virtual void Write(const char *event, std::initializer_list<EventField> fields) = 0;
 	/**
-	 * Writes a line about a long-running task. Such lines are few and have a limit of their own, so that lines about
+	 * Writes a line about a lasting task. Such lines are few and have a limit of their own, so that lines about
 	 * other tasks don't displace them.
 	 * @param event Name of the event; the kind of the line.
 	 * @param fields Fields of the line: the decision and its inputs.
--- a/src/jobs/job_codec.h
+++ b/src/jobs/job_codec.h
@@ -8,7 +8,7 @@
 struct PolicyRecordT;
 }
 
-/** How long the current run of a long-running task is known to have lasted; the numbers are stored. */
+/** How long the current run of a lasting task is known to have lasted; the numbers are stored. */
 enum class RunAge : uint8_t {
 	RA_NEW = 0,      ///< Nothing is known.
 	RA_OUTLIVED = 1, ///< Its box was up long enough after the start to show that the task doesn't crash boxes.
--- a/src/jobs/shard_base.h
+++ b/src/jobs/shard_base.h
@@ -144,7 +144,7 @@
 	[[nodiscard]] BoxCounts CountBoxes() const;
 	/** @return Boxes by incarnation. */
 	[[nodiscard]] const std::map<BoxIncarnation, ShardBox> &Boxes() const { return this->boxes; }
-	/** @return Long-running tasks that are without a run, as of the last check. */
+	/** @return Lasting tasks that are without a run, as of the last check. */
 	[[nodiscard]] const std::map<TaskId, LastingWait> &LastingWaits() const { return this->waits; }
 	/** @return Resources that accounts use here. */
 	[[nodiscard]] const AccountBook &Accounts() const { return this->book; }
@@ -173,7 +173,7 @@
 		RunNumber run; ///< Number of the run.
 	};
 
-	/** State of one check of the long-running tasks. */
+	/** State of one check of the lasting tasks. */
 	struct WaitCheck {
 		std::map<TaskId, LastingWait> before;     ///< What the check before has found.
 		std::optional<std::vector<OpenBox>> open; ///< Boxes that accept tasks, once they are needed.
@@ -499,10 +499,10 @@
 	void LogCrash(const ShardBox &box, const TaskId &id, bool certain, bool last_start);
 	void ClearSuspicion(const ShardBox &box, const TaskId &id, ShardTask &task);
 	void ForgetCrashes(const TaskId &id, ShardTask &task);
-	/** Clears the crash counts of a long-running task, since a box that is still up has listed a lapsed run of it.
+	/** Clears the crash counts of a lasting task, since a box that is still up has listed a lapsed run of it.
 	 * @param id The task. @param task Its state. */
 	void ClearByLapse(const TaskId &id, ShardTask &task);
-	/** Records how long a run of a long-running task has lasted, when that has become known. @param box The box. @param
+	/** Records how long a run of a lasting task has lasted, when that has become known. @param box The box. @param
 	 * id The task. @param task Its state. */
 	void NoteRunAge(const ShardBox &box, const TaskId &id, ShardTask &task);
 	/** @return Whether crashes fail the job. @param job The job. @param id Task with the newest crash.
--- a/src/jobs/shard_waits.cpp
+++ b/src/jobs/shard_waits.cpp
@@ -1,4 +1,4 @@
-/** @file shard_waits.cpp Shard: why long-running tasks are without a run, for logs and metrics. */
+/** @file shard_waits.cpp Shard: why lasting tasks are without a run, for logs and metrics. */
 #include "shard_base.h"
 
 #include <algorithm>
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr Millis WAIT_CHECK_INTERVAL(1000); ///< Minimum time between two checks of the long-running tasks.
+constexpr Millis WAIT_CHECK_INTERVAL(1000); ///< Minimum time between two checks of the lasting tasks.
 /** A task that has been without a run for this long is logged, and again after as long. */
 constexpr Millis WAIT_LOGGED_AFTER(3000);
 /** An owner appends at least every 350 ms, and a slow store takes 600 ms per append, so a log that has confirmed none
--- a/src/jobs/wait_reason.cpp
+++ b/src/jobs/wait_reason.cpp
@@ -1,4 +1,4 @@
-/** @file wait_reason.cpp Names of the reasons why long-running tasks are without a run. */
+/** @file wait_reason.cpp Names of the reasons why lasting tasks are without a run. */
 #include "wait_reason.h"
 
 const char *NameOf(WaitReason reason)
--- a/src/jobs/wait_reason.h
+++ b/src/jobs/wait_reason.h
@@ -1,4 +1,4 @@
-/** @file wait_reason.h Why a long-running task is without a run. */
+/** @file wait_reason.h Why a lasting task is without a run. */
 #ifndef WAIT_REASON_H
 #define WAIT_REASON_H
 
@@ -7,7 +7,7 @@
 
 #include <array>
 
-/** Why a long-running task is without a run that its owner knows of. */
+/** Why a lasting task is without a run that its owner knows of. */
 enum class WaitReason : uint8_t {
 	WR_CRASH_LIMIT = 0,       ///< It crashes its boxes and isn't started any more.
 	WR_NOT_CALM = 1,          ///< It has reached the crash limit, and is started once more when boxes are calm.
@@ -40,7 +40,7 @@
 /** @return Name of a reason in logs and metrics. @param reason The reason. */
 const char *NameOf(WaitReason reason);
 
-/** A long-running task that is without a run. */
+/** A lasting task that is without a run. */
 struct LastingWait {
 	WaitReason reason = WaitReason::WR_NEXT_ROUND; ///< Why, as of the last check.
 	Millis since;                                  ///< When it was last known to run, or when this owner took it.
--- a/src/node/metrics_page.cpp
+++ b/src/node/metrics_page.cpp
@@ -77,7 +77,7 @@
 	return std::ranges::count_if(shard.Jobs() | std::views::values, [](const ShardJob &it) { return !it.Over(); });
 }
 
-/** @return Number of long-running tasks of a shard without a run, by reason. */
+/** @return Number of lasting tasks of a shard without a run, by reason. */
 int64_t CountWaits(const Shard &shard, WaitReason reason)
 {
 	return std::ranges::count(shard.LastingWaits() | std::views::values, reason, &LastingWait::reason);
--- a/src/program/bounded_log.cpp
+++ b/src/program/bounded_log.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-/** Factor of the limit for lines about long-running tasks: the loss of a zone ends some hundred of these at once. */
+/** Factor of the limit for lines about lasting tasks: the loss of a zone ends some hundred of these at once. */
 constexpr uint32_t LASTING_LIMIT_FACTOR = 25;
 
 } // namespace
