--- a/src/standin/memory/box_site.cpp
+++ b/src/standin/memory/box_site.cpp
@@ -128,6 +128,27 @@
 	return n;
 }
 
+bool BoxSite::Runs(const TaskId &task) const
+{
+	return std::ranges::any_of(this->boxes | std::views::values,
+							   [&task](const Box &it) { return it.running.contains(task); });
+}
+
+bool BoxSite::HasRoom(const TaskId &task) const
+{
+	const SiteJob &job = this->jobs.at(task.job);
+	const Resources &demand = job.spec.steps.at(task.step).demand;
+	const auto same_step = [&task](const TaskId &it) {
+		return it.job == task.job && it.occurrence == task.occurrence && it.step == task.step;
+	};
+	return std::ranges::any_of(this->boxes | std::views::values, [&](const Box &box) {
+		Resources free = box.report.capacity;
+		std::ranges::for_each(box.running | std::views::values, [&free](const Run &it) { free -= it.resources; });
+		return !box.down && box.report.service == job.service && free.Holds(demand) &&
+			   std::ranges::none_of(box.running | std::views::keys, same_step);
+	});
+}
+
 BoxSite::Box *BoxSite::Find(const BoxReport &report)
 {
 	const auto it = this->boxes.find(report.box);
--- a/src/standin/memory/box_site.h
+++ b/src/standin/memory/box_site.h
@@ -103,6 +103,11 @@
 	[[nodiscard]] bool Started(const JobId &id) const { return this->started_jobs.contains(id); }
 	/** @return Number of running tasks of a job. @param id The job. */
 	[[nodiscard]] size_t Running(const JobId &id) const;
+	/** @return Whether a box runs a task. @param task The task. */
+	[[nodiscard]] bool Runs(const TaskId &task) const;
+	/** @return Whether a box that is up has room for a task, and runs no other task of its step. @param task The task
+	 * of a registered job. */
+	[[nodiscard]] bool HasRoom(const TaskId &task) const;
 
 	/* Execute an order at once, as the box's agent does; see BoxOrders. Pace() only checks incarnation and fence. */
 	OrderAnswer Start(const BoxReport &box, const StartOrder &order);
