--- a/src/standin/memory/box_site.cpp
+++ b/src/standin/memory/box_site.cpp
@@ -487,11 +487,19 @@
 		return;
 	}
 	if (faults.lose_every > 0 && this->orders % faults.lose_every == 0) {
-		this->clock.After(faults.late ? LATE_DELAY : ONE_WAY_LATENCY, [work = std::move(work)] { work(); });
+		this->clock.After(faults.late ? LATE_DELAY : ONE_WAY_LATENCY, [this, name = box.box, work = std::move(work)] {
+			if (!this->site.Down(name)) {
+				work();
+			}
+		});
 		this->scheduler.After(ORDER_TIMEOUT, unknown);
 		return;
 	}
-	this->clock.After(ONE_WAY_LATENCY, [this, work = std::move(work), done = std::move(done)] {
+	this->clock.After(ONE_WAY_LATENCY, [this, name = box.box, work = std::move(work), done = std::move(done), unknown] {
+		if (this->site.Down(name)) {
+			this->scheduler.After(ORDER_TIMEOUT - ONE_WAY_LATENCY, unknown);
+			return;
+		}
 		const OrderAnswer answer = work();
 		this->scheduler.After(ONE_WAY_LATENCY, [done, answer] { done(answer); });
 	});
--- a/tests/test_lasting_gaps.cpp
+++ b/tests/test_lasting_gaps.cpp
@@ -194,7 +194,9 @@
 			const WorldJob &job = this->world.Plan(Millis(1000 + 200 * n), "calc",
 												   JobWorld::Lasting(static_cast<uint32_t>(this->Number(1, 3))));
 			for (uint32_t index = 0; index < job.spec.steps.front().count; index++) {
-				this->tasks.push_back(LastingTask{&job, TaskId{job.spec.id, 0, 0, index}, {}});
+				LastingTask &task = this->tasks.emplace_back();
+				task.job = &job;
+				task.id = TaskId{job.spec.id, 0, 0, index};
 			}
 		}
 		for (int n = 0; n < 8; n++) {
