--- a/tests/test_lasting_gaps.cpp
+++ b/tests/test_lasting_gaps.cpp
@@ -29,6 +29,7 @@
 constexpr Millis DEATH_BEFORE(1);      ///< Time from a start order to the death of its box, before it arrives.
 constexpr Millis DEATH_AFTER(2);       ///< The same, after it has started the task.
 constexpr int64_t SEEDS_DEFAULT = 100; ///< Number of seeds.
+constexpr int OWNER_DEATHS = 2;        ///< Number of owners killed while partitions are reassigned.
 constexpr int BOX_COUNT = 4;           ///< Number of boxes of the service.
 const ServiceName CALC("calc");
 
@@ -157,14 +158,14 @@
 
 	static const std::array<FaultAction, static_cast<size_t>(FaultKind::FK_END)> ACTIONS;
 
-	static const FaultAction &TableOf(FaultKind kind) { return ACTIONS[static_cast<size_t>(kind)]; }
+	static const FaultAction &ActionOf(FaultKind kind) { return ACTIONS[static_cast<size_t>(kind)]; }
 
 	/** @return Names, times and boxes of the faults. */
 	[[nodiscard]] std::string MakeStory() const
 	{
 		std::string out = this->reports_ended ? "ends reported" : "ends not reported";
 		for (const RandomFault &it : this->faults) {
-			out += std::string("; ") + TableOf(it.kind).name + " " + std::to_string(it.at.Value()) + "+" +
+			out += std::string("; ") + ActionOf(it.kind).name + " " + std::to_string(it.at.Value()) + "+" +
 				   std::to_string(it.lasts.Value());
 			for (const BoxName &box : it.boxes) {
 				out += " " + box.Value();
@@ -228,7 +229,9 @@
 		}
 		if (fault.kind == FaultKind::FK_CRASH_SERIES) {
 			fault.lasts = Millis(CRASH_SPACING.Value() * (fault.repetitions - 1));
-		} else if (TableOf(fault.kind).momentary) {
+		} else if (fault.kind == FaultKind::FK_REASSIGNED_AND_KILLED) {
+			fault.lasts = std::max(fault.lasts, Millis(DEATH_SPACING.Value() * OWNER_DEATHS));
+		} else if (ActionOf(fault.kind).momentary) {
 			fault.lasts = Millis(0);
 		}
 		return fault;
@@ -238,9 +241,9 @@
 	{
 		this->world.clock.After(fault.at, [this, &fault] {
 			fault.active = true;
-			std::invoke(TableOf(fault.kind).begin, this, fault);
+			std::invoke(ActionOf(fault.kind).begin, this, fault);
 			this->world.clock.After(fault.lasts, [this, &fault] {
-				std::invoke(TableOf(fault.kind).end, this, fault);
+				std::invoke(ActionOf(fault.kind).end, this, fault);
 				fault.active = false;
 				this->last_fault_at = this->world.clock.Now();
 			});
@@ -277,6 +280,21 @@
 		}
 	}
 
+	static std::string TaskText(const ShardTask &task)
+	{
+		const std::string state = std::to_string(static_cast<int>(task.run_state));
+		return (task.phase == TaskPhase::TP_PLACED ? " placed, state " + state : " waits") + ", run " +
+			   std::to_string(task.run.Value()) + ", crashes " + std::to_string(task.crashes) + "+" +
+			   std::to_string(task.crashes_possible) + (task.suspect ? ", suspect" : "");
+	}
+
+	static std::string BoxText(const ShardBox &box, Millis now)
+	{
+		return ", box " + IncarnationText(box.report.incarnation) + (box.over ? " over" : "") +
+			   (box.has_successor ? " succeeded" : "") + (box.unreachable ? " unreachable" : "") +
+			   ", leases expire in " + std::to_string((box.leases_expire_at - now).Value());
+	}
+
 	/** @return The state of a task at its owner, for messages. */
 	std::string StateOf(const LastingTask &task)
 	{
@@ -291,18 +309,10 @@
 			return at + ": not known";
 		}
 		const ShardTask &it = job->second.tasks[task.id.index];
-		std::string out =
-				at + ": " + owner->name +
-				(it.phase == TaskPhase::TP_PLACED ? " placed, state " + std::to_string(static_cast<int>(it.run_state))
-												  : " waits") +
-				", run " + std::to_string(it.run.Value()) + ", crashes " + std::to_string(it.crashes) + "+" +
-				std::to_string(it.crashes_possible) + (it.suspect ? ", suspect" : "");
+		std::string out = at + ": " + owner->name + TaskText(it);
 		const auto box = shard.Boxes().find(it.box);
 		if (it.phase == TaskPhase::TP_PLACED && box != shard.Boxes().end()) {
-			out += ", box " + IncarnationText(it.box) + (box->second.over ? " over" : "") +
-				   (box->second.has_successor ? " succeeded" : "") + (box->second.unreachable ? " unreachable" : "") +
-				   ", leases expire in " +
-				   std::to_string((box->second.leases_expire_at - owner->scheduler.Now()).Value());
+			out += BoxText(box->second, owner->scheduler.Now());
 		}
 		return out + ", earlier leases " + std::to_string(shard.EarlierLeaseSpanLeft().Value());
 	}
@@ -531,7 +541,7 @@
 
 	void ReassignAndKill(RandomFault &fault)
 	{
-		for (int n = 0; n < 2; n++) {
+		for (int n = 0; n < OWNER_DEATHS; n++) {
 			this->world.clock.After(Millis(DEATH_SPACING.Value() * n), [this, &fault] {
 				this->world.store.ReassignPartitions();
 				this->KillOwner(fault);
