--- a/src/jobs/job_codec.cpp
+++ b/src/jobs/job_codec.cpp
@@ -150,6 +150,8 @@
 	out.route = progress.route.Value();
 	out.changed = progress.changed.Value();
 	out.revision = progress.revision;
+	out.first_task = static_cast<uint32_t>(progress.first_task);
+	out.task_count = static_cast<uint32_t>(progress.task_count);
 	std::map<BoxIncarnation, uint16_t> places;
 	for (const StoredTask &task : progress.tasks) {
 		auto row = std::make_unique<wire::TaskRecordT>();
@@ -161,6 +163,8 @@
 		row->crashes = task.crashes;
 		row->crashes_possible = task.crashes_possible;
 		row->gave_way = task.gave_way;
+		row->loss_counted = task.loss_counted;
+		row->run_age = static_cast<uint8_t>(task.run_age);
 		if (!task.box.id.Value().empty()) {
 			const auto [it, added] = places.emplace(task.box, static_cast<uint16_t>(places.size() + 1));
 			row->box = it->second;
@@ -185,6 +189,8 @@
 	progress.route = RouteName(in->route);
 	progress.changed = Millis(in->changed);
 	progress.revision = in->revision;
+	progress.first_task = in->first_task;
+	progress.task_count = in->task_count;
 	for (const auto &row : in->tasks) {
 		if (row->box > in->boxes.size() || row->phase > static_cast<uint8_t>(TaskPhase::TP_DONE)) {
 			return std::nullopt;
@@ -198,6 +204,8 @@
 		task.crashes = row->crashes;
 		task.crashes_possible = row->crashes_possible;
 		task.gave_way = row->gave_way;
+		task.loss_counted = row->loss_counted;
+		task.run_age = static_cast<RunAge>(std::min(row->run_age, static_cast<uint8_t>(RunAge::RA_SETTLED)));
 		if (row->box > 0) {
 			const size_t place = row->box - 1U;
 			/* Earlier versions record no start time: such an incarnation counts as older than any with a start time. */
--- a/src/jobs/job_codec.h
+++ b/src/jobs/job_codec.h
@@ -8,6 +8,13 @@
 struct PolicyRecordT;
 }
 
+/** How long the current run of a long-running task is known to have lasted; the numbers are stored. */
+enum class RunAge : uint8_t {
+	RA_NEW = 0,      ///< Nothing is known.
+	RA_OUTLIVED = 1, ///< Its box was up long enough after the start to show that the task doesn't crash boxes.
+	RA_SETTLED = 2,  ///< It began so long ago that no start order for it can still be carried out.
+};
+
 /** Stored state of a task. */
 struct StoredTask {
 	TaskPhase phase = TaskPhase::TP_WAITING; ///< Phase of the task.
@@ -25,6 +32,10 @@
 	uint32_t crashes_possible = 0;
 	/** It was stopped once so that another pool gets its box. Recorded before the stop order is sent. */
 	bool gave_way = false;
+	/** Recorded so that a later owner need neither hold the run nor suspect its task when its box has ended. */
+	RunAge run_age = RunAge::RA_NEW;
+	/** Whether it was decided if the loss of the current run counts: several owners may find it lost. */
+	bool loss_counted = false;
 
 	bool operator==(const StoredTask &) const = default;
 };
@@ -35,7 +46,9 @@
 	RouteName route;                      ///< Route of the job.
 	Millis changed;                       ///< Wall time of the record.
 	uint64_t revision = 0;                ///< Rises with each record of the job: the highest is the newest.
-	std::vector<StoredTask> tasks;        ///< By occurrence, step, index.
+	std::vector<StoredTask> tasks;        ///< By occurrence, step, index; a record may have only some of them.
+	size_t first_task = 0;                ///< Index of the first of `tasks` among all tasks of the job.
+	size_t task_count = 0;                ///< Number of tasks of the job; 0 in records from before it was recorded.
 
 	bool operator==(const StoredProgress &) const = default;
 };
--- a/src/jobs/shard_base.h
+++ b/src/jobs/shard_base.h
@@ -7,6 +7,7 @@
 #include "../store/paired_journal.h"
 #include "evacuation_type.h"
 #include "order_fence.h"
+#include "progress_records.h"
 #include "shard_type.h"
 #include "ticket_cache.h"
 
@@ -38,8 +39,8 @@
 	Shard(const Shard &) = delete;
 	Shard &operator=(const Shard &) = delete;
 
-	/** Restores recorded progress; of two records of a job the newer one wins. To be called before Begin(). @param id
-	 * Id of the job. @param progress Recorded progress. */
+	/** Restores recorded progress; of two records of a task the newer one wins. To be called before Begin(). @param id
+	 * Id of the job. @param progress Recorded progress, perhaps with some of the tasks only. */
 	void Restore(const JobId &id, const StoredProgress &progress);
 	/** Notes that the previous owner has released the shard, or that there was none. To be called before Begin().
 	 * @param span How long owners before that one may still renew leases. Each owner passes on what is left of it: when
@@ -204,13 +205,14 @@
 	/** Routes of cancelled jobs that haven't arrived; an empty one when it isn't known. */
 	std::map<JobId, RouteName> cancelled_early;
 	std::map<JobId, ShardJob *> live;                  ///< Jobs that are not over.
-	std::map<JobId, StoredProgress> restored;          ///< Recorded progress of jobs whose submission hasn't arrived.
+	std::map<JobId, RestoredProgress> restored;        ///< Recorded progress of jobs whose submission hasn't arrived.
 	std::set<std::pair<JobId, AccountName>> cancelled; ///< Job and caller's account; also of jobs that haven't arrived.
 	AccountBook book;                                  ///< Resources that accounts use here.
 	std::map<BoxIncarnation, ShardBox> boxes;          ///< Boxes of the service.
 	/** Last reports of incarnations whose report was removed; used until Begin(). */
 	std::map<BoxIncarnation, BoxReport> removed_reports;
 	Millis order_unanswered_at{-1000000}; ///< When a box was last found running after an order without an answer.
+	Millis box_lost_at{-1000000};         ///< When a box was last lost other than as planned; initially long ago.
 	std::set<BoxId> held_ids;             ///< Ids of ended incarnations that may have runs which the next one starts.
 	std::map<BoxId, BoxReport> older_reports;    ///< Reports of incarnations that started before a known one.
 	std::map<RouteName, double> run_times;       ///< Run times of a route's tasks in ms: geometric moving average.
@@ -273,6 +275,9 @@
 	void Withdraw(uint64_t number);
 	void ApplyIncoming();
 	[[nodiscard]] StoredProgress ProgressOf(const ShardJob &job) const;
+	/** Adds the records of a job's progress, as a new revision. @param job The job. @param[out] records Receives the
+	 * records. */
+	void AppendProgressOf(ShardJob &job, std::vector<KeyedRecord> &records);
 	void Commit();
 	[[nodiscard]] Batch BuildBatch(std::vector<KeyedRecord> &records);
 	void OnCommitted(const Batch &batch);
@@ -371,8 +376,9 @@
 	void WantRecordedStop(const TaskId &id, ShardTask &task, const char *reason);
 	void OnStopRecorded(const PendingStop &stop);
 	void SendStop(const TaskId &id);
-	/** @return Context of an order that is sent to the box now. @param box The box. @param token Token of the order. */
-	[[nodiscard]] SentOrder SentOrderTo(const ShardBox &box, FenceToken token) const;
+	/** @return Context of an order that is sent to the box now. @param box The box. @param token Token of the order.
+	 * @param wait How long the box may hold back its answer. */
+	[[nodiscard]] SentOrder SentOrderTo(const ShardBox &box, FenceToken token, Millis wait = Millis(0)) const;
 	/** Notes what the outcome of an order says about the box. @return Whether the caller is to process the answer: not
 	 * when the token was refused or the incarnation has ended. */
 	bool ProcessOutcome(const SentOrder &sent, const OrderAnswer &answer);
@@ -405,7 +411,10 @@
 	[[nodiscard]] Millis EndsExpected(const ShardBox &box);
 	/** @return How long a box may hold back its answer to the next lease order. */
 	[[nodiscard]] Millis LeaseWait(const ShardBox &box) const;
-	void NoteOutcome(ShardBox &box, Millis sent, OrderOutcome outcome);
+	void NoteOutcome(ShardBox &box, const SentOrder &sent, OrderOutcome outcome);
+	/** Notes whether a box that keeps running leaves orders unanswered: see MayStillArrive(). @param box The box.
+	 * @param sent An order to it. @param outcome The order's outcome. */
+	void NoteUnanswered(ShardBox &box, const SentOrder &sent, OrderOutcome outcome);
 	void Adopt(ShardBox &box);
 	void ProcessRunning(ShardBox &box, const std::vector<RunningRow> &rows, Millis sent);
 	/** @return Whether any end in the list is new. */
@@ -454,12 +463,29 @@
 	bool NoteCrash(const ShardBox &box, const TaskId &id, CrashEvidence evidence);
 	/** @return Whether the task has so many crashes that it isn't started any more. */
 	[[nodiscard]] static bool AtCrashLimit(const StoredTask &task);
-	/** @return Whether the task waits and hasn't reached the crash limit. */
-	[[nodiscard]] static bool Startable(const ShardJob &job, const ShardTask &task);
+	/** @return Whether a task isn't started any more because it crashes its boxes. @param step Its step. @param task
+	 * The task. */
+	[[nodiscard]] static bool GivenUp(const StepSpec &step, const StoredTask &task);
+	/** @return Whether it would be certain now that a start has crashed its box: see CALM_AFTER. */
+	[[nodiscard]] bool Calm() const;
+	/** @return Whether a lasting task at the crash limit waits until boxes are calm. @param step Its step. @param task
+	 * The task. */
+	[[nodiscard]] bool WaitsForCalm(const StepSpec &step, const StoredTask &task) const;
+	/** @return Whether the task waits and isn't given up. @param job The job. @param step Its step. @param task The
+	 * task.
+	 */
+	[[nodiscard]] static bool Startable(const ShardJob &job, const StepSpec &step, const ShardTask &task);
 	/** Logs a counted crash. @param box The box. @param id The task. @param last_start Whether no other job's task had
 	 * just started there. */
 	void LogCrash(const ShardBox &box, const TaskId &id, bool last_start);
 	void ClearSuspicion(const ShardBox &box, const TaskId &id, ShardTask &task);
+	void ForgetCrashes(const TaskId &id, ShardTask &task);
+	/** Clears the crash counts of a long-running task, since a box that is still up has listed a lapsed run of it.
+	 * @param id The task. @param task Its state. */
+	void ClearByLapse(const TaskId &id, ShardTask &task);
+	/** Records how long a run of a long-running task has lasted, when that has become known. @param box The box. @param
+	 * id The task. @param task Its state. */
+	void NoteRunAge(const ShardBox &box, const TaskId &id, ShardTask &task);
 	/** @return Whether crashes fail the job. @param job The job. @param id Task with the newest crash.
 	 * @param crash_attributed Whether that crash is attributed to the task. */
 	[[nodiscard]] static bool FailsJob(const ShardJob &job, const TaskId &id, bool crash_attributed);
--- a/src/jobs/shard_crashes.cpp
+++ b/src/jobs/shard_crashes.cpp
@@ -44,8 +44,11 @@
 constexpr uint32_t CRASHES_CONFIRMED = 2;
 /** A task isn't started any more after this many crashes, certain and possible ones, and its job fails unless the task
  * is lasting. After three crashes a task may be started twice more (platform rules), and one crash of each kind may not
- * have been counted. */
+ * have been counted. A lasting task of which not all crashes are certain is started once more, when boxes are calm. */
 constexpr uint32_t CRASHES_MAX = 4;
+/** Boxes are calm when none was lost for this time, all orders were answered and the log was reachable: then it is
+ * certain whether a start crashes its box. A lasting task must run again 7 s after the last fault (platform rules). */
+constexpr Millis CALM_AFTER(3000);
 /** One in this many open boxes, but at least one box, may be isolated at a time. If more were isolated, ordinary jobs
  * would wait while boxes crash for other reasons. */
 constexpr size_t BOXES_PER_ISOLATED_START = 2;
@@ -136,8 +139,8 @@
 bool Shard::QuarantineWanted(const TaskId &id) const
 {
 	const ShardTask *task = this->FindTask(id);
-	return task != nullptr && Startable(this->jobs.at(id.job), *task) && this->WaitsForQuarantine(*task) &&
-		   !this->jobs.at(id.job).Over();
+	return task != nullptr && Startable(this->jobs.at(id.job), this->jobs.at(id.job).spec.steps[id.step], *task) &&
+		   this->WaitsForQuarantine(*task) && !this->jobs.at(id.job).Over();
 }
 
 void Shard::ReserveQuarantineBox(PlaceRound &round)
@@ -177,17 +180,40 @@
 	return task.crashes + task.crashes_possible >= CRASHES_MAX;
 }
 
-bool Shard::Startable(const ShardJob &job, const ShardTask &task)
+bool Shard::GivenUp(const StepSpec &step, const StoredTask &task)
 {
-	/* Without a policy it isn't known whether a task may be started again after a failed run. */
-	return task.phase == TaskPhase::TP_WAITING && !AtCrashLimit(task) && (job.has_policy || task.failures == 0);
+	if (!step.lasting) {
+		return AtCrashLimit(task);
+	}
+	/* Possible crashes alone never end a task that is to run until it is cancelled. */
+	return task.crashes >= CRASHES_MAX || (task.crashes > 0 && task.crashes + task.crashes_possible > CRASHES_MAX);
+}
+
+bool Shard::Calm() const
+{
+	const Millis since =
+			std::max({this->owned_since, this->order_unanswered_at, this->log_unreachable_at, this->box_lost_at});
+	return this->scheduler.Now() - since >= CALM_AFTER;
+}
+
+bool Shard::WaitsForCalm(const StepSpec &step, const StoredTask &task) const
+{
+	return step.lasting && AtCrashLimit(task) && !this->Calm();
+}
+
+bool Shard::Startable(const ShardJob &job, const StepSpec &step, const ShardTask &task)
+{
+	/* Without a policy it isn't known whether a task may be started again after a failed run, unless it is lasting. */
+	const bool may_follow_failures = job.has_policy || task.failures == 0 || step.lasting;
+	return task.phase == TaskPhase::TP_WAITING && !GivenUp(step, task) && may_follow_failures;
 }
 
 bool Shard::FailsJob(const ShardJob &job, const TaskId &id, bool crash_attributed)
 {
 	const ShardTask &task = job.tasks[job.IndexOf(id)];
-	if (job.spec.steps[id.step].lasting) {
-		return std::ranges::all_of(job.tasks, [](const ShardTask &it) { return AtCrashLimit(it); });
+	const StepSpec &step = job.spec.steps[id.step];
+	if (step.lasting) {
+		return std::ranges::all_of(job.tasks, [&step](const ShardTask &it) { return GivenUp(step, it); });
 	}
 	return AtCrashLimit(task) || (task.crashes >= CRASHES_CONFIRMED && crash_attributed);
 }
@@ -199,15 +225,19 @@
 	const bool was_running = task.run_state == RunState::RS_RUNNING;
 	const bool restored = task.run_state == RunState::RS_RESTORED;
 	const Millis uptime = box.answered_at - StartedAt(task);
-	const bool ignored = evidence == CrashEvidence::CE_NONE || task.run_state == RunState::RS_RECORDING;
+	const bool ignored =
+			evidence == CrashEvidence::CE_NONE || task.run_state == RunState::RS_RECORDING || task.loss_counted;
 	/* A lasting task that reaches the crash limit is never started again, so it counts a crash only if its box is not
 	 * known to have outlived the time in which a task that crashes boxes does so. */
 	const bool lasting = job.spec.steps[id.step].lasting;
 	const bool outlived = box.answered_at - task.confirmed_at >= ISOLATION_FOR || KnownUpFor(box, task, JUST_STARTED);
 	const bool proven = lasting ? outlived : uptime >= PROVEN_AFTER;
-	if (ignored || (was_running && proven)) {
+	const bool recorded_outlived = lasting && restored && task.run_age != RunAge::RA_NEW;
+	if (ignored || recorded_outlived || (was_running && proven)) {
 		return false;
 	}
+	task.loss_counted = true;
+	this->MarkDirty(id.job);
 	const bool others = this->OthersJustStarted(box, id.job, true);
 	const bool may_be_cause = (!was_running && !restored) || JustStarted(box, task);
 	const bool was_suspect = std::exchange(task.suspect, task.suspect || may_be_cause || task.crashes > 0 || lasting);
@@ -261,12 +291,42 @@
 	if (!counted || !proven) {
 		return;
 	}
-	/* Since this box stayed up, the earlier ones have crashed for other reasons. */
+	this->ForgetCrashes(id, task);
+}
+
+void Shard::ForgetCrashes(const TaskId &id, ShardTask &task)
+{
+	/* Since a box has outlived a start of the task, the earlier ones have crashed for other reasons. */
 	task.suspect = task.crash_cause = false;
 	task.crashes = task.crashes_possible = 0;
 	this->MarkDirty(id.job);
 }
 
+void Shard::ClearByLapse(const TaskId &id, ShardTask &task)
+{
+	const bool counted = task.suspect || task.crashes + task.crashes_possible > 0;
+	if (counted && this->jobs.at(id.job).spec.steps[id.step].lasting) {
+		this->ForgetCrashes(id, task);
+	}
+}
+
+void Shard::NoteRunAge(const ShardBox &box, const TaskId &id, ShardTask &task)
+{
+	if (!this->jobs.at(id.job).spec.steps[id.step].lasting) {
+		return;
+	}
+	RunAge age = task.run_age;
+	if (!task.answerer_unsure && this->scheduler.Now() - task.last_ordered_at >= ORDER_DELAY_MAX) {
+		age = RunAge::RA_SETTLED;
+	} else if (KnownUpFor(box, task, ISOLATION_FOR)) {
+		age = std::max(age, RunAge::RA_OUTLIVED);
+	}
+	if (age > task.run_age) {
+		task.run_age = age;
+		this->MarkDirty(id.job);
+	}
+}
+
 bool Shard::StartsIsolated(const ShardTask &task) const
 {
 	return task.suspect && (task.crashes + task.crashes_possible >= CRASHES_CONFIRMED ||
--- a/src/jobs/shard_incarnations.cpp
+++ b/src/jobs/shard_incarnations.cpp
@@ -89,6 +89,9 @@
 	 * that was sent after that one started or, if boxes that keep running leave orders unanswered, also an earlier one.
 	 */
 	const bool restored = task.run_state == RunState::RS_RESTORED;
+	if (restored && task.run_age == RunAge::RA_SETTLED) {
+		return false; /* The owners before have sent their orders for it long ago. */
+	}
 	const bool may_arrive = box.has_successor || restored || now - this->order_unanswered_at < ORDER_DELAY_MAX;
 	const bool recorded_only = task.run_state == RunState::RS_RECORDING;
 	const bool answered = task.run_state == RunState::RS_RUNNING && !task.uncertain && !task.answerer_unsure;
@@ -106,6 +109,9 @@
 
 void Shard::LoseBox(ShardBox &box, const char *reason, CrashEvidence evidence)
 {
+	if (evidence != CrashEvidence::CE_NONE) {
+		this->box_lost_at = this->scheduler.Now();
+	}
 	/* Counts crashes of all tasks before any is removed, since NoteCrash() checks which others had just started. */
 	std::set<JobId> failing;
 	for (const TaskId &id : box.placed) {
--- a/src/jobs/shard_place.cpp
+++ b/src/jobs/shard_place.cpp
@@ -189,7 +189,8 @@
 		id.index = index;
 		const ShardTask &task = job.tasks[job.IndexOf(id)];
 		const StartKind kind = this->StartKindOf(task);
-		if (!Startable(job, task) || (kind != StartKind::SK_CRASH_CAUSE && round.FitsNowhere(spec.demand))) {
+		if (!Startable(job, spec, task) || this->WaitsForCalm(spec, task) ||
+			(kind != StartKind::SK_CRASH_CAUSE && round.FitsNowhere(spec.demand))) {
 			continue;
 		}
 		if (!this->book.Fits(job.spec.account, spec.demand)) {
@@ -240,8 +241,10 @@
 	const StepSpec &spec = job.spec.steps[step];
 	const TaskId first{job.spec.id, occurrence, step, 0};
 	const auto members = job.tasks | std::views::drop(job.IndexOf(first)) | std::views::take(spec.count);
-	if (!std::ranges::all_of(members, [&job](const ShardTask &it) { return Startable(job, it); }) ||
-		!this->book.Fits(job.spec.account, spec.demand.Times(spec.count))) {
+	const auto may_start = [&](const ShardTask &it) {
+		return Startable(job, spec, it) && !this->WaitsForCalm(spec, it);
+	};
+	if (!std::ranges::all_of(members, may_start) || !this->book.Fits(job.spec.account, spec.demand.Times(spec.count))) {
 		return;
 	}
 	const uint32_t last_run =
@@ -284,6 +287,8 @@
 	task.stop_wanted = task.stop_sent = task.stop_confirmed = false;
 	task.leaving = task.stop_recorded = false;
 	task.order_known = true;
+	task.run_age = RunAge::RA_NEW;
+	task.loss_counted = false;
 	task.phase_since = this->scheduler.Now();
 	box.last_start = id.job;
 	box.last_start_at = task.phase_since;
@@ -355,6 +360,7 @@
 	order.fence = this->FenceOf(it->second).ForStart(start.task, start.run, this->scheduler.Now());
 	this->NoteLeaseRequested(it->second, *until);
 	task->run_state = RunState::RS_ORDERED;
+	task->last_ordered_at = this->scheduler.Now();
 	if (!task->uncertain) {
 		task->ordered_at = this->scheduler.Now();
 	}
--- a/src/jobs/shard_type.h
+++ b/src/jobs/shard_type.h
@@ -100,6 +100,7 @@
 	int64_t pace = FULL_PACE;  ///< Pace last ordered, in percent.
 	bool order_known = true;   ///< Whether this owner, not an earlier one, has ordered the current run.
 	Millis ordered_at;         ///< When the first start order for the run was sent.
+	Millis last_ordered_at;    ///< When the last one was sent, at the latest.
 	Millis saved_at;           ///< When the list that first showed its newest checkpoint was requested.
 	Millis confirmed_at;       ///< When an answer of the box first showed that the run had started.
 	/** Suspected of crashing boxes: a box crashed just after it had started the task or before it had confirmed the
@@ -129,6 +130,8 @@
 	JobPhase durable_phase = JobPhase::JP_QUEUED; ///< Recorded phase; only this one is reported.
 	std::vector<ShardTask> tasks;                 ///< By occurrence, step, index.
 	uint64_t revision = 0;                        ///< Revision of the newest record.
+	/** The tasks as recorded last, if the job has several records; empty when all of them are to be written. */
+	std::vector<StoredTask> recorded_tasks;
 	bool recorded = false; ///< Whether the log has the submission; otherwise it may still be refused.
 	/** Whether a box is known to have started a run. Jobs whose start orders are still queued count as waiting;
 	 * otherwise an owner short of processor time reports only 2 of 24 jobs that have waited for 5 s. */
@@ -163,9 +166,11 @@
 	BoxReport report;       ///< Newest report of its agent.
 	bool has_report = true; ///< Whether a report of it exists at present.
 	bool adopted = false;   ///< It has listed its runs for this owner, so it refuses orders of earlier owners.
-	bool lease_order_under_way = false;   ///< A lease order is under way.
-	bool unreachable = false;             ///< It can't be reached, or two orders in a row got no answer.
-	uint32_t unanswered = 0;              ///< Orders in a row that got no answer.
+	bool lease_order_under_way = false; ///< A lease order is under way.
+	bool unreachable = false;           ///< It can't be reached, or two orders in a row got no answer.
+	uint32_t unanswered = 0;            ///< Orders in a row that got no answer.
+	/** An order got no answer: the next answer shows that the box has kept running meanwhile. */
+	bool order_unanswered = false;
 	Millis unanswered_at{-1000000};       ///< When an order last timed out; initially long ago, as if never.
 	Millis unanswered_again_at{-1000000}; ///< When an order last timed out within 5 s of another one.
 	/** This incarnation has certainly ended. Runs that its successor may still start stay placed here: see `held_ids`
@@ -215,6 +220,7 @@
 	/** Clock of the incarnation as last reported; a lower one in an answer is that of a later incarnation. */
 	std::optional<Millis> clock;
 	std::optional<Millis> clock_min; ///< Lowest clock of the incarnation when it was sent, unless it was suspended.
+	Millis answer_due; ///< By then a box that keeps running has answered, unless the order or its answer was lost.
 };
 
 /** Whether a job can still meet its objective. Lower values are served first. */
