--- a/src/jobs/progress_records.cpp
+++ b/src/jobs/progress_records.cpp
@@ -115,6 +115,7 @@
 
 void RestoredProgress::Add(const StoredProgress &record)
 {
+	const bool first = this->revisions.empty();
 	const size_t count = std::max(record.task_count, record.first_task + record.tasks.size());
 	if (count > this->revisions.size()) {
 		this->progress.tasks.resize(count);
@@ -122,12 +123,12 @@
 	}
 	for (size_t n = 0; n < record.tasks.size(); n++) {
 		const size_t index = record.first_task + n;
-		if (record.revision >= this->revisions[index]) {
+		if (!this->revisions[index] || record.revision > *this->revisions[index]) {
 			this->progress.tasks[index] = record.tasks[n];
 			this->revisions[index] = record.revision;
 		}
 	}
-	if (record.revision >= this->progress.revision) {
+	if (first || record.revision > this->progress.revision) {
 		this->progress.phase = record.phase;
 		this->progress.route = record.route;
 		this->progress.changed = record.changed;
--- a/src/jobs/progress_records.h
+++ b/src/jobs/progress_records.h
@@ -54,8 +54,8 @@
 	[[nodiscard]] const StoredProgress &Result() const { return this->progress; }
 
 private:
-	StoredProgress progress;         ///< See Result().
-	std::vector<uint64_t> revisions; ///< Revision of the record that each task is from.
+	StoredProgress progress;                        ///< See Result().
+	std::vector<std::optional<uint64_t>> revisions; ///< Revision of the record that each task is from, if any.
 };
 
 #endif /* PROGRESS_RECORDS_H */
