Review: the last start of a task at the crash limit decides; a job that one record can hold has one

From the review by one who had not seen the work, by reading: - A long-running task that crashes its boxes could be started without bound while crashes counted as possible (for 10 s after an outage of the log). The loss of the start at the limit, ordered by this owner when boxes were calm, now counts as certain. - A job of over 1,024 tasks was divided though one record could hold it; an earlier version that takes over would have started its tasks anew. One record is tried first. - A settled run that a new owner had listed was held again when its box was lost (MayStillArrive). - A run that the next incarnation has started by a late order begins anew in its record (ClaimRun). - Texts: a checkpoint that isn't recorded means that the task starts anew.

Test for the first: test_crash_evidence, last case.

--- a/src/jobs/progress_records.cpp
+++ b/src/jobs/progress_records.cpp
@@ -10,6 +10,8 @@
 constexpr char TASK_SEPARATOR = '#';   ///< Separates the id of the job from the index of the first task.
 constexpr size_t KEY_PREFIX_BYTES = 1; ///< Added to the key in the spare partition.
 
+constexpr size_t TASK_BYTES_MIN = 8; ///< Least size of a task in a record.
+
 /** Tasks of a job by index. */
 struct TaskRange {
 	size_t first; ///< Index of the first task.
@@ -26,6 +28,17 @@
 	{
 	}
 
+	/** Adds one record with all tasks, which earlier versions read, too. @return Whether a record can hold them. */
+	bool AddWhole()
+	{
+		KeyedRecord record = this->RecordOf(this->PartOf(TaskRange{0, this->progress.tasks.size()}));
+		if (!this->Fits(record)) {
+			return false;
+		}
+		this->out.records.push_back(std::move(record));
+		return true;
+	}
+
 	/** Adds the records of some tasks: one, or as many as are needed. @param range The tasks. */
 	void Add(const TaskRange &range)
 	{
@@ -101,6 +114,10 @@
 {
 	RecordMaker maker(id, progress, record_bytes);
 	const std::span<const StoredTask> tasks(progress.tasks);
+	if (tasks.size() * TASK_BYTES_MIN <= record_bytes && maker.AddWhole()) {
+		return std::move(maker.out);
+	}
+	maker.out.divided = true;
 	for (size_t first = 0; first == 0 || first < tasks.size(); first += TASKS_PER_RECORD) {
 		const size_t count = std::min(TASKS_PER_RECORD, tasks.size() - first);
 		const bool unchanged = recorded.size() == tasks.size() &&
--- a/src/jobs/progress_records.h
+++ b/src/jobs/progress_records.h
@@ -1,7 +1,7 @@
 /** @file progress_records.h Progress of a job as records of the keyed log, none of them larger than the log accepts.
  *
- * A job with many tasks has several records, each with the tasks from some index on. They need not be of one revision:
- * each task is restored from the newest record that has it. */
+ * A job that one record can't hold has several, each with the tasks from some index on. They need not be of one
+ * revision: each task is restored from the newest record that has it. */
 #ifndef PROGRESS_RECORDS_H
 #define PROGRESS_RECORDS_H
 
@@ -10,7 +10,8 @@
 
 #include <span>
 
-/** Most tasks in one record: a change of one task writes the records with that task and with the first one. */
+/** Most tasks in one of several records: a change of one task writes the records with that task and with the first one.
+ */
 inline constexpr size_t TASKS_PER_RECORD = 1024;
 
 /** Decoded key of a progress record. */
@@ -29,8 +30,8 @@
 /** Records of a job's progress. */
 struct ProgressRecords {
 	std::vector<KeyedRecord> records; ///< The records; the first task's one is always among them.
-	/** Number of checkpoints that aren't recorded because a record can't hold them: after a change of owner, these
-	 * tasks start anew or from an older checkpoint. */
+	bool divided = false;             ///< Whether one record can't hold all tasks.
+	/** Number of checkpoints that a record can't hold: after a change of owner, their tasks start anew. */
 	size_t checkpoints_left_out = 0;
 };
 
--- a/src/jobs/shard_crashes.cpp
+++ b/src/jobs/shard_crashes.cpp
@@ -241,7 +241,9 @@
 	const bool others = this->OthersJustStarted(box, id.job, true);
 	const bool may_be_cause = (!was_running && !restored) || JustStarted(box, task);
 	const bool was_suspect = std::exchange(task.suspect, task.suspect || may_be_cause || task.crashes > 0 || lasting);
-	if (evidence == CrashEvidence::CE_POSSIBLE || !was_running) {
+	/* The last start of a lasting task at the limit decides: boxes were calm when this owner ordered it. */
+	const bool decides = lasting && AtCrashLimit(task) && task.order_known;
+	if (!decides && (evidence == CrashEvidence::CE_POSSIBLE || !was_running)) {
 		/* A start without an answer is not counted when tasks of other jobs had just started and this one wasn't a
 		 * suspect yet: mostly the box had already been crashed by one of the others. A run recorded by an earlier owner
 		 * is counted, since owners that fail one after another would otherwise hide a crash each. */
--- a/src/jobs/shard_incarnations.cpp
+++ b/src/jobs/shard_incarnations.cpp
@@ -90,8 +90,8 @@
 	 * that was sent after that one started or, if boxes that keep running leave orders unanswered, also an earlier one.
 	 */
 	const bool restored = task.run_state == RunState::RS_RESTORED;
-	if (restored && task.run_age == RunAge::RA_SETTLED) {
-		return false; /* The owners before have sent their orders for it long ago. */
+	if (task.run_age == RunAge::RA_SETTLED) {
+		return false; /* All orders for it were sent long ago. */
 	}
 	const bool may_arrive = box.has_successor || restored || now - this->order_unanswered_at < ORDER_DELAY_MAX;
 	const bool recorded_only = task.run_state == RunState::RS_RECORDING;
@@ -211,6 +211,8 @@
 	this->counters.inherited++;
 	this->RemoveFromBox(before->second, job, id);
 	task.box = box.report.incarnation;
+	task.run_age = RunAge::RA_NEW;
+	task.loss_counted = false;
 	this->AddToBox(box, job, id);
 	this->MarkDirty(id.job);
 	return true;
--- a/src/jobs/shard_records.cpp
+++ b/src/jobs/shard_records.cpp
@@ -147,9 +147,7 @@
 		this->log.Write("checkpoints_left_out",
 						{{"job", job.spec.id.Value()}, {"count", std::to_string(made.checkpoints_left_out)}});
 	}
-	if (progress.tasks.size() > TASKS_PER_RECORD) {
-		job.recorded_tasks = progress.tasks;
-	}
+	job.recorded_tasks = made.divided ? progress.tasks : std::vector<StoredTask>();
 }
 
 Shard::Batch Shard::BuildBatch(std::vector<KeyedRecord> &records)
--- a/tests/test_crash_evidence.cpp
+++ b/tests/test_crash_evidence.cpp
@@ -78,3 +78,21 @@
 	CHECK(unlucky.world.site.Running(unlucky.job.spec.id) == 3);
 	CHECK(unlucky.world.site.violations == std::vector<std::string>{});
 }
+
+TEST_CASE("a long-running task that crashes its boxes isn't started three times more after an outage of the log")
+{
+	for (const int64_t outage : {1000, 2000, 4000}) {
+		CAPTURE(outage);
+		JobWorld world;
+		world.site.restart_delay = Millis(250);
+		WorldJob &job = world.Plan(Millis(4000), "calc", JobWorld::Lasting(1));
+		world.site.JobOf(job.spec.id).crashing_tasks = {0};
+		world.clock.RunUntil(Millis(4000));
+		std::ranges::for_each(world.nodes, [](const auto &it) { it->log.faults.silent = true; });
+		world.clock.RunUntil(Millis(4000 + outage));
+		std::ranges::for_each(world.nodes, [](const auto &it) { it->log.faults.silent = false; });
+		world.clock.RunUntil(Millis(60000));
+		CHECK(world.site.crashes > 0);
+		CHECK(world.site.violations == std::vector<std::string>{});
+	}
+}
--- a/tests/test_record_limits.cpp
+++ b/tests/test_record_limits.cpp
@@ -151,8 +151,10 @@
 	after.revision++;
 	after.phase = JobPhase::JP_COMPLETED;
 	after.tasks[4500].failures = 3;
-	ProgressRecords made = MakeProgressRecords(id, before, {}, 1000000);
-	const ProgressRecords changed = MakeProgressRecords(id, after, before.tasks, 1000000);
+	CHECK(MakeProgressRecords(id, before, {}, 1000000).records.size() == 1);
+	constexpr size_t RECORD_BYTES = 30000; /* Less than all tasks, more than TASKS_PER_RECORD. */
+	ProgressRecords made = MakeProgressRecords(id, before, {}, RECORD_BYTES);
+	const ProgressRecords changed = MakeProgressRecords(id, after, before.tasks, RECORD_BYTES);
 	CHECK(made.records.size() == 5);
 	CHECK(changed.records.size() == 2);
 	std::ranges::copy(changed.records, std::back_inserter(made.records));
