--- a/src/jobs/shard_crashes.cpp
+++ b/src/jobs/shard_crashes.cpp
@@ -10,8 +10,9 @@
  *
  * A job fails when two boxes have crashed with one of its tasks, provided that the newest crash is attributed to the
  * task: no other job's task had just started, or only other sole crash causes had. It also fails when four boxes have
- * crashed or may have crashed with one of its tasks. A lasting task is just not started any more after four crashes,
- * since other tasks of its job may be running; the job fails once all its tasks have reached that limit. */
+ * crashed or may have crashed with one of its tasks. A lasting task is given up alone, since other tasks of its job may
+ * be running; the job fails once all its tasks are. After four crashes that aren't all certain it is started once more
+ * when boxes are calm, and that start decides: see GivenUp(). */
 #include "shard_base.h"
 
 #include <algorithm>
@@ -227,8 +228,8 @@
 	const Millis uptime = box.answered_at - StartedAt(task);
 	const bool ignored =
 			evidence == CrashEvidence::CE_NONE || task.run_state == RunState::RS_RECORDING || task.loss_counted;
-	/* A lasting task that reaches the crash limit is never started again, so it counts a crash only if its box is not
-	 * known to have outlived the time in which a task that crashes boxes does so. */
+	/* A lasting task may be given up for good, so it counts a crash only if its box is not known to have outlived the
+	 * time in which a task that crashes boxes does so. */
 	const bool lasting = job.spec.steps[id.step].lasting;
 	const bool outlived = box.answered_at - task.confirmed_at >= ISOLATION_FOR || KnownUpFor(box, task, JUST_STARTED);
 	const bool proven = lasting ? outlived : uptime >= PROVEN_AFTER;
