A run whose only start order was answered counts as settled at once

The review and the states by reading: a later owner held a run for which no order could be under way, only because 14 s had not passed. A living owner relies on the answer of the only order already (MayStillArrive). It is recorded when a list shows the run and its box has outlived the start by 60 ms.

--- a/src/jobs/job_codec.h
+++ b/src/jobs/job_codec.h
@@ -12,7 +12,7 @@
 enum class RunAge : uint8_t {
 	RA_NEW = 0,      ///< Nothing is known.
 	RA_OUTLIVED = 1, ///< Its box was up long enough after the start to show that the task doesn't crash boxes.
-	RA_SETTLED = 2,  ///< It began so long ago that no start order for it can still be carried out.
+	RA_SETTLED = 2,  ///< Also, no start order for it can still be carried out.
 };
 
 /** Stored state of a task. */
--- a/src/jobs/shard_crashes.cpp
+++ b/src/jobs/shard_crashes.cpp
@@ -335,7 +335,8 @@
 		return;
 	}
 	RunAge age = task.run_age;
-	if (!task.answerer_unsure && this->scheduler.Now() - task.last_ordered_at >= ORDER_DELAY_MAX) {
+	const bool sole_order_answered = task.order_known && !task.uncertain && KnownUpFor(box, task, JUST_STARTED);
+	if (sole_order_answered || this->scheduler.Now() - task.last_ordered_at >= ORDER_DELAY_MAX) {
 		age = RunAge::RA_SETTLED;
 	} else if (KnownUpFor(box, task, ISOLATION_FOR)) {
 		age = std::max(age, RunAge::RA_OUTLIVED);
