--- a/tests/test_record_limits.cpp
+++ b/tests/test_record_limits.cpp
@@ -74,8 +74,10 @@
 	world.store.limits = SMALL_LIMITS;
 	world.clock.RunUntil(SETTLED);
 	const WorldJob &lasting = world.Plan(Millis(100), "calc", JobWorld::Lasting(2));
+	constexpr int JOBS = 300;
 	std::vector<WorldJob *> jobs;
-	for (int n = 0; n < 300; n++) {
+	jobs.reserve(JOBS);
+	for (int n = 0; n < JOBS; n++) {
 		jobs.push_back(&world.Plan(Millis(200 + n), "calc", JobWorld::Chain(3), Millis(50)));
 	}
 	/* The next owner takes them all at once, and cancels many in the same moment. */
@@ -86,7 +88,7 @@
 	}
 	world.clock.RunUntil(SETTLED + Millis(40000));
 	CHECK(world.site.Running(lasting.spec.id) == 2);
-	CHECK(Count(world, jobs, JobPhase::JP_COMPLETED) + Count(world, jobs, JobPhase::JP_CANCELLED) == 300);
+	CHECK(Count(world, jobs, JobPhase::JP_COMPLETED) + Count(world, jobs, JobPhase::JP_CANCELLED) == JOBS);
 	CHECK(world.site.violations == std::vector<std::string>{});
 }
 
