--- a/src/standin/memory/box_site.cpp
+++ b/src/standin/memory/box_site.cpp
@@ -112,6 +112,13 @@
 		   std::ranges::any_of(this->crashes_by_task, reached(CRASHES_TO_FAIL));
 }
 
+const BoxReport *BoxSite::FindReport(const BoxId &id) const
+{
+	const auto it =
+			std::ranges::find_if(this->boxes, [&id](const auto &one) { return one.second.report.incarnation.id == id; });
+	return it == this->boxes.end() ? nullptr : &it->second.report;
+}
+
 std::vector<BoxReport> BoxSite::Reports() const
 {
 	std::vector<BoxReport> out;
@@ -440,6 +447,12 @@
 	return answer;
 }
 
+bool BoxSite::NothingToTell(const BoxReport &report, const LeaseOrder &order)
+{
+	const Box *box = this->Find(report);
+	return box != nullptr && box->fence == order.fence && box->ended.empty() && !order.lease_until;
+}
+
 bool SiteOrders::CanReach(const BoxReport &box) const
 {
 	const auto faults = this->site.faults.find(box.box);
--- a/src/standin/memory/box_site.h
+++ b/src/standin/memory/box_site.h
@@ -97,6 +97,8 @@
 	void AddJob(const SiteJob &job) { this->jobs[job.spec.id] = job; }
 	/** @return A registered job. @param id Its id. */
 	SiteJob &JobOf(const JobId &id) { return this->jobs.at(id); }
+	/** @return Report of the box whose current incarnation has an id, or null. @param id The id. */
+	[[nodiscard]] const BoxReport *FindReport(const BoxId &id) const;
 	/** @return Reports of all boxes. */
 	[[nodiscard]] std::vector<BoxReport> Reports() const;
 	/** @return Whether a task of a job was ever started. @param id The job. */
@@ -114,6 +116,9 @@
 	OrderAnswer Stop(const BoxReport &box, const TaskId &task, RunNumber run, FenceToken fence);
 	OrderAnswer Pace(const BoxReport &box, FenceToken fence);
 	LeaseAnswer Lease(const BoxReport &box, const LeaseOrder &order);
+	/** @return Whether a waiting lease order would change nothing and have no ends to tell, so that Lease() need not be
+	 * called yet. */
+	[[nodiscard]] bool NothingToTell(const BoxReport &box, const LeaseOrder &order);
 
 	std::map<BoxName, BoxFaults> faults; ///< Faults by box.
 	/** Called for each order that a node sends to a box that can be reached. Decides its transit; without a value, the
--- a/tests/soak/soak_boxes.cpp
+++ b/tests/soak/soak_boxes.cpp
@@ -50,11 +50,8 @@
 std::optional<BoxReport> SoakBoxes::BoxOf(const CallerRequest &request) const
 {
 	const std::string *incarnation = request.headers.Find("X-Target-Instance");
-	const std::vector<BoxReport> all = this->site.Reports();
-	const auto it = std::ranges::find_if(all, [incarnation](const BoxReport &box) {
-		return incarnation != nullptr && box.incarnation.id.Value() == *incarnation;
-	});
-	return it == all.end() ? std::nullopt : std::optional(*it);
+	const BoxReport *box = incarnation == nullptr ? nullptr : this->site.FindReport(BoxId(*incarnation));
+	return box == nullptr ? std::nullopt : std::optional(*box);
 }
 
 QJsonObject SoakBoxes::AnswerJson(const BoxReport &box, const OrderAnswer &answer, int &status) const
@@ -136,12 +133,19 @@
 		answer->Disconnect();
 		return;
 	}
-	const LeaseAnswer seen = this->site.Lease(box, order);
-	const bool nothing = seen.order.outcome == OrderOutcome::OO_DONE && seen.ended.empty();
-	if (nothing && this->scheduler.Now() < until) {
+	const auto poll_again = [this, answer, &box, &order, until] {
 		order.lease_until.reset();
 		this->scheduler.After(POLL_INTERVAL,
 							  [this, answer, box, order, until] { this->Lease(answer, box, order, until); });
+	};
+	if (this->scheduler.Now() < until && this->site.NothingToTell(box, order)) {
+		poll_again();
+		return;
+	}
+	const LeaseAnswer seen = this->site.Lease(box, order);
+	const bool nothing = seen.order.outcome == OrderOutcome::OO_DONE && seen.ended.empty();
+	if (nothing && this->scheduler.Now() < until) {
+		poll_again();
 		return;
 	}
 	int status = 0;
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -78,7 +78,7 @@
 			{"box_way",
 			 [this] {
 				 SoakProxy &proxy =
-						 *this->box_proxies[this->RandomBelow(static_cast<uint32_t>(this->box_proxies.size()))];
+						 *this->fleet.proxies[this->RandomBelow(static_cast<uint32_t>(this->fleet.proxies.size()))];
 				 const std::array all = {ProxyFault::PF_DELAY, ProxyFault::PF_SILENT, ProxyFault::PF_ONE_WAY,
 										 ProxyFault::PF_RESET};
 				 proxy.Set(all[this->RandomBelow(all.size())]);
@@ -103,7 +103,7 @@
 				  * box (2). */
 				 const uint32_t what = this->RandomBelow(3);
 				 if (what == 2) {
-					 this->box_proxies[this->RandomBelow(static_cast<uint32_t>(this->box_proxies.size()))]
+					 this->fleet.proxies[this->RandomBelow(static_cast<uint32_t>(this->fleet.proxies.size()))]
 							 ->SilenceOpenConnections();
 					 return nothing();
 				 }
--- a/tests/soak/soak_http.cpp
+++ b/tests/soak/soak_http.cpp
@@ -6,6 +6,12 @@
 
 #include <utility>
 
+namespace {
+
+constexpr size_t BODY_BYTES_MAX = 4 * 1024 * 1024; ///< Largest call: the store takes 2 MB of records in one.
+
+} // namespace
+
 void DeferredAnswer::Answer(int status, const std::string &body)
 {
 	if (CallerSink *to = std::exchange(this->sink, nullptr); to != nullptr) {
@@ -35,6 +41,7 @@
 			  new CallerLink(scheduler, *this, this->limits, this->open, descriptor);
 		  })
 {
+	this->limits.http.body_bytes = BODY_BYTES_MAX;
 }
 
 bool SoakListener::Listen()
--- a/tests/soak/soak_node.cpp
+++ b/tests/soak/soak_node.cpp
@@ -3,20 +3,20 @@
 
 #include <csignal>
 #include <fstream>
+#include <sys/prctl.h>
 
 namespace {
 
-constexpr quint16 PORTS_PER_NODE = 4; ///< Ports for callers, load balancer, other nodes and metrics.
-constexpr Millis RESTART_DELAY(200);  ///< Time from an exit to the restart.
+constexpr Millis RESTART_DELAY(200); ///< Time from an exit to the restart.
 
 } // namespace
 
 SoakNode::SoakNode(QtScheduler &scheduler, const SoakEnvironment &environment, int number, const std::string &cpu)
 		: proxy(scheduler, environment.store), scheduler(scheduler), environment(environment),
-		  name("node-" + std::to_string(number)), pause(RESTART_DELAY)
+		  name("node-" + std::to_string(number)),
+		  first_port(static_cast<quint16>(environment.first_port + number * PORTS_PER_NODE)), pause(RESTART_DELAY)
 {
-	const auto first = static_cast<quint16>(environment.first_port + number * PORTS_PER_NODE);
-	const auto at = [first](quint16 n) { return "127.0.0.1:" + std::to_string(first + n); };
+	const auto at = [this](quint16 n) { return "127.0.0.1:" + std::to_string(this->first_port + n); };
 	this->address = at(0);
 	this->file = environment.folder + "/" + this->name + ".yaml";
 	this->proxy.Start();
@@ -24,7 +24,15 @@
 							  << "\nready: " << at(1) << "\nframes: " << at(2) << "\nmetrics: " << at(3)
 							  << "\nstore: 127.0.0.1:" << this->proxy.serverPort()
 							  << "\nmachines: 127.0.0.1:" << environment.machines << "\ncpu: " << cpu
-							  << "\npartitions: " << environment.partitions << "\nlease_max: 10s\n";
+							  << "\npartitions: " << environment.partitions << "\nlease_max: 10s\n"
+							  << environment.settings;
+	this->process.setChildProcessModifier([limit = environment.descriptors] {
+		::prctl(PR_SET_PDEATHSIG, SIGKILL); /* A node must not outlive a test that has ended early. */
+		if (limit > 0) {
+			const rlimit limits{limit, limit};
+			::setrlimit(RLIMIT_NOFILE, &limits);
+		}
+	});
 	this->process.setProcessChannelMode(QProcess::MergedChannels);
 	this->process.setStandardOutputFile(QString::fromStdString(environment.folder + "/" + this->name + ".log"),
 										QIODevice::Append);
--- a/tests/soak/soak_node.h
+++ b/tests/soak/soak_node.h
@@ -6,14 +6,20 @@
 
 #include <QProcess>
 
+#include <sys/resource.h>
+
+inline constexpr quint16 PORTS_PER_NODE = 4; ///< Ports for callers, load balancer, other nodes and metrics.
+
 /** Paths and ports for the node processes of a soak test. */
 struct SoakEnvironment {
-	std::string program;     ///< Path of glade_node.
-	std::string folder;      ///< Folder for settings and logs.
-	quint16 first_port = 0;  ///< First port of the nodes; each takes PORTS_PER_NODE.
-	quint16 store = 0;       ///< Port of the store.
-	quint16 machines = 0;    ///< Port of the control of machines.
-	uint32_t partitions = 0; ///< Partitions of each topic.
+	std::string program;       ///< Path of glade_node.
+	std::string folder;        ///< Folder for settings and logs.
+	quint16 first_port = 0;    ///< First port of the nodes; each takes PORTS_PER_NODE.
+	quint16 store = 0;         ///< Port of the store.
+	quint16 machines = 0;      ///< Port of the control of machines.
+	uint32_t partitions = 0;   ///< Partitions of each topic.
+	std::string settings = {}; ///< Further lines of the settings files; may be empty.
+	rlim_t descriptors = 0;    ///< Limit of the descriptors of a process; 0 leaves it as it is.
 };
 
 /** A node process, which is restarted whenever it exits, until Finish(). */
@@ -41,6 +47,10 @@
 
 	/** @return Address for callers, IP:port. */
 	[[nodiscard]] std::string Address() const { return this->address; }
+	/** @return Id of the process; 0 when it does not run. */
+	[[nodiscard]] pid_t Pid() const { return static_cast<pid_t>(this->process.processId()); }
+	/** @return First of its ports, which are for callers, the load balancer, other nodes and readers of metrics. */
+	[[nodiscard]] quint16 FirstPort() const { return this->first_port; }
 	/** @return Whether it is in a planned stop, and no fault has hit it since its start. */
 	[[nodiscard]] bool InUndisturbedStop() const { return this->stopping && !this->faulted; }
 	/** @return Whether it runs and is neither stopping, killed nor frozen. */
@@ -57,6 +67,7 @@
 	QtScheduler &scheduler;      ///< Event loop.
 	SoakEnvironment environment; ///< Paths and ports.
 	std::string name;            ///< Name of the node.
+	quint16 first_port;          ///< First of its ports.
 	std::string address;         ///< Address for callers.
 	std::string file;            ///< Path of its settings file.
 	QProcess process;            ///< The process.
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -11,7 +11,6 @@
 namespace {
 
 constexpr uint32_t PARTITIONS = 12;               ///< Partitions of each topic.
-constexpr Millis REPORT_INTERVAL(500);            ///< Interval of the boxes' reports.
 constexpr Millis CAPACITY_CHANGE_INTERVAL(700);   ///< Interval of changes of a box's capacity.
 constexpr Millis CRASH_INTERVAL(1900);            ///< Interval of crashes.
 constexpr uint32_t MAX_CRASHES_AT_ONCE = 3;       ///< Maximum number of boxes that crash at a time.
@@ -39,7 +38,6 @@
 constexpr const char *SMALL_NODE_CPU = "0.2";    ///< Cores of each other node.
 constexpr int LARGE_NODES = 3;                   ///< Number of nodes with LARGE_NODE_CPU.
 
-const Resources FULL_CAPACITY{8000, 8000, 0};    ///< Capacity of a box.
 const Resources REDUCED_CAPACITY{2000, 8000, 0}; ///< Capacity of a box after a reduction.
 
 } // namespace
@@ -47,7 +45,7 @@
 SoakWorld::SoakWorld(const SoakOptions &options)
 		: options(options), random(options.seed), capacity_random(options.seed), crash_random(options.seed),
 		  loss_random(options.seed), roaming_random(options.seed), store(this->scheduler, PARTITIONS, options.seed),
-		  boxes(this->scheduler, options.seed),
+		  boxes(this->scheduler, options.seed), fleet(this->scheduler, this->store, this->boxes),
 		  evacuations(this->scheduler, this->store.store, this->boxes.site, options.seed),
 		  caller(this->scheduler, DialLimits{Millis(500), Millis(60000), 8}),
 		  lasting(this->scheduler, this->boxes.site, this->jobs, [this] { return this->NodesUp(); })
@@ -74,10 +72,10 @@
 	this->boxes.site.checks_capacity = false;
 	this->boxes.site.restart_delay = CRASH_RESTART_DELAY;
 	this->boxes.on_start = [this](const BoxName &box) { this->CrashAtStart(box); };
-	this->boxes.on_restart = [this] { this->PublishReports(); };
-	this->AddBoxes();
+	this->boxes.on_restart = [this] { this->fleet.Publish(); };
+	this->fleet.Add(this->options.boxes);
 	this->PublishConfig(true);
-	this->PublishReports();
+	this->fleet.Publish();
 	this->DefineFaults();
 	const SoakEnvironment environment{this->options.program, this->options.folder,      this->options.first_port,
 									  this->store.Port(),    this->boxes.ControlPort(), PARTITIONS};
@@ -102,56 +100,6 @@
 	return true;
 }
 
-void SoakWorld::AddBoxes()
-{
-	for (const char *service : {"calc", "grid"}) {
-		for (int n = 0; n < this->options.boxes; n++) {
-			this->box_proxies.push_back(std::make_unique<SoakProxy>(this->scheduler, this->boxes.AgentPort()));
-			this->box_proxies.back()->Start();
-			BoxReport report;
-			report.box = BoxName(std::string(service) + "-box" + std::to_string(n));
-			report.incarnation.id = BoxId(report.box.Value() + "-life0");
-			report.service = ServiceName(service);
-			report.address = "127.0.0.1:" + std::to_string(this->box_proxies.back()->serverPort());
-			report.zone = ZoneName("z" + std::to_string(n % 2));
-			report.capacity = FULL_CAPACITY;
-			report.labels = {"a", "rack" + std::to_string(n / 2)};
-			this->boxes.site.Add(report);
-		}
-	}
-}
-
-void SoakWorld::PublishReports()
-{
-	const PartitionId topic{"keyed.servers", 0};
-	std::vector<KeyedRecord> records;
-	std::set<std::string> now;
-	for (const BoxReport &it : this->boxes.site.Reports()) {
-		QJsonArray labels;
-		for (const std::string &label : it.labels) {
-			labels.append(QString::fromStdString(label));
-		}
-		const QJsonObject json{{"machine", QString::fromStdString(it.box.Value())},
-							   {"service", QString::fromStdString(it.service.Value())},
-							   {"address", QString::fromStdString(it.address)},
-							   {"zone", QString::fromStdString(it.zone.Value())},
-							   {"capacity", QJsonObject{{"cpu", static_cast<qint64>(it.capacity.cpu)},
-														{"mem-mb", static_cast<qint64>(it.capacity.memory)}}},
-							   {"labels", labels},
-							   {"born", static_cast<qint64>(it.incarnation.started.Value())},
-							   {"state", "ready"}};
-		records.push_back(KeyedRecord{it.incarnation.id.Value(), BodyOf(json)});
-		now.insert(it.incarnation.id.Value());
-	}
-	for (const KeyedRecord &old : this->store.store.Newest(topic, {}).records) {
-		if (!now.contains(old.key)) {
-			records.push_back(KeyedRecord{old.key, std::nullopt});
-		}
-	}
-	this->store.store.Append(topic, records, AppendCondition{});
-	this->scheduler.After(REPORT_INTERVAL, [this] { this->PublishReports(); });
-}
-
 void SoakWorld::PublishConfig(bool with_extra)
 {
 	this->version += 1 + this->RandomBelow(3);
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -4,11 +4,10 @@
 
 #include "net/http_caller.h"
 #include "program/bounded_log.h"
-#include "soak_boxes.h"
 #include "soak_evacuation.h"
+#include "soak_fleet.h"
 #include "soak_lasting.h"
 #include "soak_node.h"
-#include "soak_store.h"
 
 inline constexpr uint32_t LOG_LINES_PER_SECOND = 100; ///< Log lines of one kind per second.
 
@@ -71,31 +70,31 @@
 	SoakOptions options;                                       ///< Options.
 	QtScheduler scheduler;                                     ///< Event loop.
 	RateLimitedLog log{this->scheduler, LOG_LINES_PER_SECOND}; ///< Log lines of the boxes.
-	std::mt19937 random;                                 ///< Makes the random choices that no other generator makes.
-	std::minstd_rand capacity_random;                    ///< Chooses boxes whose capacity changes.
-	std::minstd_rand crash_random;                       ///< Chooses crashes of boxes.
-	std::minstd_rand loss_random;                        ///< Chooses boxes that are lost at a start or for good.
-	std::minstd_rand roaming_random;                     ///< Chooses services of the route that changes its service.
-	std::string roaming_service{"calc"};                 ///< Service of that route; empty while it is removed.
-	SoakStore store;                                     ///< Store server.
-	SoakBoxes boxes;                                     ///< Server of the boxes.
-	SoakEvacuations evacuations;                         ///< Evacuations of zones.
-	std::vector<std::unique_ptr<SoakProxy>> box_proxies; ///< Connections to the agents, one a box.
-	std::vector<std::unique_ptr<SoakNode>> nodes;        ///< Node processes.
-	HttpCaller caller;                                   ///< Connections of callers.
-	std::vector<std::unique_ptr<SoakJob>> jobs;          ///< All submitted jobs.
-	SoakLastingCheck lasting;                            ///< Checks that long-running tasks run.
-	std::vector<Fault> fault_kinds;                      ///< Kinds of faults to choose from.
-	std::vector<std::string> failures;                   ///< Failed checks of callers and nodes.
-	std::function<void()> done;                          ///< Called at the end.
-	Millis traffic_started_at;                           ///< Start of the traffic.
-	Millis faults_ended_at;                              ///< End of the last fault.
-	uint64_t version = 0;                                ///< Latest version of the configuration.
-	std::deque<std::string> keys;                        ///< Valid API keys, newest last.
-	std::string revoked_key;                             ///< Latest revoked key.
-	uint64_t wave = 0;                                   ///< Number of the last wave: a request to maintain boxes.
-	uint32_t faults = 0;                                 ///< Number of faults begun.
-	uint32_t active_store_faults = 0;                    ///< Number of active faults of the store.
+	std::mt19937 random;                          ///< Makes the random choices that no other generator makes.
+	std::minstd_rand capacity_random;             ///< Chooses boxes whose capacity changes.
+	std::minstd_rand crash_random;                ///< Chooses crashes of boxes.
+	std::minstd_rand loss_random;                 ///< Chooses boxes that are lost at a start or for good.
+	std::minstd_rand roaming_random;              ///< Chooses services of the route that changes its service.
+	std::string roaming_service{"calc"};          ///< Service of that route; empty while it is removed.
+	SoakStore store;                              ///< Store server.
+	SoakBoxes boxes;                              ///< Server of the boxes.
+	SoakFleet fleet;                              ///< Reports of the boxes, and the ways to them.
+	SoakEvacuations evacuations;                  ///< Evacuations of zones.
+	std::vector<std::unique_ptr<SoakNode>> nodes; ///< Node processes.
+	HttpCaller caller;                            ///< Connections of callers.
+	std::vector<std::unique_ptr<SoakJob>> jobs;   ///< All submitted jobs.
+	SoakLastingCheck lasting;                     ///< Checks that long-running tasks run.
+	std::vector<Fault> fault_kinds;               ///< Kinds of faults to choose from.
+	std::vector<std::string> failures;            ///< Failed checks of callers and nodes.
+	std::function<void()> done;                   ///< Called at the end.
+	Millis traffic_started_at;                    ///< Start of the traffic.
+	Millis faults_ended_at;                       ///< End of the last fault.
+	uint64_t version = 0;                         ///< Latest version of the configuration.
+	std::deque<std::string> keys;                 ///< Valid API keys, newest last.
+	std::string revoked_key;                      ///< Latest revoked key.
+	uint64_t wave = 0;                            ///< Number of the last wave: a request to maintain boxes.
+	uint32_t faults = 0;                          ///< Number of faults begun.
+	uint32_t active_store_faults = 0;             ///< Number of active faults of the store.
 	bool load_ended = false; ///< Whether the time with faults is over: no more jobs and faults are started.
 
 	uint32_t RandomBelow(uint32_t below);
@@ -103,8 +102,6 @@
 	SoakNode &RandomNode() { return *this->nodes[this->RandomBelow(static_cast<uint32_t>(this->nodes.size()))]; }
 
 	/* soak_world.cpp */
-	void AddBoxes();
-	void PublishReports();
 	/** Publishes a configuration with a new key. */
 	void PublishConfig(bool with_extra);
 	/** Appends a configuration with the current version, keys and routes. */
