Time limits of callers' connections act: the node keeps them as long as the connections

Cause: a connection keeps a reference to its limits, and was made with a temporary: after the constructor it read freed stack. Other makers of connections (entry, benches, stand-ins, soak) were looked at: all pass members.

--- a/src/net/caller_link.h
+++ b/src/net/caller_link.h
@@ -32,6 +32,8 @@
 	 */
 	CallerLink(QtScheduler &scheduler, RequestHandler &handler, const CallerLimits &limits,
 			   std::atomic<int> &open_connections, qintptr descriptor);
+	/** Not to be called with temporary limits, which would not outlive this object. */
+	CallerLink(QtScheduler &, RequestHandler &, CallerLimits &&, std::atomic<int> &, qintptr) = delete;
 	~CallerLink() override;
 
 	void Begin(const ResponseHead &head) override;
--- a/tests/test_sockets.cpp
+++ b/tests/test_sockets.cpp
@@ -1,57 +1,18 @@
 /** @file test_sockets.cpp The request path over real sockets on loopback: callers and endpoints that misbehave. */
 #include "entry/lane.h"
 #include "program/settings_tables.h"
+#include "raw_caller.h"
 #include "standin/endpoint/endpoint_standin.h"
 #include "standin/memory/simple_view.h"
 
 #include <doctest/doctest.h>
 
 #include <QCoreApplication>
-#include <QElapsedTimer>
-#include <QEventLoop>
-#include <QTimer>
 
 #include <functional>
 
 namespace {
 
-constexpr int WAIT_TIMEOUT_MS = 20000; ///< Time in ms after which a wait has failed; no check depends on less.
-
-/** Runs the event loop until a condition holds. @return Whether it holds. */
-bool WaitFor(const std::function<bool()> &holds)
-{
-	QElapsedTimer timer;
-	timer.start();
-	while (!holds() && timer.elapsed() < WAIT_TIMEOUT_MS) {
-		QEventLoop loop;
-		QTimer::singleShot(2, &loop, &QEventLoop::quit);
-		loop.exec();
-	}
-	return holds();
-}
-
-/** A plain TCP connection of a caller. */
-class RawCaller {
-public:
-	explicit RawCaller(quint16 port)
-	{
-		this->socket.connectToHost(QHostAddress(QHostAddress::LocalHost), port);
-		this->socket.waitForConnected();
-		QObject::connect(&this->socket, &QTcpSocket::readyRead,
-						 [this] { this->input += this->socket.readAll().toStdString(); });
-	}
-
-	void Send(const std::string &bytes) { this->socket.write(bytes.data(), static_cast<qint64>(bytes.size())); }
-	void Disconnect() { this->socket.abort(); }
-	[[nodiscard]] bool Closed() const { return this->socket.state() == QAbstractSocket::UnconnectedState; }
-	[[nodiscard]] bool Has(const std::string &text) const { return this->input.find(text) != std::string::npos; }
-
-	std::string input; ///< All bytes received.
-
-private:
-	QTcpSocket socket; ///< The connection.
-};
-
 /** One endpoint stand-in and one lane of an entry, on ephemeral ports. */
 class SocketWorld {
 public:
