Listeners accept connections again after a shortage of descriptors

Cause: Qt pauses a listening socket for good when an accept fails for want of descriptors; nobody resumed it, on the four listeners of a node, that of other nodes included. Evidence: test_caller_limits with no descriptor left: the connection is accepted once there are some; without the change it never is.

--- a/src/net/frame_link.cpp
+++ b/src/net/frame_link.cpp
@@ -1,6 +1,8 @@
 /** @file frame_link.cpp Messages between Glade processes. */
 #include "frame_link.h"
 
+#include "accept_func.h"
+
 #include <QtEndian>
 
 #include <algorithm>
@@ -110,6 +112,7 @@
 FrameServer::FrameServer(OnMessage on_message, OnDisconnect on_disconnected)
 		: on_message(std::move(on_message)), on_disconnected(std::move(on_disconnected))
 {
+	ResumeAfterAcceptErrors(this->server);
 	QObject::connect(&this->server, &QTcpServer::newConnection, &this->server, [this] { this->Accept(); });
 }
 
--- a/tests/test_caller_limits.cpp
+++ b/tests/test_caller_limits.cpp
@@ -1,10 +1,15 @@
 /** @file test_caller_limits.cpp Limits of callers' connections. */
 #include "../platform/platform_node.h"
+#include "net/accept_func.h"
 #include "program/settings_tables.h"
 #include "raw_caller.h"
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <sys/resource.h>
+#include <unistd.h>
+
 namespace {
 
 /** @return A free port on loopback. */
@@ -17,6 +22,28 @@
 
 } // namespace
 
+TEST_CASE("a listener accepts connections again after a shortage of descriptors")
+{
+	std::vector<qintptr> accepted;
+	CallerListener listener([&accepted](qintptr it) { accepted.push_back(it); });
+	ResumeAfterAcceptErrors(listener);
+	REQUIRE(ListenOn(listener, NetAddress{QHostAddress(QHostAddress::LocalHost), 0}, {}));
+	rlimit before{};
+	::getrlimit(RLIMIT_NOFILE, &before);
+	QTcpSocket caller;
+	caller.connectToHost(QHostAddress(QHostAddress::LocalHost), listener.serverPort());
+	/* The kernel accepts it; the process has no descriptor for it. */
+	REQUIRE(caller.waitForConnected());
+	const rlimit none{3, before.rlim_max};
+	::setrlimit(RLIMIT_NOFILE, &none);
+	bool failed = false;
+	QObject::connect(&listener, &QTcpServer::acceptError, &listener, [&failed] { failed = true; });
+	CHECK(WaitFor([&] { return failed; }));
+	::setrlimit(RLIMIT_NOFILE, &before);
+	CHECK(WaitFor([&] { return accepted.size() == 1; }));
+	std::ranges::for_each(accepted, [](qintptr it) { ::close(static_cast<int>(it)); });
+}
+
 TEST_CASE("a node closes connections whose head stays unfinished")
 {
 	const quint16 ready = FreePort();
