What callers may hold of a node's memory and descriptors is bounded

Callers saw: bodies of legal size, many at once, unfinished, half closed or in chunks, take a node beyond 160 MB within 1 to 2 s at any path (162 to 220 MB when it was ended; ready and metrics ports too); most probes got no answer. Causes: each connection had its own limits and nothing counted connections, bodies or what is under way; bodies were stored before anything was decided; buffers kept their size (assigning an empty string keeps the memory), and free blocks of bodies left gaps.

--- a/src/error_type.h
+++ b/src/error_type.h
@@ -54,6 +54,7 @@
 	X(STOPPING, 2105, "entry is stopping", 503)                                                                        \
 	X(NO_VIEW, 2106, "entry has no configuration yet", 503)                                                            \
 	X(REFUSED_BY_ENDPOINT, 2107, "endpoint says that it did not run", 503)                                             \
+	X(CALLERS_FULL, 2108, "process holds as much of other requests as it may", 503)                                    \
 	X(ENDPOINT_BROKE, 2201, "endpoint broke off; whether it ran is unknown", 502)                                      \
 	X(DEADLINE_PASSED, 2202, "deadline passed while the endpoint worked", 504)                                         \
 	X(KEY_MALFORMED, 2301, "idempotency key lacks its time of issue", 400)                                             \
--- a/src/net/http_codec.cpp
+++ b/src/net/http_codec.cpp
@@ -4,6 +4,7 @@
 #include <boost/beast/core/buffers_to_string.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <array>
 
 namespace http = boost::beast::http;
@@ -19,6 +20,9 @@
 constexpr size_t HEAD_RESERVE_BYTES = 256;            ///< Bytes reserved for the head of a request.
 constexpr unsigned HTTP_1_1 = 11;                     ///< Beast's encoding of HTTP/1.1.
 
+/** Buffer for a part of a body, shared by all readers of a thread. */
+thread_local std::array<char, BODY_PART_BYTES> _body_part;
+
 /** @return Whether a line ends in LF without CR. */
 bool HasBareLf(const std::string &text)
 {
@@ -67,12 +71,12 @@
 
 } // namespace
 
-/** Beast's request parser, storing the body in a string. */
+/** Beast's request parser, passing the body on in parts. */
 struct RequestReader::Parser {
-	http::request_parser<http::string_body> beast; ///< The parser.
+	http::request_parser<http::buffer_body> beast; ///< The parser.
 };
 
-RequestReader::RequestReader(HttpLimits limits) : limits(limits)
+RequestReader::RequestReader(HttpLimits limits, BodyAdmission *admission) : limits(limits), admission(admission)
 {
 	this->Reset();
 }
@@ -84,7 +88,10 @@
 	this->parser = std::make_unique<Parser>();
 	this->parser->beast.header_limit(static_cast<uint32_t>(this->limits.header_bytes));
 	this->parser->beast.body_limit(this->limits.body_bytes);
-	this->parser->beast.eager(true);
+	std::string().swap(this->request.body); /* An assignment would keep the memory. */
+	this->request = CallerRequest();
+	this->head_taken = false;
+	this->body_received = 0;
 	this->started = false;
 	this->continue_sent = false;
 }
@@ -118,60 +125,149 @@
 	return (http_1_0 && codings > 0) || hosts > 1 || (!http_1_0 && hosts == 0) || message.target().empty();
 }
 
+void RequestReader::Clear()
+{
+	std::string().swap(this->buf);
+	this->Reset();
+}
+
+ParseProgress RequestReader::Reject(ResultCode code)
+{
+	this->error = code;
+	return ParseProgress::PR_BAD;
+}
+
+std::optional<uint64_t> RequestReader::StatedLength() const
+{
+	const auto length = this->parser->beast.content_length();
+	return length ? std::optional<uint64_t>(*length) : std::nullopt;
+}
+
 ParseProgress RequestReader::Parse()
+{
+	ParseProgress progress = this->head_taken ? ParseProgress::PR_READY : this->ParseHead();
+	if (progress == ParseProgress::PR_READY) {
+		progress = this->ParseBody();
+	}
+	if (this->buf.empty()) {
+		std::string().swap(this->buf); /* Many connections wait for bytes: none keeps a buffer meanwhile. */
+	}
+	return progress;
+}
+
+ParseProgress RequestReader::ParseHead()
+{
+	auto &beast = this->parser->beast;
+	if (this->buf.empty()) {
+		return ParseProgress::PR_MORE;
+	}
+	boost::system::error_code ec;
+	const size_t n = beast.put(boost::asio::buffer(this->buf), ec);
+	this->buf.erase(0, n);
+	this->started = this->started || n > 0;
+	if (ec && ec != http::error::need_more && ec != http::error::need_buffer) {
+		return this->Reject(ec == http::error::header_limit ? ResultCode::RC_HEADER_TOO_LARGE
+							: ec == http::error::body_limit ? ResultCode::RC_BODY_TOO_LARGE
+															: ResultCode::RC_BAD_REQUEST);
+	}
+	if (beast.is_header_done()) {
+		return this->TakeHead();
+	}
+	/* Beast keeps waiting for a CR if the head uses bare LFs. */
+	if (HasBareLf(this->buf)) {
+		return this->Reject(ResultCode::RC_BAD_REQUEST);
+	}
+	return this->buf.size() > this->limits.header_bytes ? this->Reject(ResultCode::RC_HEADER_TOO_LARGE)
+														: ParseProgress::PR_MORE;
+}
+
+ParseProgress RequestReader::TakeHead()
+{
+	if (this->HeadIsInvalid()) {
+		return this->Reject(ResultCode::RC_BAD_REQUEST);
+	}
+	auto &beast = this->parser->beast;
+	const auto &message = beast.get();
+	this->request.method = std::string(message.method_string());
+	this->request.target = std::string(message.target());
+	this->request.headers = FieldsOf(message);
+	this->head_taken = true;
+	if (!beast.is_done() && this->admission != nullptr) {
+		const BodyHandling handling = this->admission->OnHead(this->request, this->StatedLength());
+		if (handling == BodyHandling::BH_REFUSE) {
+			return this->Reject(ResultCode::RC_CALLERS_FULL);
+		}
+		this->request.body_dropped = handling == BodyHandling::BH_DROP;
+	}
+	beast.eager(true);
+	return ParseProgress::PR_READY;
+}
+
+ParseProgress RequestReader::ParseBody()
 {
 	auto &beast = this->parser->beast;
 	while (!this->buf.empty() && !beast.is_done()) {
 		boost::system::error_code ec;
+		auto &body = beast.get().body();
+		body.data = _body_part.data();
+		body.size = _body_part.size();
+		body.more = true;
 		const size_t n = beast.put(boost::asio::buffer(this->buf), ec);
 		this->buf.erase(0, n);
-		this->started = this->started || n > 0;
-		if (ec == http::error::need_more) {
-			/* Beast keeps waiting for a CR if the head uses bare LFs. */
-			if (!beast.is_header_done() && HasBareLf(this->buf)) {
-				this->error = ResultCode::RC_BAD_REQUEST;
-				return ParseProgress::PR_BAD;
-			}
-			if (this->buf.size() > this->limits.header_bytes && !beast.is_header_done()) {
-				this->error = ResultCode::RC_HEADER_TOO_LARGE;
-				return ParseProgress::PR_BAD;
-			}
-			break;
+		const size_t got = _body_part.size() - body.size;
+		this->body_received += got;
+		if (!this->StoreBody(std::string_view(_body_part.data(), got))) {
+			return this->Reject(ResultCode::RC_CALLERS_FULL);
 		}
-		if (ec) {
-			this->error = ec == http::error::header_limit ? ResultCode::RC_HEADER_TOO_LARGE
-						  : ec == http::error::body_limit ? ResultCode::RC_BODY_TOO_LARGE
-														  : ResultCode::RC_BAD_REQUEST;
-			return ParseProgress::PR_BAD;
+		if (ec && ec != http::error::need_more && ec != http::error::need_buffer) {
+			return this->Reject(ec == http::error::body_limit ? ResultCode::RC_BODY_TOO_LARGE
+															  : ResultCode::RC_BAD_REQUEST);
+		}
+		if (n == 0 && got == 0) {
+			break;
 		}
-	}
-	if (beast.is_header_done() && this->HeadIsInvalid()) {
-		this->error = ResultCode::RC_BAD_REQUEST;
-		return ParseProgress::PR_BAD;
 	}
 	if (beast.is_done()) {
 		return ParseProgress::PR_READY;
 	}
-	if (beast.is_header_done() && !this->continue_sent &&
-		EqualsIgnoreCase(std::string(beast.get()[http::field::expect]), "100-continue")) {
+	/* What is left is the start of a line between chunks. */
+	if (this->buf.size() > this->limits.header_bytes) {
+		return this->Reject(ResultCode::RC_BAD_REQUEST);
+	}
+	if (!this->continue_sent && EqualsIgnoreCase(std::string(beast.get()[http::field::expect]), "100-continue")) {
 		this->continue_sent = true;
 		return ParseProgress::PR_CONTINUE;
 	}
 	return ParseProgress::PR_MORE;
 }
 
+bool RequestReader::StoreBody(std::string_view part)
+{
+	std::string &body = this->request.body;
+	const size_t wanted = body.size() + part.size();
+	if (part.empty() || this->request.body_dropped) {
+		return true;
+	}
+	if (wanted > body.capacity()) {
+		const size_t doubled = std::min(2 * std::max(body.capacity(), BODY_PART_BYTES / 2), this->limits.body_bytes);
+		const size_t capacity = std::max<size_t>(wanted, this->StatedLength().value_or(doubled));
+		if (this->admission != nullptr && !this->admission->OnGrow(capacity)) {
+			return false;
+		}
+		body.reserve(capacity);
+	}
+	body.append(part);
+	return true;
+}
+
 CallerRequest RequestReader::Take()
 {
-	auto message = this->parser->beast.release();
+	const auto &message = this->parser->beast.get();
 	this->keep_alive = message.keep_alive();
 	this->accepts_chunked = message.version() >= HTTP_1_1;
-	CallerRequest request;
-	request.method = std::string(message.method_string());
-	request.target = std::string(message.target());
-	request.headers = FieldsOf(message);
-	request.body = std::move(message.body());
+	CallerRequest taken = std::move(this->request);
 	this->Reset();
-	return request;
+	return taken;
 }
 
 /** Beast's response parser, passing the body on in parts. */
@@ -179,13 +275,6 @@
 	http::response_parser<http::buffer_body> beast; ///< The parser.
 };
 
-namespace {
-
-/** Buffer for a part of a body, shared by all readers of a thread. */
-thread_local std::array<char, BODY_PART_BYTES> _body_part;
-
-} // namespace
-
 ResponseReader::ResponseReader(bool head_request) : head_request(head_request), parser(std::make_unique<Parser>())
 {
 	this->parser->beast.body_limit(NO_BODY_LIMIT);
--- a/src/net/http_codec.h
+++ b/src/net/http_codec.h
@@ -5,6 +5,7 @@
 #include "../request/request_type.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 
 /** Size limits of requests. */
@@ -21,10 +22,31 @@
 	PR_BAD = 3,      ///< The request is invalid or exceeds a limit: see Error().
 };
 
+/** How the body of a request is read. */
+enum class BodyHandling : uint8_t {
+	BH_STORE = 0,  ///< It is stored.
+	BH_DROP = 1,   ///< It is read and dropped.
+	BH_REFUSE = 2, ///< The request is refused: other requests take too much memory.
+};
+
+/** Decides how bodies are read. */
+class BodyAdmission {
+public:
+	virtual ~BodyAdmission() = default;
+	/** Decides on the body of a request whose head is complete. @param head The request without its body. @param length
+	 * Size of the body, if the head states it. @return How it is read. */
+	virtual BodyHandling OnHead(const CallerRequest &head, std::optional<uint64_t> length) = 0;
+	/** Called before a stored body takes more memory. @param bytes Bytes that it needs in all. @return Whether it may;
+	 * otherwise the request is refused. */
+	virtual bool OnGrow(size_t bytes) = 0;
+};
+
 /** Parses successive requests from a byte stream. */
 class RequestReader {
 public:
-	explicit RequestReader(HttpLimits limits);
+	/** @param limits Size limits. @param admission Decides how bodies are read, and outlives this object; null to store
+	 * all of them. */
+	explicit RequestReader(HttpLimits limits, BodyAdmission *admission = nullptr);
 	~RequestReader();
 
 	/**
@@ -39,6 +61,9 @@
 	/** @return The request, after PR_READY; the reader advances to the next one. */
 	CallerRequest Take();
 
+	/** Drops the current request and the bytes after it. */
+	void Clear();
+
 	/** @return Reason of PR_BAD. */
 	[[nodiscard]] ResultCode Error() const { return this->error; }
 
@@ -57,12 +82,19 @@
 	/** @return Number of bytes not parsed yet. */
 	[[nodiscard]] size_t Buffered() const { return this->buf.size(); }
 
+	/** @return Bytes of the current request's body received so far. */
+	[[nodiscard]] size_t BodyReceived() const { return this->body_received; }
+
 private:
 	struct Parser;
 
 	HttpLimits limits;                    ///< Size limits of requests.
+	BodyAdmission *admission;             ///< Decides how bodies are read; may be null.
 	std::string buf;                      ///< Bytes not parsed yet.
 	std::unique_ptr<Parser> parser;       ///< Beast's parser of the current request.
+	CallerRequest request;                ///< The current request, as far as it was received.
+	bool head_taken = false;              ///< Whether the head is complete and was admitted.
+	size_t body_received = 0;             ///< For BodyReceived().
 	ResultCode error = ResultCode::RC_OK; ///< Reason of PR_BAD.
 	bool keep_alive = true;               ///< For KeepAlive().
 	bool accepts_chunked = true;          ///< For AcceptsChunked().
@@ -71,6 +103,15 @@
 
 	void Reset();
 	[[nodiscard]] bool HeadIsInvalid() const;
+	ParseProgress Reject(ResultCode code);
+	/** Parses the head. @return PR_READY once it is complete and its body may be read. */
+	ParseProgress ParseHead();
+	ParseProgress TakeHead();
+	ParseProgress ParseBody();
+	/** Adds a part to the body. @return Whether there is memory for it. */
+	bool StoreBody(std::string_view part);
+	/** @return Size of the body, if the head states it. */
+	[[nodiscard]] std::optional<uint64_t> StatedLength() const;
 };
 
 /** Receives the parts of a response. */
--- a/src/node/metrics_page.cpp
+++ b/src/node/metrics_page.cpp
@@ -139,6 +139,25 @@
 	return out;
 }
 
+namespace {
+
+/** @return Counts of a listener, one a line. @param connections Its connections. */
+std::string ListenerText(const CallerConnections &connections)
+{
+	const std::string listener = "{listener=\"" + connections.Name() + "\"";
+	const CallerCounters &counters = connections.Counters();
+	std::string text = "glade_caller_connections" + listener + "} " + std::to_string(connections.Open()) + "\n";
+	text += "glade_callers_accepted" + listener + "} " + std::to_string(counters.accepted) + "\n";
+	text += "glade_callers_served" + listener + "} " + std::to_string(counters.served) + "\n";
+	for (size_t n = 0; n < CALLER_REFUSALS; n++) {
+		text += "glade_callers_refused" + listener + ",reason=\"" + NameOf(static_cast<CallerRefusal>(n)) + "\"} " +
+				std::to_string(counters.refusals[n]) + "\n";
+	}
+	return text;
+}
+
+} // namespace
+
 std::shared_ptr<ServedRequest> MetricsPage::Serve(CallerSink &sink, CallerRequest)
 {
 	std::string text = "glade_config_version " + std::to_string(this->core.Api().Config().version) + "\nglade_ready " +
@@ -157,6 +176,7 @@
 		text += std::string("glade_") + it.name + " " + std::to_string(this->core.Handovers().Counters().*it.member) +
 				"\n";
 	}
+	std::ranges::for_each(this->listeners, [&text](const CallerConnections *it) { text += ListenerText(*it); });
 	const DrainCounters drains = this->core.Drains();
 	text += "glade_drains_begun " + std::to_string(drains.begun) + "\nglade_drains_ended " +
 			std::to_string(drains.ended) + "\nglade_drains_cancelled " + std::to_string(drains.cancelled) + "\n";
--- a/src/node/metrics_page.h
+++ b/src/node/metrics_page.h
@@ -2,6 +2,7 @@
 #ifndef METRICS_PAGE_H
 #define METRICS_PAGE_H
 
+#include "../net/caller_connections.h"
 #include "../request/request_type.h"
 #include "config_use.h"
 #include "node_core.h"
@@ -22,10 +23,14 @@
 	 * outlives this object. */
 	MetricsPage(const NodeCore &core, const ConfigUseLog &config_use) : core(core), config_use(config_use) {}
 	std::shared_ptr<ServedRequest> Serve(CallerSink &sink, CallerRequest request) override;
+	[[nodiscard]] bool WantsBody(const CallerRequest & /*head*/) const override { return false; }
+	/** Adds the counts of a listener. @param connections Its connections; outlive this object's last request. */
+	void Add(const CallerConnections &connections) { this->listeners.push_back(&connections); }
 
 private:
-	const NodeCore &core;           ///< The node.
-	const ConfigUseLog &config_use; ///< By which configurations requests were decided.
+	std::vector<const CallerConnections *> listeners; ///< Listeners whose counts are served.
+	const NodeCore &core;                             ///< The node.
+	const ConfigUseLog &config_use;                   ///< By which configurations requests were decided.
 };
 
 #endif /* METRICS_PAGE_H */
--- a/src/request/request_type.h
+++ b/src/request/request_type.h
@@ -45,13 +45,18 @@
 	void RemoveHopByHop();
 };
 
+class BodyShare;
+
 /** A complete request of a caller. */
 struct CallerRequest {
-	std::string method;     ///< GET, POST, …
-	std::string target;     ///< Path and query.
-	HeaderList headers;     ///< Header fields.
-	std::string body;       ///< Complete body; its size is limited by the settings.
-	bool from_peer = false; ///< Whether another entry forwarded it.
+	std::string method;        ///< GET, POST, …
+	std::string target;        ///< Path and query.
+	HeaderList headers;        ///< Header fields.
+	std::string body;          ///< Complete body; its size is limited by the settings.
+	bool from_peer = false;    ///< Whether another entry forwarded it.
+	bool body_dropped = false; ///< Whether it had a body that RequestHandler::WantsBody() declined.
+	/** Keeps the bytes of the body reserved; null where bodies have no common limit. */
+	std::shared_ptr<const BodyShare> body_share = nullptr;
 };
 
 /** Status and header fields of a response. */
@@ -115,6 +120,9 @@
 	 */
 	virtual std::shared_ptr<ServedRequest> Serve(CallerSink &sink, CallerRequest request) = 0;
 
+	/** Decides on a body before it is received. @param head The request without its body.
+	 * @return Whether Serve() uses the body; otherwise it is read and dropped. */
+	[[nodiscard]] virtual bool WantsBody(const CallerRequest & /*head*/) const { return true; }
 	/** @return Whether connections should be closed once they are idle. */
 	[[nodiscard]] virtual bool Closing() const { return false; }
 };
