Frames that other nodes send in part, and their connections, are bounded

Cause: the listener took frames of 64 MB from whoever connects, kept what had come of them, in any number and for any time. Not played: a peer that asks without end and reads no answers.

--- a/src/net/frame_link.cpp
+++ b/src/net/frame_link.cpp
@@ -2,16 +2,20 @@
 #include "frame_link.h"
 
 #include "accept_func.h"
+#include "monotonic_clock.h"
 
 #include <QtEndian>
 
 #include <algorithm>
+#include <ranges>
 
 namespace {
 
-constexpr int FRAME_HEADER_BYTES = 4;   ///< Bytes of the length before each frame.
-constexpr Millis CONNECT_TIMEOUT(1000); ///< Time limit for establishing a connection.
-constexpr Millis RECONNECT_DELAY(200);  ///< Delay before the next connection attempt.
+constexpr int FRAME_HEADER_BYTES = 4;           ///< Bytes of the length before each frame.
+constexpr Millis CONNECT_TIMEOUT(1000);         ///< Time limit for establishing a connection.
+constexpr Millis RECONNECT_DELAY(200);          ///< Delay before the next connection attempt.
+constexpr int CHECK_INTERVAL_MS = 1000;         ///< Interval in ms of the checks for frames that are not completed.
+constexpr qint64 READ_BUFFER_BYTES = 64 * 1024; ///< Received bytes that wait to be parsed; then TCP slows the sender.
 
 /**
  * Aborts a socket and deletes it later, without further signals.
@@ -26,8 +30,12 @@
 
 } // namespace
 
-FrameLink::FrameLink(QTcpSocket *socket) : socket(socket)
+FrameLink::FrameLink(QTcpSocket *socket, const std::shared_ptr<BodyBudget> &unfinished)
+		: socket(socket), unfinished(unfinished), last_frame_at(SystemClock().Now())
 {
+	if (unfinished) {
+		socket->setReadBufferSize(READ_BUFFER_BYTES);
+	}
 	socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
 	QObject::connect(socket, &QTcpSocket::readyRead, socket, [this] { this->OnReadable(); });
 	QObject::connect(socket, &QTcpSocket::connected, socket, [this] {
@@ -76,11 +84,26 @@
 {
 	const QByteArray data = this->socket->readAll();
 	this->bytes_received += static_cast<uint64_t>(data.size());
+	if (this->buf.isEmpty()) {
+		this->partial_since = SystemClock().Now();
+	}
 	this->buf += data;
 	while (this->ParseFrame()) {
 	}
 }
 
+void FrameLink::Reserve(size_t size)
+{
+	if (!this->unfinished || this->share) {
+		return;
+	}
+	this->share = std::make_unique<BodyShare>(this->unfinished);
+	if (!this->share->Cover(size)) {
+		this->buf.clear();
+		this->socket->abort();
+	}
+}
+
 bool FrameLink::ParseFrame()
 {
 	if (this->buf.size() < FRAME_HEADER_BYTES) {
@@ -92,8 +115,11 @@
 		return false;
 	}
 	if (this->buf.size() < FRAME_HEADER_BYTES + static_cast<qsizetype>(size)) {
+		this->Reserve(size);
 		return false;
 	}
+	this->share.reset();
+	this->last_frame_at = this->partial_since = SystemClock().Now();
 	const QByteArray body = this->buf.mid(FRAME_HEADER_BYTES, size);
 	this->buf.remove(0, FRAME_HEADER_BYTES + static_cast<qsizetype>(size));
 	const auto *data = reinterpret_cast<const uint8_t *>(body.constData());
@@ -109,10 +135,12 @@
 	return true;
 }
 
-FrameServer::FrameServer(OnMessage on_message, OnDisconnect on_disconnected)
-		: on_message(std::move(on_message)), on_disconnected(std::move(on_disconnected))
+FrameServer::FrameServer(OnMessage on_message, OnDisconnect on_disconnected, FrameServerLimits limits)
+		: on_message(std::move(on_message)), on_disconnected(std::move(on_disconnected)), limits(std::move(limits))
 {
 	ResumeAfterAcceptErrors(this->server);
+	QObject::connect(&this->check_timer, &QTimer::timeout, &this->server, [this] { this->CloseStalled(); });
+	this->check_timer.start(CHECK_INTERVAL_MS);
 	QObject::connect(&this->server, &QTcpServer::newConnection, &this->server, [this] { this->Accept(); });
 }
 
@@ -125,7 +153,8 @@
 {
 	while (QTcpSocket *socket = this->server.nextPendingConnection()) {
 		socket->setParent(nullptr);
-		auto link = std::make_unique<FrameLink>(socket);
+		this->LimitLinks();
+		auto link = std::make_unique<FrameLink>(socket, this->limits.unfinished);
 		FrameLink *raw = link.get();
 		link->on_message = [this, raw](const MessageUnion &message) { this->on_message(*raw, message); };
 		link->on_disconnected = [this, raw] {
@@ -136,6 +165,27 @@
 	}
 }
 
+void FrameServer::CloseStalled()
+{
+	const Millis since = SystemClock().Now() - this->limits.frame_wait;
+	for (const auto &link : this->links) {
+		if (link->StalledSince(since)) {
+			link->Abort();
+		}
+	}
+}
+
+void FrameServer::LimitLinks()
+{
+	const auto open = [](const std::unique_ptr<FrameLink> &it) { return it->IsConnected(); };
+	if (static_cast<size_t>(std::ranges::count_if(this->links, open)) < this->limits.connections) {
+		return;
+	}
+	auto connected = this->links | std::views::filter(open);
+	const auto oldest = std::ranges::min_element(connected, {}, [](const auto &it) { return it->LastFrameAt(); });
+	(*oldest)->Abort();
+}
+
 void FrameServer::RemoveLink(FrameLink *link)
 {
 	const auto it = std::ranges::find_if(this->links, [&](const auto &one) { return one.get() == link; });
--- a/src/net/frame_link.h
+++ b/src/net/frame_link.h
@@ -5,9 +5,11 @@
 #include "../generated/wire_generated.h"
 #include "../scheduler_type.h"
 #include "address_func.h"
+#include "body_budget.h"
 
 #include <QTcpServer>
 #include <QTcpSocket>
+#include <QTimer>
 
 #include <functional>
 #include <list>
@@ -38,8 +40,9 @@
 
 	/**
 	 * @param socket The socket; ownership passes to this object.
+	 * @param unfinished Memory for frames that are received in part; null for no common limit.
 	 */
-	explicit FrameLink(QTcpSocket *socket);
+	explicit FrameLink(QTcpSocket *socket, const std::shared_ptr<BodyBudget> &unfinished = nullptr);
 	~FrameLink();
 	FrameLink(const FrameLink &) = delete;
 	FrameLink &operator=(const FrameLink &) = delete;
@@ -58,6 +61,12 @@
 
 	/** @return Bytes written but not yet passed to the kernel. */
 	[[nodiscard]] int64_t Pending() const;
+	/** @return When the last complete frame was received, or when the object was made. */
+	[[nodiscard]] Millis LastFrameAt() const { return this->last_frame_at; }
+	/** @return Whether a frame has been received in part since a time or longer. @param since The time. */
+	[[nodiscard]] bool StalledSince(Millis since) const { return !this->buf.isEmpty() && this->partial_since <= since; }
+	/** Ends the connection at once. */
+	void Abort() { this->socket->abort(); }
 
 	OnMessage on_message;                  ///< Called with each message.
 	std::function<void()> on_connected;    ///< Called when the connection is established.
@@ -67,11 +76,24 @@
 	uint64_t bytes_received = 0;           ///< Bytes received.
 
 private:
-	QTcpSocket *socket; ///< The socket.
-	QByteArray buf;     ///< Received bytes of incomplete frames.
+	QTcpSocket *socket;                     ///< The socket.
+	QByteArray buf;                         ///< Received bytes of incomplete frames.
+	std::shared_ptr<BodyBudget> unfinished; ///< Memory for frames that are received in part; may be null.
+	std::unique_ptr<BodyShare> share;       ///< Part of it for the current frame; null if that needs none.
+	Millis last_frame_at;                   ///< See LastFrameAt().
+	Millis partial_since;                   ///< When the first bytes in `buf` were received, or those before parsed.
 
 	void OnReadable();
 	bool ParseFrame();
+	/** Reserves memory for a frame that is received in part, or ends the connection. @param size Size of the frame. */
+	void Reserve(size_t size);
+};
+
+/** Limits of accepted connections that carry frames. */
+struct FrameServerLimits {
+	size_t connections = SIZE_MAX;          ///< Maximum number; the one that was silent for longest gives way.
+	Millis frame_wait = Millis(10000);      ///< Time limit for the rest of a frame.
+	std::shared_ptr<BodyBudget> unfinished; ///< Memory for frames that are received in part; null for no limit.
 };
 
 /** Accepts connections that carry frames. */
@@ -83,8 +105,9 @@
 	/**
 	 * @param on_message Called with each message and its link.
 	 * @param on_disconnected Called when a link is disconnected, before it is destroyed.
+	 * @param limits Limits of the connections.
 	 */
-	FrameServer(OnMessage on_message, OnDisconnect on_disconnected);
+	FrameServer(OnMessage on_message, OnDisconnect on_disconnected, FrameServerLimits limits = {});
 
 	/**
 	 * Starts listening.
@@ -108,7 +131,13 @@
 	OnDisconnect on_disconnected;                ///< Called with each disconnected link.
 	std::list<std::unique_ptr<FrameLink>> links; ///< Open links.
 	uint64_t closed_bytes = 0;                   ///< Bytes of closed links.
+	FrameServerLimits limits;                    ///< Limits of the connections.
+	QTimer check_timer;                          ///< Interval of CloseStalled().
 
+	/** Ends connections whose frames are not completed in time. */
+	void CloseStalled();
+	/** Ends the connection that was silent for longest, if there are too many. */
+	void LimitLinks();
 	void Accept();
 	void RemoveLink(FrameLink *link);
 };
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -149,7 +149,8 @@
 					   [this](FrameLink &link) {
 						   this->awaiting_answer.erase(&link);
 						   this->known_links.erase(&link);
-					   })
+					   },
+					   self.frame_limits)
 {
 	this->shards.overloaded = [this] { return this->handover.Overloaded(); };
 	this->member.on_answer = [this] { this->OnMembership(); };
--- a/src/node/node_core.h
+++ b/src/node/node_core.h
@@ -15,12 +15,13 @@
 	std::string name; ///< Name of this process.
 	/** IP:port of the frame server for other nodes; also part of the member name in the group. */
 	std::string frame_address;
-	int64_t cpu = 0;         ///< CPU limit of this node, in thousandths of a core.
-	uint32_t partitions = 1; ///< Number of partitions of a topic.
-	Millis group_timeout;    ///< Time without contact after which a node loses its shards.
-	ShardLimits limits;      ///< Limits of shards.
-	Millis turn_gap;         ///< Minimum time between the orders to machines of two successive fleet owners.
-	double spread_share = 0; ///< See PoolLimits::spread_share.
+	int64_t cpu = 0;                ///< CPU limit of this node, in thousandths of a core.
+	uint32_t partitions = 1;        ///< Number of partitions of a topic.
+	Millis group_timeout;           ///< Time without contact after which a node loses its shards.
+	ShardLimits limits;             ///< Limits of shards.
+	FrameServerLimits frame_limits; ///< Limits of connections from other nodes.
+	Millis turn_gap;                ///< Minimum time between the orders to machines of two successive fleet owners.
+	double spread_share = 0;        ///< See PoolLimits::spread_share.
 	/** IP:port of the frame servers of some other nodes; some of them may no longer exist. */
 	std::vector<std::string> seeds;
 };
