An owner queues no more start orders than its boxes can soon take

Cause: tasks without demands fit on the boxes in any number, all were placed at once, and the starts of later jobs, whatever their rank, waited behind up to 160,000 orders. Change: no task is placed while 512 starts and 32 for each box wait to be recorded, sent or answered; the next round places by rank again. Jobs with demands are bounded by the boxes' room before that.

--- a/src/jobs/shard_base.h
+++ b/src/jobs/shard_base.h
@@ -367,6 +367,8 @@
 				  std::vector<ShardBox *> &picks);
 	[[nodiscard]] uint32_t CountStepTasksOn(const ShardBox &box, const TaskId &first) const;
 	void Assign(ShardJob &job, const TaskId &id, ShardBox &box, RunNumber run);
+	/** @return Whether more tasks may be placed: few enough start orders wait to be sent or answered. */
+	[[nodiscard]] bool MayQueueStarts() const;
 	void SendRecordedStarts();
 	void SendStart(const PendingStart &start);
 	StartOrder MakeStart(const PendingStart &start, const ShardTask &task, Millis until) const;
--- a/src/jobs/shard_place.cpp
+++ b/src/jobs/shard_place.cpp
@@ -19,6 +19,10 @@
 /** A start is retried for this long before the task is moved to another box. When 40% of the answers are lost, 98 of
  * 100 starts are answered by the fourth attempt. */
 constexpr Millis START_RETRIED_FOR(2000);
+/** Starts that may be queued: tasks without demands would fit on the boxes in any number, and the starts of later jobs
+ * would wait behind all of them. Boxes take fewer orders at a time. */
+constexpr size_t STARTS_QUEUED_MIN = 512;
+constexpr size_t STARTS_QUEUED_PER_BOX = 32; ///< Added for each box.
 
 } // namespace
 
@@ -62,7 +66,18 @@
 	PlaceRound round = this->BeginRound();
 	this->ReserveQuarantineBox(round);
 	this->MarkBeyondShares(jobs, round);
-	std::ranges::for_each(jobs, [&](const RankedJob &it) { this->PlaceJob(round, *it.job); });
+	for (const RankedJob &it : jobs) {
+		if (!this->MayQueueStarts()) {
+			return; /* Jobs that are accepted meanwhile may precede the others in the next round. */
+		}
+		this->PlaceJob(round, *it.job);
+	}
+}
+
+bool Shard::MayQueueStarts() const
+{
+	const size_t queued = this->starts.size() + this->recorded_starts.size() + this->starts_under_way;
+	return queued < STARTS_QUEUED_MIN + STARTS_QUEUED_PER_BOX * this->boxes.size();
 }
 
 void Shard::PlaceJob(PlaceRound &round, ShardJob &job)
@@ -193,6 +208,9 @@
 	const StepSpec &spec = job.spec.steps[step];
 	const TaskId first{job.spec.id, occurrence, step, 0};
 	for (TaskId id = first; const uint32_t index : std::views::iota(0U, spec.count)) {
+		if (!this->MayQueueStarts()) {
+			return;
+		}
 		id.index = index;
 		const ShardTask &task = job.tasks[job.IndexOf(id)];
 		const StartKind kind = this->StartKindOf(task);
