An owner frees the tasks and steps of jobs that have ended

Cause: ended jobs were kept whole for good, 230 bytes a task and 200 a step, so that an owner that has refused jobs for want of memory would refuse for good. Change: once a job's end is recorded and no run of it may exist, its tasks, steps and payload are freed; id, route, account and phase stay, no further record of it is written. Every look-up of a task of such a job already allowed for one that isn't there (all uses of FindTask were read). Evidence: test_ended_jobs (completed and cancelled jobs, also after a change of owner). Not done: the ended jobs themselves (some 700 bytes each) are never forgotten.

--- a/src/jobs/shard_base.h
+++ b/src/jobs/shard_base.h
@@ -294,6 +294,9 @@
 	void AppendProgressOf(ShardJob &job, std::vector<KeyedRecord> &records);
 	void Commit();
 	[[nodiscard]] Batch BuildBatch(std::vector<KeyedRecord> &records);
+	/** Frees what only an unfinished job needs, once its end is recorded and no run of it may exist. @param job The
+	 * job. */
+	static void ReleaseEnded(ShardJob &job);
 	void OnCommitted(const Batch &batch);
 	void HoldStarts();
 	void NoteRecorded(const IncomingRecord &incoming);
--- a/src/jobs/shard_jobs.cpp
+++ b/src/jobs/shard_jobs.cpp
@@ -186,6 +186,9 @@
 			}
 		}
 	}
+	if (!this->dirty.contains(spec.id)) {
+		ReleaseEnded(kept);
+	}
 	this->ScheduleTurn();
 }
 
--- a/src/jobs/shard_records.cpp
+++ b/src/jobs/shard_records.cpp
@@ -138,6 +138,9 @@
 
 void Shard::AppendProgressOf(ShardJob &job, std::vector<KeyedRecord> &records)
 {
+	if (job.released) {
+		return; /* Its last record has all that is ever needed. */
+	}
 	job.revision++;
 	const StoredProgress progress = this->ProgressOf(job);
 	ProgressRecords made =
@@ -250,11 +253,30 @@
 			this->RenewLease(it->second);
 		}
 	}
+	for (const JobId &id : batch.phases | std::views::keys) {
+		if (!this->dirty.contains(id)) {
+			this->ReleaseEnded(this->jobs.at(id));
+		}
+	}
 	if (!this->dirty.empty() || this->place_wanted) {
 		this->ScheduleTurn();
 	}
 }
 
+void Shard::ReleaseEnded(ShardJob &job)
+{
+	const auto placed = [](const ShardTask &it) { return it.phase == TaskPhase::TP_PLACED; };
+	if (!job.Over() || job.durable_phase != job.phase || std::ranges::any_of(job.tasks, placed)) {
+		return;
+	}
+	std::vector<ShardTask>().swap(job.tasks);
+	std::vector<StoredTask>().swap(job.recorded_tasks);
+	std::vector<StepSpec>().swap(job.spec.steps);
+	std::vector<uint32_t>().swap(job.step_offsets);
+	std::string().swap(job.spec.payload);
+	job.released = true;
+}
+
 void Shard::HoldStarts()
 {
 	if (this->recorded_starts.empty() || this->reads_awaited > 0) {
--- a/src/jobs/shard_type.h
+++ b/src/jobs/shard_type.h
@@ -142,6 +142,8 @@
 	uint32_t per_occurrence = 0;        ///< Tasks per occurrence.
 	Millis taken_at;                    ///< When this owner learned of the job.
 	RoutePolicy policy;                 ///< Policy of its route: the newest one that is known.
+	/** Whether its tasks and steps were freed: it has ended, its end is recorded, and no run of it may exist. */
+	bool released = false;
 	/** Whether any policy of the route is known. While none is, a failed task is neither restarted nor given up. */
 	bool has_policy = false;
 
