Jobs are accepted while their owner has memory for them

Callers saw: 40 accepted jobs of 20,000 tasks, 30 bytes each, or of 4,000 steps take their owner beyond 160 MB in half a second (164 and 194 MB when it was ended; its successors load the same jobs). Cause: the size of a record was checked, not what a job costs in memory: 460 bytes a task, 800 a step until it is recorded. Change: the owner measures its resident memory and adds estimates of the jobs of the last 2 s; a job that would bring it over 70% of the machine's memory is refused before the append (503, JOB_MEMORY_FULL, not run); free blocks are returned to the system first, once a second at most. A job over 1 MB is not put into an inbox, which an owner has to take unseen. The timer of a recorded job is cancelled: it kept the record until the deadline. In calm a job of 20,000 tasks is accepted (9 MB). Open: small jobs in the inbox of an owner without memory; two shards of one node share its memory.

--- a/src/error_type.h
+++ b/src/error_type.h
@@ -42,6 +42,7 @@
 	X(OTHER_ACCOUNT, 1406, "no such job of this client account", 404)                                                  \
 	X(OVER_MAXIMUM, 1407, "a step asks for more than its client account may have at once", 400)                        \
 	X(ACCOUNT_BUSY, 1408, "client account hands in more than can be done in time", 429)                                \
+	X(JOB_MEMORY_FULL, 1409, "owner has no memory for a job of this size now", 503)                                    \
 	X(NOT_IDENTIFIED, 2001, "credential is missing or unknown", 401)                                                   \
 	X(BAD_REQUEST, 2002, "request is not valid HTTP", 400)                                                             \
 	X(BODY_TOO_LARGE, 2003, "request body is over the limit", 413)                                                     \
--- a/src/jobs/shard_owner.cpp
+++ b/src/jobs/shard_owner.cpp
@@ -253,9 +253,20 @@
 		incoming.done(ResultCode::RC_LOG_UNAVAILABLE); /* The caller's node appends it to the inbox. */
 		return;
 	}
+	if (!this->HasMemoryFor(incoming)) {
+		incoming.done(ResultCode::RC_JOB_MEMORY_FULL);
+		return;
+	}
 	this->shard->Accept(std::move(incoming));
 }
 
+bool ShardOwner::HasMemoryFor(const IncomingRecord &incoming) const
+{
+	/* A job that is known needs no more memory, and its answer must not depend on that. */
+	return !incoming.spec || this->context.memory == nullptr || this->shard->View(incoming.spec->id).known ||
+		   this->context.memory->Admit(*incoming.spec);
+}
+
 void ShardOwner::LogLoad()
 {
 	const Millis now = this->context.scheduler.Now();
--- a/src/jobs/shard_owner.h
+++ b/src/jobs/shard_owner.h
@@ -4,6 +4,7 @@
 
 #include "../store/keyed_follower.h"
 #include "../store/partition_claim.h"
+#include "job_memory.h"
 #include "route_shards.h"
 #include "shard_base.h"
 
@@ -34,6 +35,7 @@
 	/** Reads the reports of boxes up to now and calls back once they were passed in; null when there is no feed. */
 	std::function<void(std::function<void()>)> read_reports = nullptr;
 	ShardPeers *peers = nullptr; ///< Reaches the shards of other services; null when there are none.
+	JobMemory *memory = nullptr; ///< Decides whether there is memory for a job; null to admit all.
 };
 
 /** Ownership of one shard: waits for the claim, then loads and runs the shard. Destroying it stops the shard. */
@@ -67,7 +69,8 @@
 	/** Applies a change of the evacuated zones. @param evacuated The evacuated zones. */
 	void SetEvacuatedZones(const EvacuatedZones &evacuated);
 	/** Accepts a record of a caller. @param record The record in the format of the inbox. @param done Called as
-	 * IncomingRecord::done is, or with RC_PEER_UNAVAILABLE when the shard isn't running here. */
+	 * IncomingRecord::done is, with RC_PEER_UNAVAILABLE when the shard isn't running here, or with RC_JOB_MEMORY_FULL.
+	 */
 	void Accept(const KeyedRecord &record, std::function<void(ResultCode)> done);
 	/** Handles a report of a box. @param report The report. */
 	void OnReport(const BoxReport &report);
@@ -171,6 +174,8 @@
 	/** @return Whether the owner's record is to be appended now. */
 	[[nodiscard]] bool ConfirmationDue() const;
 	void LogLoad();
+	/** @return Whether there is memory for a job that a caller submits. @param incoming Record of the caller. */
+	[[nodiscard]] bool HasMemoryFor(const IncomingRecord &incoming) const;
 };
 
 #endif /* SHARD_OWNER_H */
--- a/src/node/job_api.cpp
+++ b/src/node/job_api.cpp
@@ -17,6 +17,9 @@
 constexpr Millis REFUSAL_TIMEOUT(120);
 constexpr Millis ANSWER_MARGIN(60);          ///< Time that an answer takes to reach the caller.
 constexpr size_t RECORD_BYTES_RESERVED = 16; ///< What prefixes may add to the key of a caller's record.
+/** Jobs that need more memory are accepted by the owner only, which knows whether it has that. An owner has to take
+ * whatever is in the inbox. */
+constexpr uint64_t INBOX_JOB_BYTES = 1024 * 1024;
 
 } // namespace
 
@@ -40,9 +43,11 @@
 	if (const JobRoute *route = this->config.FindRoute(spec.route); route != nullptr) {
 		routed.policy = route->policy;
 	}
-	this->BeginRecording(std::make_shared<Pending>(
+	const auto pending = std::make_shared<Pending>(
 			Pending{service, KeyedRecord{KeyOf(InboxKey{spec.id, spec.account}), EncodeSubmission(routed)},
-					this->scheduler.Now(), deadline, false, std::move(done)}));
+					this->scheduler.Now(), deadline, false, std::move(done)});
+	pending->needs_owner = EstimateBytes(routed) > INBOX_JOB_BYTES;
+	this->BeginRecording(pending);
 }
 
 void JobApi::Cancel(const JobQuestion &job, Millis deadline, Done done)
@@ -66,13 +71,15 @@
 		this->Finish(pending, ResultCode::RC_BODY_TOO_LARGE);
 		return;
 	}
-	this->scheduler.After(std::max(pending->deadline - ANSWER_MARGIN - this->scheduler.Now(), Millis(1)),
-						  [this, pending, still = std::weak_ptr<bool>(this->alive)] {
-							  if (!still.expired()) {
-								  this->Finish(pending, pending->uncertain ? ResultCode::RC_OUTCOME_UNKNOWN
-																		   : ResultCode::RC_LOG_UNAVAILABLE);
-							  }
-						  });
+	pending->timer =
+			this->scheduler.After(std::max(pending->deadline - ANSWER_MARGIN - this->scheduler.Now(), Millis(1)),
+								  [this, pending, still = std::weak_ptr<bool>(this->alive)] {
+									  if (!still.expired()) {
+										  pending->timer = TimerId();
+										  this->Finish(pending, pending->uncertain ? ResultCode::RC_OUTCOME_UNKNOWN
+																				   : ResultCode::RC_LOG_UNAVAILABLE);
+									  }
+								  });
 	ShardOwner *owner = this->shards.Find(pending->service);
 	if (owner != nullptr && owner->Running() != nullptr) {
 		pending->uncertain = true;
@@ -83,6 +90,8 @@
 		});
 	} else if (this->lookup.OwnerConnected(PartitionId{TopicOf(pending->service), PROGRESS_PARTITION})) {
 		this->SendToOwner(pending);
+	} else if (pending->needs_owner) {
+		this->Finish(pending, ResultCode::RC_JOB_MEMORY_FULL);
 	} else {
 		this->AppendToInbox(pending);
 	}
@@ -112,13 +121,19 @@
 
 void JobApi::OnOwnerAnswer(const std::shared_ptr<Pending> &pending, ResultCode code)
 {
-	if (code == ResultCode::RC_OK || code == ResultCode::RC_OTHER_ACCOUNT || code == ResultCode::RC_ACCOUNT_BUSY) {
+	const bool is_final = code == ResultCode::RC_OK || code == ResultCode::RC_OTHER_ACCOUNT ||
+						  code == ResultCode::RC_ACCOUNT_BUSY || code == ResultCode::RC_JOB_MEMORY_FULL;
+	if (is_final) {
 		this->Finish(pending, code);
 		return;
 	}
 	/* Any other answer but an unknown outcome means that the owner has not recorded it and will not. */
 	pending->uncertain = code == ResultCode::RC_OUTCOME_UNKNOWN;
-	this->AppendToInbox(pending);
+	if (pending->needs_owner) {
+		this->Finish(pending, pending->uncertain ? code : ResultCode::RC_JOB_MEMORY_FULL);
+	} else {
+		this->AppendToInbox(pending);
+	}
 }
 
 void JobApi::AppendToInbox(const std::shared_ptr<Pending> &pending)
@@ -167,6 +182,7 @@
 		return; /* The result was reported already. */
 	}
 	this->in_progress--;
+	this->scheduler.Cancel(std::exchange(pending->timer, TimerId())); /* It keeps the record in memory. */
 	this->events.Write("recorded",
 					   {{"key", pending->record.key},
 						{"service", pending->service.Value()},
--- a/src/node/job_api.h
+++ b/src/node/job_api.h
@@ -38,8 +38,9 @@
 	 * @param service Service that runs the job.
 	 * @param deadline Time at which the caller stops waiting.
 	 * @param done Called with RC_OK once the job is durable; RC_LOG_THROTTLED or RC_LOG_UNAVAILABLE if it is certain
-	 * that the job was not recorded and will not be; RC_OUTCOME_UNKNOWN if it may have been; RC_OTHER_ACCOUNT if the id
-	 * belongs to another account's job; RC_ACCOUNT_BUSY if the owner reports it.
+	 * that the job was not recorded and will not be, RC_JOB_MEMORY_FULL if also because of its size; RC_OUTCOME_UNKNOWN
+	 * if it may have been; RC_OTHER_ACCOUNT if the id belongs to another account's job; RC_ACCOUNT_BUSY if the owner
+	 * reports it.
 	 */
 	void Submit(const JobSpec &spec, const ServiceName &service, Millis deadline, Done done);
 	/**
@@ -82,6 +83,9 @@
 		Millis deadline;        ///< Time at which the caller stops waiting.
 		bool uncertain = false; ///< Whether one of the attempts may have recorded it.
 		Done done;              ///< Called with the result; null after that.
+		/** Whether only the owner may record it, since the inbox would take it unseen. */
+		bool needs_owner = false;
+		TimerId timer = TimerId(); ///< Ends it at its deadline.
 	};
 
 	/** A query that goes from shard to shard, because the route has changed its service. */
--- a/src/node/node_core.h
+++ b/src/node/node_core.h
@@ -36,6 +36,7 @@
 	EventLog &events;                    ///< Event log.
 	PlacementAdvisor *advisor = nullptr; ///< Placement policies of routes; null if there are none.
 	const LoadSource *load = nullptr;    ///< Busy time of the event loop; null if it isn't measured.
+	JobMemory *memory = nullptr;         ///< Decides whether there is memory for a job; null to admit all.
 };
 
 /** A node without its HTTP transport to callers. */
--- a/src/node/owner_lookup.cpp
+++ b/src/node/owner_lookup.cpp
@@ -30,9 +30,13 @@
  */
 bool IsOwnerAnswer(ResultCode code)
 {
-	constexpr std::array CODES = {
-			ResultCode::RC_OK,           ResultCode::RC_UNKNOWN_JOB,     ResultCode::RC_OTHER_ACCOUNT,
-			ResultCode::RC_ACCOUNT_BUSY, ResultCode::RC_LOG_UNAVAILABLE, ResultCode::RC_OUTCOME_UNKNOWN};
+	constexpr std::array CODES = {ResultCode::RC_OK,
+								  ResultCode::RC_UNKNOWN_JOB,
+								  ResultCode::RC_OTHER_ACCOUNT,
+								  ResultCode::RC_ACCOUNT_BUSY,
+								  ResultCode::RC_LOG_UNAVAILABLE,
+								  ResultCode::RC_OUTCOME_UNKNOWN,
+								  ResultCode::RC_JOB_MEMORY_FULL};
 	return std::ranges::find(CODES, code) != CODES.end();
 }
 
@@ -294,7 +298,8 @@
 		return;
 	}
 	if (IsOwnerAnswer(code)) {
-		const bool unknown = code == ResultCode::RC_LOG_UNAVAILABLE && it->second.earlier_unanswered;
+		const bool not_taken = code == ResultCode::RC_LOG_UNAVAILABLE || code == ResultCode::RC_JOB_MEMORY_FULL;
+		const bool unknown = not_taken && it->second.earlier_unanswered;
 		this->Finish(number, unknown ? ResultCode::RC_OUTCOME_UNKNOWN : code, &message);
 		return;
 	}
--- a/tests/job_world.h
+++ b/tests/job_world.h
@@ -122,17 +122,33 @@
 	JobApi &api;              ///< The asking node's operations on jobs.
 };
 
+/** Memory of a node process. */
+class WorldMemory : public MemorySource {
+public:
+	[[nodiscard]] std::optional<uint64_t> UsedBytes() const override { return this->used; }
+	void ReturnFree() override
+	{
+		this->returns++;
+		this->used -= std::exchange(this->free, 0);
+	}
+
+	uint64_t used = 0;    ///< Bytes in use.
+	uint64_t free = 0;    ///< Bytes of these that are returned by ReturnFree().
+	uint32_t returns = 0; ///< Number of calls of ReturnFree().
+};
+
 /** A node process. */
 class WorldNode {
 public:
 	WorldNode(JobWorld &world, VirtualScheduler &clock, KeyedStore &store, BoxSite &site, const std::string &name,
 			  int64_t cpu, PlacementAdvisor *advisor)
-			: scheduler(clock), peers(world, this->scheduler, this->job_api), log(this->scheduler, clock, store),
+			: scheduler(clock), job_memory(this->scheduler, this->memory, this->events, MEMORY_MAX),
+			  peers(world, this->scheduler, this->job_api), log(this->scheduler, clock, store),
 			  orders(this->scheduler, clock, site),
 			  member(this->scheduler, this->log, this->events,
 					 GroupSpec{NODE_GROUP, GroupPeer{name, cpu}, NODE_TOPIC, Millis(1500), PARTITION_COUNT}),
 			  host(ShardOwnerContext{this->scheduler, this->log, this->orders, this->events, name, ShardLimits{},
-									 advisor, NODE_GROUP, nullptr, &this->peers},
+									 advisor, NODE_GROUP, nullptr, &this->peers, &this->job_memory},
 				   this->member, this->feed, PARTITION_COUNT),
 			  lookup(this->scheduler, this->log, this->events),
 			  job_api(this->scheduler, this->log, this->host, this->lookup, this->events), name(name)
@@ -143,11 +159,15 @@
 
 	static constexpr uint32_t PARTITION_COUNT = 12; ///< Number of partitions of a topic.
 
+	static constexpr uint64_t MEMORY_MAX = 1UL << 30U; ///< Memory in use above which a node takes no more jobs.
+
 	NodeScheduler scheduler; ///< The clock and timers of the node.
+	WorldEventLog events;    ///< The event log.
+	WorldMemory memory;      ///< The memory of the process.
+	JobMemory job_memory;    ///< Admits jobs while there is memory for them.
 	WorldPeers peers;        ///< The connections to other nodes, for shards.
 	KeyedStoreClient log;    ///< The connection to the log.
 	SiteOrders orders;       ///< The connection to the boxes.
-	WorldEventLog events;    ///< The event log.
 	WorldFeed feed;          ///< The site feed.
 	GroupMember member;      ///< The membership in the group of nodes.
 	ShardHost host;          ///< The shards that the node owns.
