--- a/src/net/body_budget.cpp
+++ b/src/net/byte_budget.cpp
@@ -1,5 +1,5 @@
-/** @file body_budget.cpp Bounds the bytes of request bodies that a process holds at a time. */
-#include "body_budget.h"
+/** @file byte_budget.cpp Bounds the bytes that a process holds for others at a time. */
+#include "byte_budget.h"
 
 namespace {
 
@@ -7,12 +7,12 @@
 
 } // namespace
 
-BodyBudget::BodyBudget(size_t bytes_max)
+ByteBudget::ByteBudget(size_t bytes_max)
 		: small_max(bytes_max / SMALL_PART), large_max(bytes_max - bytes_max / SMALL_PART)
 {
 }
 
-bool BodyBudget::Take(size_t bytes)
+bool ByteBudget::Take(size_t bytes)
 {
 	const bool is_small = bytes <= SMALL_BODY_BYTES;
 	size_t &used = is_small ? this->small_used : this->large_used;
@@ -24,12 +24,12 @@
 	return true;
 }
 
-void BodyBudget::Give(size_t bytes)
+void ByteBudget::Give(size_t bytes)
 {
 	(bytes <= SMALL_BODY_BYTES ? this->small_used : this->large_used) -= bytes;
 }
 
-bool BodyShare::Cover(size_t wanted)
+bool ByteShare::Cover(size_t wanted)
 {
 	if (wanted <= this->bytes) {
 		return true;
--- a/src/net/caller_link.cpp
+++ b/src/net/caller_link.cpp
@@ -204,7 +204,7 @@
 		return BodyHandling::BH_DROP;
 	}
 	if (this->limits.bodies) {
-		this->body_share = std::make_shared<BodyShare>(this->limits.bodies);
+		this->body_share = std::make_shared<ByteShare>(this->limits.bodies);
 	}
 	return this->OnGrow(length.value_or(1)) ? BodyHandling::BH_STORE : BodyHandling::BH_REFUSE;
 }
--- a/src/net/caller_link.h
+++ b/src/net/caller_link.h
@@ -2,7 +2,7 @@
 #ifndef CALLER_LINK_H
 #define CALLER_LINK_H
 
-#include "body_budget.h"
+#include "byte_budget.h"
 #include "http_codec.h"
 #include "qt_scheduler.h"
 
@@ -22,7 +22,7 @@
 	int64_t body_rate = 0;                      ///< Minimum bytes of a body per second; 0 for none.
 	int64_t response_buffer_bytes = 256 * 1024; ///< Unsent response bytes above which nothing more is taken in.
 	int64_t read_buffer_bytes = 64 * 1024;      ///< Received bytes that wait to be parsed; then TCP slows the caller.
-	std::shared_ptr<BodyBudget> bodies;         ///< Bounds the bytes of all bodies; null for no common limit.
+	std::shared_ptr<ByteBudget> bodies;         ///< Bounds the bytes of all bodies; null for no common limit.
 	bool from_peers = false;                    ///< Whether the callers are other entries.
 };
 
@@ -111,7 +111,7 @@
 	bool closed_output = false;                   ///< Whether the sending side was closed.
 	bool omit_body = false;                       ///< Whether the response in progress has no body.
 	BodyFraming framing = BodyFraming::BF_LENGTH; ///< Body framing of the response in progress.
-	std::shared_ptr<BodyShare> body_share;        ///< Memory of the body that is being received; may be null.
+	std::shared_ptr<ByteShare> body_share;        ///< Memory of the body that is being received; may be null.
 	size_t body_bytes = 0;                        ///< See BodyBytes().
 	Millis body_since;                            ///< See BodySince().
 	TimerId timer;                                ///< Ends the current wait.
--- a/src/net/frame_link.cpp
+++ b/src/net/frame_link.cpp
@@ -30,7 +30,7 @@
 
 } // namespace
 
-FrameLink::FrameLink(QTcpSocket *socket, const std::shared_ptr<BodyBudget> &unfinished)
+FrameLink::FrameLink(QTcpSocket *socket, const std::shared_ptr<ByteBudget> &unfinished)
 		: socket(socket), unfinished(unfinished), last_frame_at(SystemClock().Now())
 {
 	if (unfinished) {
@@ -97,7 +97,7 @@
 	if (!this->unfinished || this->share) {
 		return;
 	}
-	this->share = std::make_unique<BodyShare>(this->unfinished);
+	this->share = std::make_unique<ByteShare>(this->unfinished);
 	if (!this->share->Cover(size)) {
 		this->buf.clear();
 		this->socket->abort();
--- a/src/net/frame_link.h
+++ b/src/net/frame_link.h
@@ -5,7 +5,7 @@
 #include "../generated/wire_generated.h"
 #include "../scheduler_type.h"
 #include "address_func.h"
-#include "body_budget.h"
+#include "byte_budget.h"
 
 #include <QTcpServer>
 #include <QTcpSocket>
@@ -42,7 +42,7 @@
 	 * @param socket The socket; ownership passes to this object.
 	 * @param unfinished Memory for frames that are received in part; null for no common limit.
 	 */
-	explicit FrameLink(QTcpSocket *socket, const std::shared_ptr<BodyBudget> &unfinished = nullptr);
+	explicit FrameLink(QTcpSocket *socket, const std::shared_ptr<ByteBudget> &unfinished = nullptr);
 	~FrameLink();
 	FrameLink(const FrameLink &) = delete;
 	FrameLink &operator=(const FrameLink &) = delete;
@@ -78,8 +78,8 @@
 private:
 	QTcpSocket *socket;                     ///< The socket.
 	QByteArray buf;                         ///< Received bytes of incomplete frames.
-	std::shared_ptr<BodyBudget> unfinished; ///< Memory for frames that are received in part; may be null.
-	std::unique_ptr<BodyShare> share;       ///< Part of it for the current frame; null if that needs none.
+	std::shared_ptr<ByteBudget> unfinished; ///< Memory for frames that are received in part; may be null.
+	std::unique_ptr<ByteShare> share;       ///< Part of it for the current frame; null if that needs none.
 	Millis last_frame_at;                   ///< See LastFrameAt().
 	Millis partial_since;                   ///< When the first bytes in `buf` were received, or those before parsed.
 
@@ -93,7 +93,7 @@
 struct FrameServerLimits {
 	size_t connections = SIZE_MAX;          ///< Maximum number; the one that was silent for longest gives way.
 	Millis frame_wait = Millis(10000);      ///< Time limit for the rest of a frame.
-	std::shared_ptr<BodyBudget> unfinished; ///< Memory for frames that are received in part; null for no limit.
+	std::shared_ptr<ByteBudget> unfinished; ///< Memory for frames that are received in part; null for no limit.
 };
 
 /** Accepts connections that carry frames. */
--- a/src/request/request_type.h
+++ b/src/request/request_type.h
@@ -45,7 +45,7 @@
 	void RemoveHopByHop();
 };
 
-class BodyShare;
+class ByteShare;
 
 /** A complete request of a caller. */
 struct CallerRequest {
@@ -56,7 +56,7 @@
 	bool from_peer = false;    ///< Whether another entry forwarded it.
 	bool body_dropped = false; ///< Whether it had a body that RequestHandler::WantsBody() declined.
 	/** Keeps the bytes of the body reserved; null where bodies have no common limit. */
-	std::shared_ptr<const BodyShare> body_share = nullptr;
+	std::shared_ptr<const ByteShare> body_share = nullptr;
 };
 
 /** Status and header fields of a response. */
--- a/src/standin/memory/box_site.cpp
+++ b/src/standin/memory/box_site.cpp
@@ -114,8 +114,8 @@
 
 const BoxReport *BoxSite::FindReport(const BoxId &id) const
 {
-	const auto it =
-			std::ranges::find_if(this->boxes, [&id](const auto &one) { return one.second.report.incarnation.id == id; });
+	const auto it = std::ranges::find_if(this->boxes,
+										 [&id](const auto &one) { return one.second.report.incarnation.id == id; });
 	return it == this->boxes.end() ? nullptr : &it->second.report;
 }
 
--- a/tests/clients/clients_world.cpp
+++ b/tests/clients/clients_world.cpp
@@ -357,7 +357,7 @@
 	spec.steps = {step};
 	this->Register(id, spec);
 	this->Call(this->nodes.front()->FirstPort(), this->prober, RequestTo("POST", "/calc/" + id.Value(), body),
-			   [this, id](const HttpReply &reply) {
+			   [this](const HttpReply &reply) {
 				   if (reply.status != STATUS_OK) {
 					   this->failures.push_back("a request of the largest size was not served in calm: status " +
 												std::to_string(reply.status));
--- a/tests/test_caller_limits.cpp
+++ b/tests/test_caller_limits.cpp
@@ -92,18 +92,18 @@
 
 TEST_CASE("small bodies have a part of the budget of their own, and a growing body moves to the other part")
 {
-	const auto budget = std::make_shared<BodyBudget>(400 * 1024);
-	BodyShare large(budget);
+	const auto budget = std::make_shared<ByteBudget>(400 * 1024);
+	ByteShare large(budget);
 	CHECK(large.Cover(300 * 1024));
-	CHECK_FALSE(BodyShare(budget).Cover(100 * 1024));
-	BodyShare small(budget);
+	CHECK_FALSE(ByteShare(budget).Cover(100 * 1024));
+	ByteShare small(budget);
 	CHECK(small.Cover(10 * 1024));
 	CHECK(small.Cover(5 * 1024));
 	CHECK(budget->Used() == 310 * 1024);
 	CHECK_FALSE(small.Cover(SMALL_BODY_BYTES + 1)); /* The part for large bodies is taken. */
 	CHECK(budget->Used() == 310 * 1024);
 	{
-		BodyShare other(budget);
+		ByteShare other(budget);
 		CHECK(other.Cover(SMALL_BODY_BYTES));
 	}
 	CHECK(budget->Used() == 310 * 1024);
@@ -121,7 +121,7 @@
 TEST_CASE("a body for which there is no memory is refused as not run, and small ones are still received")
 {
 	CallerLimits limits = SmallLimits();
-	limits.bodies = std::make_shared<BodyBudget>(200 * 1024);
+	limits.bodies = std::make_shared<ByteBudget>(200 * 1024);
 	LimitedListener world(limits);
 	RawCaller first(world.Port());
 	first.Send(Post("/first", 120000) + std::string(1000, 'x'));
@@ -144,7 +144,7 @@
 TEST_CASE("a body in chunks takes memory as it grows")
 {
 	CallerLimits limits = SmallLimits();
-	limits.bodies = std::make_shared<BodyBudget>(160 * 1024);
+	limits.bodies = std::make_shared<ByteBudget>(160 * 1024);
 	LimitedListener world(limits);
 	RawCaller caller(world.Port());
 	caller.Send("POST /chunks HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n");
