--- a/src/entry/lane.cpp
+++ b/src/entry/lane.cpp
@@ -3,6 +3,7 @@
 
 #include <QPointer>
 
+#include <utility>
 #include <vector>
 
 namespace {
@@ -45,7 +46,8 @@
 };
 
 Lane::Lane(RequestPath &path, CallerLimits caller_limits, CallerLimits peer_limits, DialLimits dial_limits)
-		: path(path), caller_limits(caller_limits), peer_limits(peer_limits), dial_limits(dial_limits)
+		: path(path), caller_limits(std::move(caller_limits)), peer_limits(std::move(peer_limits)),
+		  dial_limits(dial_limits)
 {
 	this->peer_limits.from_peers = true;
 	this->receiver.moveToThread(&this->thread);
