review: case 6, one minion that goes down and up makes jobs fail

Cause: crashes of a minion count against the tasks that ran there, lives of one machine count like different minions, and a suspect starts on the box with the most room, which is the one that has just come back.

--- a/review/standins-2/world.cpp
+++ b/review/standins-2/world.cpp
@@ -61,8 +61,48 @@
 	this->note("minion " + this->id + ": " + task + " run " + std::to_string(run.number) + " ended " + how);
 }
 
+void Minion::Flap(long long up_ms, long long down_ms)
+{
+	this->up_ms = up_ms;
+	this->down_ms = down_ms;
+	this->crash_at = NowMs() + up_ms;
+}
+
+void Minion::Crash()
+{
+	for (const auto &[task, run] : this->runs) {
+		this->note("minion " + this->id + ": " + task + " run " + std::to_string(run.number) + " is lost in a crash");
+	}
+	this->note("minion " + this->id + " crashes");
+	this->crashes++;
+	this->down_until = NowMs() + this->down_ms;
+	this->runs.clear();
+}
+
+void Minion::ComeBack()
+{
+	/* A new life: it has a new id, runs nothing, and has seen no fence number. */
+	this->down_until = 0;
+	this->id = this->id.substr(0, this->id.find('x')) + "x" + std::to_string(this->crashes);
+	this->born = NowMs();
+	this->crash_at = this->born + this->up_ms;
+	this->expiry = this->fence = this->last_end = 0;
+	this->over.clear();
+	this->ends.clear();
+	this->note("minion " + this->id + " is there");
+}
+
 void Minion::Tick()
 {
+	if (this->up_ms > 0 && !this->Down() && NowMs() >= this->crash_at) {
+		this->Crash();
+	}
+	if (this->Down()) {
+		if (NowMs() >= this->down_until) {
+			this->ComeBack();
+		}
+		return;
+	}
 	std::vector<std::pair<std::string, std::string>> ended;
 	for (const auto &[task, run] : this->runs) {
 		if (NowMs() >= run.done_at) {
@@ -281,12 +321,23 @@
 	this->store.Tick();
 	static long long beat_at = -1, beats = 0;
 	const bool beat = beat_at < 0 || NowMs() - beat_at >= HEARTBEAT_MS;
-	for (const auto &it : this->minions) {
-		it->Tick();
-		if (beat) {
-			this->store.Put("keyed.servers", it->id, it->Entry(beats));
+	for (size_t n = 0; n < this->minions.size(); n++) {
+		Minion &it = *this->minions[n];
+		const std::string id = it.id;
+		const bool was_down = it.Down();
+		it.Tick();
+		if (!was_down && it.Down()) {
+			this->server->DropConnections(MINION_ROLE + static_cast<int>(n));
+			this->entries_to_drop.emplace_back(NowMs() + 3 * HEARTBEAT_MS, id);
+		}
+		if (!it.Down() && (beat || it.id != id)) {
+			this->store.Put("keyed.servers", it.id, it.Entry(beats));
 		}
 	}
+	while (!this->entries_to_drop.empty() && this->entries_to_drop.front().first <= NowMs()) {
+		this->store.Put("keyed.servers", this->entries_to_drop.front().second, std::nullopt);
+		this->entries_to_drop.pop_front();
+	}
 	if (beat) {
 		beat_at = NowMs();
 		beats++;
@@ -310,7 +361,12 @@
 	if (role == CLOUD_ROLE) {
 		return this->HandleCloud(request);
 	}
-	return this->minions.at(static_cast<size_t>(role - MINION_ROLE))->Handle(request);
+	Minion &minion = *this->minions.at(static_cast<size_t>(role - MINION_ROLE));
+	if (minion.Down()) {
+		this->server->DropConnections(role); /* Its port is dead. */
+		return At(Json(503, "{}"));
+	}
+	return minion.Handle(request);
 }
 
 Pending World::HandleCloud(const Request &request)
@@ -321,11 +377,12 @@
 	std::string rows;
 	for (const auto &it : this->minions) {
 		rows += (rows.empty() ? "" : ",");
-		rows += "{\"machine\":\"" + it->machine + "\",\"pool\":\"" + it->service +
-				"\",\"state\":\"up\",\"zone\":\"z1\",\"labels\":[\"a\",\"r1-1\"],\"capacity\":{\"cpu\":16000,\"mem-"
+		rows += "{\"machine\":\"" + it->machine + "\",\"pool\":\"" + it->service + "\",\"state\":\"" +
+				(it->Down() ? "down" : "up") +
+				"\",\"zone\":\"z1\",\"labels\":[\"a\",\"r1-1\"],\"capacity\":{\"cpu\":16000,\"mem-"
 				"mb\":32768,"
 				"\"gpu\":0},\"id\":\"" +
-				it->id + "\"}";
+				(it->Down() ? std::string() : it->id) + "\"}";
 	}
 	return At(Json(200, "{\"machines\":[" + rows + "],\"next-token\":null}"));
 }
--- a/review/standins-2/world.h
+++ b/review/standins-2/world.h
@@ -24,7 +24,13 @@
 	std::string service, machine, id, address;
 	long long hold_max = 10000;
 	bool refuses_starts = false; // unhealthy: starts get 503, and nothing is done
-	unsigned starts = 0;         // starts carried out
+	/** Goes down and up by turns from now on. `up_ms`: how long it is up; 0 to stay up. `down_ms`: how long it is down.
+	 */
+	void Flap(long long up_ms, long long down_ms);
+	unsigned crashes = 0;     // crashes so far
+	unsigned failed_ends = 0; // runs that ended `failed`; none does here
+	[[nodiscard]] bool Down() const { return this->down_until > 0; }
+	unsigned starts = 0; // starts carried out
 	std::function<void(const std::string &)> note;
 	[[nodiscard]] bool Idle() const { return this->runs.empty(); }
 
@@ -39,12 +45,15 @@
 		std::string how;
 	};
 	long long born = NowMs(), expiry = 0, fence = 0, last_end = 0;
+	long long up_ms = 0, down_ms = 0, crash_at = 0, down_until = 0;
 	std::map<std::string, Run> runs;
 	std::map<std::string, long long> over; // highest run that was stopped or has ended, by task
 	std::vector<End> ends;
 
 	[[nodiscard]] long long Clock() const { return NowMs() - this->born + 1000; }
 	void Finish(const std::string &task, const std::string &how);
+	void Crash();
+	void ComeBack();
 	[[nodiscard]] std::string Lists() const;
 };
 
@@ -107,6 +116,7 @@
 	Pending Handle(int role, const Request &request);
 	Pending HandleCloud(const Request &request);
 	void Tick();
+	std::deque<std::pair<long long, std::string>> entries_to_drop; // of crashed minions: after three beats
 };
 
 } // namespace rv
