review: case 7, a lasting task isn't started again in time when its minion and then its owner go

Cause: a new owner supposes that the owner before renewed the leases of all minions until 4.5 s after its own claim, and waits a whole lease from there; each takeover begins it anew.

--- a/review/standins-2/http.cpp
+++ b/review/standins-2/http.cpp
@@ -86,6 +86,13 @@
 	}
 }
 
+void Server::SilenceConnections(int role)
+{
+	for (Connection &it : this->connections) {
+		it.silent = it.silent || it.role == role;
+	}
+}
+
 bool Server::TakeRequest(Connection &it, Request &out)
 {
 	const size_t end = it.in.find("\r\n\r\n");
--- a/review/standins-2/http.h
+++ b/review/standins-2/http.h
@@ -41,6 +41,8 @@
 	int Listen(int role, const std::string &ip);
 	/** Ends all connections of a role, as the end of its process does. */
 	void DropConnections(int role);
+	/** Leaves all connections of a role as they are, without a further answer, as a loss of power does. */
+	void SilenceConnections(int role);
 	void Run(); // until Stop()
 	void Stop() { this->stopped = true; }
 	std::mutex mutex;
--- a/review/standins-2/world.cpp
+++ b/review/standins-2/world.cpp
@@ -184,6 +184,7 @@
 		}
 		this->runs[task] = Run{number, NowMs() + SpecNumber(spec, "run-ms", 500), cpu};
 		this->starts++;
+		this->started_at[task] = NowMs();
 		this->note("minion " + this->id + ": started " + task + " run " + std::to_string(number));
 		return At(Json(200, "{" + clock + "}"));
 	}
@@ -323,6 +324,9 @@
 	const bool beat = beat_at < 0 || NowMs() - beat_at >= HEARTBEAT_MS;
 	for (size_t n = 0; n < this->minions.size(); n++) {
 		Minion &it = *this->minions[n];
+		if (it.lost) {
+			continue;
+		}
 		const std::string id = it.id;
 		const bool was_down = it.Down();
 		it.Tick();
@@ -362,6 +366,11 @@
 		return this->HandleCloud(request);
 	}
 	Minion &minion = *this->minions.at(static_cast<size_t>(role - MINION_ROLE));
+	if (minion.lost) {
+		Response nothing;
+		nothing.silent = true;
+		return At(nothing);
+	}
 	if (minion.Down()) {
 		this->server->DropConnections(role); /* Its port is dead. */
 		return At(Json(503, "{}"));
@@ -376,6 +385,9 @@
 	}
 	std::string rows;
 	for (const auto &it : this->minions) {
+		if (it->lost) {
+			continue;
+		}
 		rows += (rows.empty() ? "" : ",");
 		rows += "{\"machine\":\"" + it->machine + "\",\"pool\":\"" + it->service + "\",\"state\":\"" +
 				(it->Down() ? "down" : "up") +
@@ -414,6 +426,16 @@
 	}
 }
 
+void World::LoseMinion(size_t n)
+{
+	const std::lock_guard<std::mutex> lock(this->server->mutex);
+	Minion &it = *this->minions.at(n);
+	it.lost = true;
+	this->server->SilenceConnections(MINION_ROLE + static_cast<int>(n));
+	this->entries_to_drop.emplace_back(NowMs() + 3 * HEARTBEAT_MS, it.id);
+	this->Note("minion " + it.id + " is lost for good, with all that runs there");
+}
+
 bool World::AnyNodeEnded()
 {
 	for (Node &it : this->nodes) {
--- a/review/standins-2/world.h
+++ b/review/standins-2/world.h
@@ -30,6 +30,9 @@
 	unsigned crashes = 0;     // crashes so far
 	unsigned failed_ends = 0; // runs that ended `failed`; none does here
 	[[nodiscard]] bool Down() const { return this->down_until > 0; }
+	bool lost = false;                           // for good: it says nothing any more
+	std::map<std::string, long long> started_at; // when the newest run of a task began, by task
+	[[nodiscard]] bool Runs(const std::string &task) const { return !this->lost && this->runs.contains(task); }
 	unsigned starts = 0; // starts carried out
 	std::function<void(const std::string &)> note;
 	[[nodiscard]] bool Idle() const { return this->runs.empty(); }
@@ -79,6 +82,8 @@
 	void StartNode(size_t n);
 	/** Ends a node at once. */
 	void KillNode(size_t n);
+	/** Takes a minion away for good, without a word. */
+	void LoseMinion(size_t n);
 	/** Waits until a node calls itself ready. */
 	bool AwaitReady(size_t n, long long within_ms);
 	/** Returns the node that is recorded as the owner of a service's jobs; -1 if none. */
