review: case 8, a lasting task is held for 14 s after its minion is gone

Cause: a start order that had no answer is supposed to reach a next life of the minion for 14 s, though its repeat was answered and the order names the lost life.

--- a/review/standins-2/world.cpp
+++ b/review/standins-2/world.cpp
@@ -15,7 +15,8 @@
 
 constexpr int STORE_ROLE = 0, CLOUD_ROLE = 1, MINION_ROLE = 10;
 constexpr long long HEARTBEAT_MS = 1500;
-constexpr int PORTS = 4; // of a node: callers, ready, frames, metrics
+constexpr long long LATE_MS = 2000; // how late a start without an answer is carried out
+constexpr int PORTS = 4;            // of a node: callers, ready, frames, metrics
 
 Response Json(int status, const std::string &body)
 {
@@ -320,6 +321,13 @@
 void World::Tick()
 {
 	this->store.Tick();
+	while (!this->late_orders.empty() && NowMs() >= this->late_orders.front().at) {
+		Minion &minion = *this->minions[this->late_orders.front().minion];
+		if (!minion.lost) {
+			minion.Handle(this->late_orders.front().request);
+		}
+		this->late_orders.pop_front();
+	}
 	static long long beat_at = -1, beats = 0;
 	const bool beat = beat_at < 0 || NowMs() - beat_at >= HEARTBEAT_MS;
 	for (size_t n = 0; n < this->minions.size(); n++) {
@@ -375,6 +383,20 @@
 		this->server->DropConnections(role); /* Its port is dead. */
 		return At(Json(503, "{}"));
 	}
+	if (!this->late_start.empty() && request.path == "/v1/run-start") {
+		rapidjson::Document json;
+		json.Parse(request.body.c_str());
+		const std::string task = json["task"].GetString();
+		if (task == this->late_start) {
+			this->late_start.clear();
+			this->Note("minion " + minion.id + ": the start of " + task +
+					   " gets no answer, and is carried out 2 s later");
+			this->late_orders.push_back(LateOrder{NowMs() + LATE_MS, static_cast<size_t>(role - MINION_ROLE), request});
+			Response nothing;
+			nothing.silent = true;
+			return At(nothing);
+		}
+	}
 	return minion.Handle(request);
 }
 
@@ -385,16 +407,17 @@
 	}
 	std::string rows;
 	for (const auto &it : this->minions) {
-		if (it->lost) {
+		if (it->lost && !it->listed_as_down) {
 			continue;
 		}
+		const bool down = it->lost || it->Down();
 		rows += (rows.empty() ? "" : ",");
 		rows += "{\"machine\":\"" + it->machine + "\",\"pool\":\"" + it->service + "\",\"state\":\"" +
-				(it->Down() ? "down" : "up") +
+				(down ? "down" : "up") +
 				"\",\"zone\":\"z1\",\"labels\":[\"a\",\"r1-1\"],\"capacity\":{\"cpu\":16000,\"mem-"
 				"mb\":32768,"
 				"\"gpu\":0},\"id\":\"" +
-				(it->Down() ? std::string() : it->id) + "\"}";
+				(down ? std::string() : it->id) + "\"}";
 	}
 	return At(Json(200, "{\"machines\":[" + rows + "],\"next-token\":null}"));
 }
@@ -426,11 +449,12 @@
 	}
 }
 
-void World::LoseMinion(size_t n)
+void World::LoseMinion(size_t n, bool listed)
 {
 	const std::lock_guard<std::mutex> lock(this->server->mutex);
 	Minion &it = *this->minions.at(n);
 	it.lost = true;
+	it.listed_as_down = listed;
 	this->server->SilenceConnections(MINION_ROLE + static_cast<int>(n));
 	this->entries_to_drop.emplace_back(NowMs() + 3 * HEARTBEAT_MS, it.id);
 	this->Note("minion " + it.id + " is lost for good, with all that runs there");
--- a/review/standins-2/world.h
+++ b/review/standins-2/world.h
@@ -31,6 +31,7 @@
 	unsigned failed_ends = 0; // runs that ended `failed`; none does here
 	[[nodiscard]] bool Down() const { return this->down_until > 0; }
 	bool lost = false;                           // for good: it says nothing any more
+	bool listed_as_down = false;                 // when lost: whether its machine stays in the list
 	std::map<std::string, long long> started_at; // when the newest run of a task began, by task
 	[[nodiscard]] bool Runs(const std::string &task) const { return !this->lost && this->runs.contains(task); }
 	unsigned starts = 0; // starts carried out
@@ -82,8 +83,11 @@
 	void StartNode(size_t n);
 	/** Ends a node at once. */
 	void KillNode(size_t n);
-	/** Takes a minion away for good, without a word. */
-	void LoseMinion(size_t n);
+	/** Takes a minion away for good, without a word. `listed`: whether its machine stays in the list, as `down`. */
+	void LoseMinion(size_t n, bool listed = false);
+	/** The first start of this task gets no answer, and is carried out 2 s later; to be set under the server's mutex.
+	 */
+	std::string late_start;
 	/** Waits until a node calls itself ready. */
 	bool AwaitReady(size_t n, long long within_ms);
 	/** Returns the node that is recorded as the owner of a service's jobs; -1 if none. */
@@ -121,6 +125,12 @@
 	Pending Handle(int role, const Request &request);
 	Pending HandleCloud(const Request &request);
 	void Tick();
+	struct LateOrder {
+		long long at;
+		size_t minion;
+		Request request;
+	};
+	std::deque<LateOrder> late_orders;
 	std::deque<std::pair<long long, std::string>> entries_to_drop; // of crashed minions: after three beats
 };
 
