A job counts as waiting at a new owner until a box is known to have run it

Cause: a new owner took a waiting task with a run number for begun. Starts that a box refuses, that find no room or that are never sent use up numbers as well.

Change: whether the job has begun is recorded in its progress (one byte, no append more). Where an earlier version hasn't recorded it, it is derived from what only a run leaves. An order that a box calls invalid no longer counts as a run; an end other than a stop that a box lists does.

--- a/src/jobs/job_codec.cpp
+++ b/src/jobs/job_codec.cpp
@@ -142,6 +142,17 @@
 	return spec;
 }
 
+bool ShowsRun(const StoredTask &task)
+{
+	return task.phase == TaskPhase::TP_DONE || task.failures > 0 || task.crashes > 0 || !task.saved.empty() ||
+		   task.gave_way || task.run_age != RunAge::RA_NEW;
+}
+
+bool StoredProgress::HasBegun() const
+{
+	return this->begun ? *this->begun : std::ranges::any_of(this->tasks, ShowsRun);
+}
+
 std::string EncodeProgress(const StoredProgress &progress)
 {
 	wire::ProgressRecordT out;
@@ -152,6 +163,9 @@
 	out.revision = progress.revision;
 	out.first_task = static_cast<uint32_t>(progress.first_task);
 	out.task_count = static_cast<uint32_t>(progress.task_count);
+	if (progress.begun) {
+		out.begun = *progress.begun;
+	}
 	std::map<BoxIncarnation, uint16_t> places;
 	for (const StoredTask &task : progress.tasks) {
 		auto row = std::make_unique<wire::TaskRecordT>();
@@ -192,6 +206,9 @@
 	progress.revision = in->revision;
 	progress.first_task = in->first_task;
 	progress.task_count = in->task_count;
+	if (in->begun) {
+		progress.begun = *in->begun;
+	}
 	for (const auto &row : in->tasks) {
 		if (row->box > in->boxes.size() || row->phase > static_cast<uint8_t>(TaskPhase::TP_DONE)) {
 			return std::nullopt;
--- a/src/jobs/job_codec.h
+++ b/src/jobs/job_codec.h
@@ -41,6 +41,9 @@
 	bool operator==(const StoredTask &) const = default;
 };
 
+/** @return Whether the stored state of a task shows that a box has started a run of it. @param task The task. */
+[[nodiscard]] bool ShowsRun(const StoredTask &task);
+
 /** Stored progress of a job. */
 struct StoredProgress {
 	JobPhase phase = JobPhase::JP_QUEUED; ///< Phase of the job.
@@ -50,7 +53,11 @@
 	std::vector<StoredTask> tasks;        ///< By occurrence, step, index; a record may have only some of them.
 	size_t first_task = 0;                ///< Index of the first of `tasks` among all tasks of the job.
 	size_t task_count = 0;                ///< Number of tasks of the job; 0 in records from before it was recorded.
+	std::optional<bool> begun;            ///< Whether a box is known to have started a run; unset in older records.
 
+	/** @return Whether a box is known to have started a run. The number of a run doesn't tell: a start that a box has
+	 * refused uses one up as well. */
+	[[nodiscard]] bool HasBegun() const;
 	bool operator==(const StoredProgress &) const = default;
 };
 
--- a/src/jobs/progress_records.cpp
+++ b/src/jobs/progress_records.cpp
@@ -73,6 +73,7 @@
 		part.route = this->progress.route;
 		part.changed = this->progress.changed;
 		part.revision = this->progress.revision;
+		part.begun = this->progress.begun;
 		part.first_task = range.first;
 		part.task_count = this->progress.tasks.size();
 		std::ranges::copy(this->progress.tasks | std::views::drop(range.first) | std::views::take(range.count),
@@ -150,5 +151,6 @@
 		this->progress.route = record.route;
 		this->progress.changed = record.changed;
 		this->progress.revision = record.revision;
+		this->progress.begun = record.begun;
 	}
 }
--- a/src/jobs/shard_boxes.cpp
+++ b/src/jobs/shard_boxes.cpp
@@ -39,6 +39,12 @@
 constexpr Millis FORGET_AFTER(10000);     ///< A box without report, tasks and answers is forgotten after this time.
 constexpr size_t ENDS_PER_LIST_MAX = 500; ///< Maximum number of ends in a list; a list of this size may be incomplete.
 
+/** @return Whether the end of a run shows that the box had started it: one can also be stopped before its start. */
+bool ShowsStart(const EndedRow &row)
+{
+	return row.ending != RunEnding::RE_STOPPED || !row.saved.empty();
+}
+
 } // namespace
 
 void Shard::OnReport(const BoxReport &report)
@@ -438,6 +444,8 @@
 		if (task == nullptr) {
 			continue;
 		}
+		ShardJob &job = this->jobs.at(row.task.job);
+		job.begun = job.begun || ShowsStart(row);
 		if (row.ending == RunEnding::RE_LAPSED) {
 			this->ClearByLapse(row.task, *task);
 		}
--- a/src/jobs/shard_jobs.cpp
+++ b/src/jobs/shard_jobs.cpp
@@ -115,6 +115,8 @@
 		const StoredProgress &progress = old->second.Result();
 		job.phase = job.durable_phase = progress.phase;
 		job.revision = progress.revision;
+		/* A run that was placed by an earlier owner counts as started once its box lists it. */
+		job.begun = progress.HasBegun();
 		/* A record of another size can only come from a fault: the tasks start in their initial state, but the recorded
 		 * phase counts. */
 		if (progress.tasks.size() == job.tasks.size()) {
@@ -165,11 +167,6 @@
 								  {"image", kept.spec.steps.empty() ? "" : kept.spec.steps.front().image},
 								  {"estimate_ms", std::to_string(kept.spec.steps.front().estimate.Value())},
 								  {"phase", NameOf(kept.phase)}});
-	/* A run that was placed by an earlier owner counts as started once its box lists it. */
-	kept.begun = std::ranges::any_of(kept.tasks, [](const ShardTask &it) {
-		return it.phase == TaskPhase::TP_DONE || it.failures > 0 || it.crashes > 0 ||
-			   (it.phase == TaskPhase::TP_WAITING && it.run.Value() > 0);
-	});
 	if (!kept.Over()) {
 		this->live.emplace(spec.id, &kept);
 		if (std::ranges::any_of(spec.steps, &StepSpec::lasting)) {
--- a/src/jobs/shard_records.cpp
+++ b/src/jobs/shard_records.cpp
@@ -131,6 +131,7 @@
 	out.route = job.spec.route;
 	out.changed = this->scheduler.WallNow();
 	out.revision = job.revision;
+	out.begun = job.begun;
 	std::ranges::transform(job.tasks, std::back_inserter(out.tasks),
 						   [](const ShardTask &it) -> const StoredTask & { return it; });
 	return out;
--- a/src/jobs/shard_runs.cpp
+++ b/src/jobs/shard_runs.cpp
@@ -57,7 +57,6 @@
 		task.saved = saved;
 	}
 	this->Release(id, task);
-	job.begun = job.begun || ending == RunEnding::RE_DONE || ending == RunEnding::RE_FAILED;
 	switch (ending) {
 	case RunEnding::RE_DONE:
 		this->counters.done++;
--- a/src/standin/memory/box_site.cpp
+++ b/src/standin/memory/box_site.cpp
@@ -294,6 +294,10 @@
 	if (order.lease_until <= this->ClockOf(*box)) {
 		return this->MakeAnswer(box, OrderOutcome::OO_LEASE_PAST);
 	}
+	const auto refusal = this->refuse_start ? this->refuse_start(report, order) : std::nullopt;
+	if (refusal) {
+		return this->MakeAnswer(box, *refusal);
+	}
 	this->ExtendLease(*box, order.lease_until);
 	const auto job = this->jobs.find(order.task.job);
 	const Resources demand = job == this->jobs.end() ? Resources{} : job->second.spec.steps.at(order.task.step).demand;
--- a/src/standin/memory/box_site.h
+++ b/src/standin/memory/box_site.h
@@ -124,6 +124,8 @@
 	/** Called for each order that a node sends to a box that can be reached. Decides its transit; without a value, the
 	 * faults of the box do. */
 	std::function<std::optional<OrderTransit>(const OutgoingOrder &)> choose_transit;
+	/** Chooses starts that boxes refuse without carrying them out, and the outcome; null to refuse none. */
+	std::function<std::optional<OrderOutcome>(const BoxReport &, const StartOrder &)> refuse_start;
 	/** Whether a lease order acknowledges ends only when it arrives, rather than also while it waits for ends. The
 	 * platform's pages leave it open. */
 	bool acknowledges_on_arrival = false;
