--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -15,7 +15,9 @@
 
 namespace {
 
-constexpr size_t READ_BUFFER_BYTES = 65536;   ///< Bytes read per iteration of the event loop.
+constexpr size_t READ_BUFFER_BYTES = 65536; ///< Bytes read per iteration of the event loop.
+/** Longest response body that is accepted. A page of the store, the longest one, takes less than 2 MB. */
+constexpr size_t RESPONSE_BYTES_MAX = 16 * 1024 * 1024;
 constexpr Millis EXPIRY_CHECK_INTERVAL(2000); ///< Interval between checks for connections that have been idle too long.
 
 /** @return Socket address of an IPv4 address and port. @param to The address and port. */
@@ -75,6 +77,7 @@
 	this->unsent = std::move(bytes);
 	this->status = 0;
 	this->body.clear();
+	this->body_bytes = 0;
 	this->send_started = false;
 	if (this->connected) {
 		this->Send();
@@ -135,13 +138,22 @@
 		this->OnPeerClosed();
 		return;
 	}
-	if (!this->reader->Read(std::string_view(buf.data(), static_cast<size_t>(n)), *this)) {
+	const bool valid = this->reader->Read(std::string_view(buf.data(), static_cast<size_t>(n)), *this);
+	if (!valid || this->body_bytes > RESPONSE_BYTES_MAX) {
 		this->Fail();
 	} else if (this->reader->Done()) {
 		this->Complete();
 	}
 }
 
+void HttpConnection::OnBody(std::string_view data)
+{
+	this->body_bytes += data.size();
+	if (this->body_bytes <= RESPONSE_BYTES_MAX) {
+		this->body += data;
+	}
+}
+
 void HttpConnection::OnPeerClosed()
 {
 	if (this->reader->Eof()) {
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -47,7 +47,7 @@
 	void Abandon();
 
 	void OnHead(ResponseHead head) override { this->status = head.status; }
-	void OnBody(std::string_view data) override { this->body += data; }
+	void OnBody(std::string_view data) override;
 
 private:
 	QtScheduler &scheduler;                    ///< Clock and timers.
@@ -61,6 +61,7 @@
 	std::string unsent;                        ///< Part of the request that is not sent yet.
 	int status = 0;                            ///< HTTP status of the response.
 	std::string body;                          ///< Response body received so far.
+	size_t body_bytes = 0;                     ///< Its size, also beyond the longest one that is kept.
 	Millis idle_since;                         ///< Time at which the last response was complete.
 	TimerId connect_timer;                     ///< Time limit for establishing the connection.
 	/** Lets callbacks detect that this object was destroyed. */
