Odd records in a shard's partitions don't end its owner

Seen: a progress record that states 4,294,967,295 tasks ends the owner of the shard (bad_alloc), and each next one; a key that is only a prefix does the same by reading beyond its end; a submission without steps was accepted.

Change: records are checked before anything is made from them: tasks at most 1,000,000, steps that wait for earlier ones, an id; records without a key are passed over as records that aren't complete are.

--- a/src/jobs/job_codec.cpp
+++ b/src/jobs/job_codec.cpp
@@ -59,6 +59,22 @@
 	return step;
 }
 
+/** @return Whether a shard can take a job: it has an id and tasks, not too many, and its steps wait for earlier ones
+ * only. */
+bool IsValid(const JobSpec &spec)
+{
+	uint64_t tasks = 0;
+	for (size_t n = 0; n < spec.steps.size(); n++) {
+		const StepSpec &step = spec.steps[n];
+		tasks += step.count;
+		const bool ordered = std::ranges::all_of(step.after, [n](uint32_t it) { return it < n; });
+		if (step.count == 0 || !ordered || tasks > STORED_TASKS_MAX) {
+			return false;
+		}
+	}
+	return !spec.id.Empty() && tasks > 0 && tasks * spec.Occurrences() <= STORED_TASKS_MAX;
+}
+
 constexpr char CANCEL_PREFIX = 'x';     ///< Prefix of the key of a cancellation, before the id of the job.
 constexpr char ACCOUNT_SEPARATOR = '/'; ///< Separates the id of the job from the account.
 
@@ -92,7 +108,7 @@
 InboxKey ParseInboxKey(std::string_view key)
 {
 	InboxKey name;
-	name.is_cancellation = key.front() == CANCEL_PREFIX;
+	name.is_cancellation = key.starts_with(CANCEL_PREFIX);
 	key.remove_prefix(name.is_cancellation ? 1 : 0);
 	const size_t mark = key.find(ACCOUNT_SEPARATOR);
 	name.job = JobId(key.substr(0, mark));
@@ -139,7 +155,7 @@
 	if (in->policy) {
 		spec.policy = PolicyFromWire(*in->policy).policy;
 	}
-	return spec;
+	return IsValid(spec) ? std::optional(std::move(spec)) : std::nullopt;
 }
 
 bool ShowsRun(const StoredTask &task)
@@ -196,7 +212,8 @@
 std::optional<StoredProgress> DecodeProgress(std::string_view bytes)
 {
 	const auto in = UnpackRecord<wire::ProgressRecord>(bytes);
-	if (!in || in->phase > static_cast<uint8_t>(JobPhase::JP_CANCELLED)) {
+	if (!in || in->phase > static_cast<uint8_t>(JobPhase::JP_CANCELLED) || in->task_count > STORED_TASKS_MAX ||
+		in->first_task + in->tasks.size() > STORED_TASKS_MAX) {
 		return std::nullopt;
 	}
 	StoredProgress progress;
--- a/src/jobs/job_codec.h
+++ b/src/jobs/job_codec.h
@@ -8,6 +8,9 @@
 struct PolicyRecordT;
 }
 
+/** Largest number of tasks of a job over all its occurrences in a valid record; far above what callers may submit. */
+inline constexpr uint64_t STORED_TASKS_MAX = 1'000'000;
+
 /** How long the current run of a lasting task is known to have lasted; the numbers are stored. */
 enum class RunAge : uint8_t {
 	RA_NEW = 0,      ///< Nothing is known.
@@ -73,7 +76,7 @@
 
 /** @return Encoded key of a caller's record. @param name The decoded key. */
 std::string KeyOf(const InboxKey &name);
-/** @return Decoded key of a caller's record. @param key The encoded key, not empty. */
+/** @return Decoded key of a caller's record. @param key The encoded key. */
 InboxKey ParseInboxKey(std::string_view key);
 
 /** @return The policy, as it is stored in records. @param policy A route's policy. */
@@ -88,7 +91,8 @@
  * Decodes a submission.
  * @param id Id of the job.
  * @param bytes Value of the record.
- * @return The job, or nothing when the bytes are no valid submission or of a later format.
+ * @return The job, or nothing when the bytes are no valid submission or of a later format. A valid one has an id
+ * and tasks, and its steps wait for earlier ones only.
  */
 std::optional<JobSpec> DecodeSubmission(const JobId &id, std::string_view bytes);
 /** @return The progress, or nothing when the bytes are no valid progress record or of a later format. @param bytes
--- a/src/jobs/shard_owner.cpp
+++ b/src/jobs/shard_owner.cpp
@@ -111,7 +111,7 @@
 			this->service, *this->shard);
 	this->shard->may_record = [this](const IncomingRecord &it) { return this->routes->MayRecord(it); };
 	for (const auto &[key, bytes] : claimed.records) {
-		if (key.front() == ACCEPTED_PREFIX) {
+		if (key.starts_with(ACCEPTED_PREFIX)) {
 			this->accepted.push_back(KeyedRecord{key.substr(1), bytes});
 		} else {
 			this->RestoreRecord(key, bytes);
@@ -135,6 +135,10 @@
 
 void ShardOwner::RestoreRecord(const std::string &key, const std::string &bytes)
 {
+	if (key.empty()) {
+		this->NoteBadRecord(key);
+		return;
+	}
 	const std::string name = key.substr(1);
 	if (key.front() == ROUTE_PREFIX) {
 		if (const auto state = DecodeRoute(bytes); state) {
@@ -163,10 +167,10 @@
 	if (record.value && record.key == OWNER_KEY) {
 		this->CheckOwnerRecord(record);
 	}
-	if (!record.value || record.key == OWNER_KEY || this->losing) {
+	if (!record.value || record.key.empty() || record.key == OWNER_KEY || this->losing) {
 		return;
 	}
-	const bool progress = record.key.front() == PROGRESS_PREFIX;
+	const bool progress = record.key.starts_with(PROGRESS_PREFIX);
 	if (this->running) {
 		if (!progress) { /* Otherwise it is this owner's own record. */
 			this->ApplyInboxRecord(record);
