--- a/src/net/address_func.cpp
+++ b/src/net/address_func.cpp
@@ -28,3 +28,15 @@
 	}
 	return address;
 }
+
+std::optional<NetAddress> ParsePeerAddress(const std::string &text)
+{
+	const std::optional<NetAddress> address = ParseAddress(text);
+	if (!address || address->port == 0 || address->Text() != text) {
+		return std::nullopt;
+	}
+	const QHostAddress &ip = address->ip;
+	const bool single_host = ip.protocol() == QAbstractSocket::IPv4Protocol && !ip.isMulticast() && !ip.isBroadcast() &&
+							 ip != QHostAddress(QHostAddress::AnyIPv4);
+	return single_host ? address : std::nullopt;
+}
--- a/src/net/address_func.h
+++ b/src/net/address_func.h
@@ -23,4 +23,12 @@
  */
 std::optional<NetAddress> ParseAddress(const std::string &text);
 
+/**
+ * Parses the address of another process, as that or a third one states it.
+ * @param text "IP:port", exactly as Text() writes it.
+ * @return The address, or nothing if no connection to it can be established: it is no address of a single IPv4 host, or
+ * has no port.
+ */
+std::optional<NetAddress> ParsePeerAddress(const std::string &text);
+
 #endif /* ADDRESS_FUNC_H */
--- a/tests/test_other_writer.cpp
+++ b/tests/test_other_writer.cpp
@@ -39,7 +39,7 @@
 /** @return Whether a report is accepted. @param json The report. */
 bool IsAccepted(const QJsonObject &json)
 {
-	return DecodeReport(BoxId("i-1"), ToBytes(json)).has_value();
+	return DecodeReport(BoxId("i-1"), ToBytes(json)).report.has_value();
 }
 
 /** @return A valid report with one field replaced. @param name Name of the field. @param value Its value. */
@@ -106,7 +106,7 @@
 	CHECK_FALSE(IsAccepted(ReportWith("capacity", QJsonObject{{"cpu", "16000"}, {"mem-mb", 32768}})));
 	CHECK_FALSE(IsAccepted(ReportWith("capacity", QJsonObject{{"cpu", -1}, {"mem-mb", 32768}})));
 	for (const char *bytes : {"", "null", "[]", "7", "{", "\xff\xfe\x01", "{\"service\":\"calc\""}) {
-		CHECK_FALSE(DecodeReport(BoxId("i-1"), bytes));
+		CHECK_FALSE(DecodeReport(BoxId("i-1"), bytes).report);
 	}
 }
 
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -41,9 +41,11 @@
 
 TEST_CASE("a box report is decoded")
 {
-	const std::optional<BoxReport> report = DecodeReport(
-			BoxId("i-1"), R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"draining","remaining-ms":900,)"
-						  R"("capacity":{"cpu":16000,"mem-mb":32768,"gpu":1},"labels":["a","r1-3"],"machine":"m-1"})");
+	const std::optional<BoxReport> report =
+			DecodeReport(BoxId("i-1"),
+						 R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"draining","remaining-ms":900,)"
+						 R"("capacity":{"cpu":16000,"mem-mb":32768,"gpu":1},"labels":["a","r1-3"],"machine":"m-1"})")
+					.report;
 	REQUIRE(report);
 	CHECK(report->box == BoxName("m-1"));
 	CHECK(report->capacity == Resources{16000, 32768, 1});
@@ -51,7 +53,7 @@
 	CHECK(report->time_left == Millis(900));
 	CHECK(report->rack == RackName("r1-3"));
 	CHECK(report->incarnation == BoxIncarnation{BoxId("i-1"), Millis(0)});
-	CHECK(!DecodeReport(BoxId("i-1"), "{}"));
+	CHECK(!DecodeReport(BoxId("i-1"), "{}").report);
 }
 
 TEST_CASE("a box report contains the start time of its agent, which is part of the content hash")
@@ -61,12 +63,12 @@
 			   R"("labels":[],"machine":"m-1","call-seq":4,"born":)" +
 			   born + "}";
 	};
-	const std::optional<BoxReport> report = DecodeReport(BoxId("i-1"), bytes("1700000000123"));
+	const std::optional<BoxReport> report = DecodeReport(BoxId("i-1"), bytes("1700000000123")).report;
 	REQUIRE(report);
 	CHECK(report->incarnation == BoxIncarnation{BoxId("i-1"), Millis(1700000000123)});
 	CHECK(ReportContentHash(bytes("1700000000123")) != ReportContentHash(bytes("1700000000124")));
 	for (const char *born : {"\"x\"", "-1", "1.5", "null", "[]"}) {
-		CHECK_FALSE(DecodeReport(BoxId("i-1"), bytes(born)));
+		CHECK_FALSE(DecodeReport(BoxId("i-1"), bytes(born)).report);
 	}
 }
 
