Times that callers state, and states and ages from other nodes, are bounded

Seen: by reading. start-delay-ms near the largest number overflows sums of times; a state of a job that doesn't exist, from another node, ends the process by an exception; a negative age makes a configuration count as fresh.

Change: times are moved into bounds; an answer with an unknown state is none.

Evidence: a case of tests/test_job_parser.cpp for the times; the other two have no test of their own.

--- a/src/node/config_peers.cpp
+++ b/src/node/config_peers.cpp
@@ -7,6 +7,7 @@
 
 constexpr Millis ANSWER_TIMEOUT(1000); ///< Later answers are ignored: other nodes have been asked meanwhile.
 constexpr Millis IDLE_TIMEOUT(5000);   ///< Time after which an unused connection is closed.
+constexpr Millis AGE_MAX(MS_PER_DAY);  ///< Largest age of a configuration that a node states.
 
 } // namespace
 
@@ -122,6 +123,6 @@
 		std::ranges::for_each(in.evacuated,
 							  [&evacuated](const std::string &it) { evacuated->zones.insert(ZoneName(it)); });
 	}
-	node.mapped().done(PeerConfig{in.version, std::string(in.body.begin(), in.body.end()), Millis(in.age_ms),
-								  std::move(evacuated), in.nodes});
+	node.mapped().done(PeerConfig{in.version, std::string(in.body.begin(), in.body.end()),
+								  std::clamp(Millis(in.age_ms), Millis(0), AGE_MAX), std::move(evacuated), in.nodes});
 }
--- a/src/node/job_api.cpp
+++ b/src/node/job_api.cpp
@@ -301,7 +301,7 @@
 	this->lookup.Ask(PartitionId{TopicOf(question.service), PROGRESS_PARTITION}, subject, deadline - ANSWER_MARGIN,
 					 make, [done = std::move(done)](ResultCode code, const MessageUnion *message) {
 						 const auto *in = message == nullptr ? nullptr : message->AsJobAnswer();
-						 if (in == nullptr) {
+						 if (in == nullptr || in->phase > static_cast<uint8_t>(JobPhase::JP_CANCELLED)) {
 							 done(JobAnswer{});
 							 return;
 						 }
--- a/tests/test_job_parser.cpp
+++ b/tests/test_job_parser.cpp
@@ -67,3 +67,13 @@
 	CHECK(FaultOf("[]") == "steps: expected at least one");
 	CHECK(FaultOf("7") == "steps: expected at least one");
 }
+
+/* Guards against times of occurrences that overflow: they are sums and products of what the caller states. */
+TEST_CASE("the times of a repeated job are bounded")
+{
+	const ParsedJob job =
+			ParseJob(ID, R"({"steps":[{}],"repeat-count":3,"start-delay-ms":9223372036854775807,"interval-ms":-5})");
+	REQUIRE(job.result.Ok());
+	CHECK(job.spec.first_due < Millis(1LL << 42U));
+	CHECK(job.spec.interval == Millis(0));
+}
