--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -2,11 +2,33 @@
 #include "soak_fleet.h"
 
 #include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
 
 namespace {
 
 constexpr Millis REPORT_INTERVAL(500); ///< Interval of the boxes' reports.
 
+/** Makes what another writer might leave among the reports. @param sound A sound report. @return The odd ones, with ids
+ * of their own: nested too deeply, with numbers too large, with ports out of range, and a copy of the sound one. */
+std::vector<KeyedRecord> OddReports(const KeyedRecord &sound)
+{
+	constexpr int DEPTH = 5000;
+	const QJsonObject json = QJsonDocument::fromJson(QByteArray::fromStdString(*sound.value)).object();
+	const auto with = [&json](const char *name, const QJsonValue &value) {
+		QJsonObject out = json;
+		out[name] = value;
+		return BodyOf(out);
+	};
+	return {KeyedRecord{"odd-0", std::string(DEPTH, '[')},
+			KeyedRecord{"odd-1", with("remaining-ms", 1e300)},
+			KeyedRecord{"odd-2", with("capacity", QJsonObject{{"cpu", 9e18}, {"mem-mb", 9e18}})},
+			KeyedRecord{"odd-3", with("address", "127.0.0.1:65536")},
+			KeyedRecord{"odd-4", with("address", "127.0.0.1:0")},
+			KeyedRecord{"odd-5", with("born", 9e15)},
+			KeyedRecord{"odd-6", *sound.value}};
+}
+
 } // namespace
 
 void SoakFleet::Add(int per_service)
@@ -50,6 +72,10 @@
 		records.push_back(KeyedRecord{it.incarnation.id.Value(), BodyOf(json)});
 		now.insert(it.incarnation.id.Value());
 	}
+	for (KeyedRecord &odd : OddReports(records.front())) {
+		now.insert(odd.key);
+		records.push_back(std::move(odd));
+	}
 	for (const KeyedRecord &old : this->store.store.Newest(topic, {}).records) {
 		if (!now.contains(old.key)) {
 			records.push_back(KeyedRecord{old.key, std::nullopt});
