A run isn't held for orders that no other agent can carry out

Cause: such a run is held for 14 s, since the next agent under the id may carry the order out. Where reports have no start time, no agent has an earlier id.

--- a/src/jobs/shard_base.h
+++ b/src/jobs/shard_base.h
@@ -465,6 +465,9 @@
 	[[nodiscard]] std::vector<ShardBox *> IncarnationsOf(const BoxId &id);
 	void EndOtherIncarnations(ShardBox &current);
 	void EndIncarnation(ShardBox &box, const char *reason);
+	/** @return Whether a later agent may have the id of an incarnation. A report without a start time says that it
+	 * can't: then an order that names the id reaches no other agent. */
+	[[nodiscard]] static bool IdMayBeUsedAgain(const ShardBox &box);
 	/** @return Whether the next incarnation of an ended box may still start the task's run by an earlier order. */
 	[[nodiscard]] bool MayStillArrive(const ShardBox &box, const ShardTask &task) const;
 	void ResolveLostRuns(ShardBox &box, const char *reason);
--- a/src/jobs/shard_incarnations.cpp
+++ b/src/jobs/shard_incarnations.cpp
@@ -1,8 +1,9 @@
 /** @file shard_incarnations.cpp Shard: ended incarnations of boxes and their runs.
  *
- * A box's agent may restart under the same id. Orders name only the id, so an order meant for the previous incarnation
- * may be carried out by the next one, even seconds later. A run whose order may still arrive is held: its task starts
- * nowhere else until the next incarnation has listed its runs or the order can't arrive any more. */
+ * A box's agent may restart under the same id, if its report has a start time. Orders name only the id, so an order
+ * meant for the previous incarnation may be carried out by the next one, even seconds later. A run whose order may
+ * still arrive is held: its task starts nowhere else until the next incarnation has listed its runs or the order can't
+ * arrive any more. */
 #include "shard_base.h"
 
 #include <algorithm>
@@ -83,6 +84,12 @@
 	}
 }
 
+bool Shard::IdMayBeUsedAgain(const ShardBox &box)
+{
+	const bool has_been_reported = !box.report.address.empty();
+	return !has_been_reported || box.report.incarnation.started != Millis(0);
+}
+
 bool Shard::MayStillArrive(const ShardBox &box, const ShardTask &task) const
 {
 	const Millis now = this->scheduler.Now();
@@ -90,8 +97,8 @@
 	 * that was sent after that one started or, if boxes that keep running leave orders unanswered, also an earlier one.
 	 */
 	const bool restored = task.run_state == RunState::RS_RESTORED;
-	if (task.run_age == RunAge::RA_SETTLED) {
-		return false; /* All orders for it were sent long ago. */
+	if (task.run_age == RunAge::RA_SETTLED || !IdMayBeUsedAgain(box)) {
+		return false; /* All orders for it were sent long ago, or no other agent carries them out. */
 	}
 	const bool may_arrive = box.has_successor || restored || now - this->order_unanswered_at < ORDER_DELAY_MAX;
 	const bool recorded_only = task.run_state == RunState::RS_RECORDING;
--- a/src/standin/memory/box_site.cpp
+++ b/src/standin/memory/box_site.cpp
@@ -24,7 +24,7 @@
 	Box &box = this->boxes[report.box];
 	box.report = report;
 	box.clock_zero = this->clock.Now();
-	box.report.incarnation.started = this->clock.WallNow();
+	box.report.incarnation.started = this->reports_starts ? this->clock.WallNow() : Millis(0);
 }
 
 Millis BoxSite::ClockOf(const BoxName &name) const
@@ -37,10 +37,10 @@
 	Box &box = this->boxes.at(name);
 	this->LoseRuns(box);
 	BoxReport report = box.report;
-	if (!this->keep_box_id) {
+	if (!this->keep_box_id || !this->reports_starts) {
 		report.incarnation.id = BoxId(name.Value() + "-life" + std::to_string(++this->new_box_ids));
 	}
-	report.incarnation.started = this->clock.WallNow() - this->wall_clock_lag;
+	report.incarnation.started = this->reports_starts ? this->clock.WallNow() - this->wall_clock_lag : Millis(0);
 	box = Box{};
 	box.report = report;
 	box.clock_zero = this->clock.Now();
--- a/src/standin/memory/box_site.h
+++ b/src/standin/memory/box_site.h
@@ -139,7 +139,8 @@
 	uint64_t starts = 0;                                                     ///< Number of started runs.
 	uint64_t crashes = 0;                                                    ///< Number of crashes of boxes.
 	Millis restart_delay = Millis(3000);                                     ///< Time from a crash to the restart.
-	bool keep_box_id = true;     ///< Whether boxes keep their ids over a restart.
+	bool keep_box_id = true;     ///< Whether boxes keep their ids over a restart, if their reports have start times.
+	bool reports_starts = true;  ///< Whether reports have start times. Without them, an id is never used again.
 	Millis wall_clock_lag;       ///< Lag of the wall clock of restarted boxes.
 	bool checks_capacity = true; ///< Whether boxes refuse starts beyond their capacity.
 	EventLog *log = nullptr;     ///< Receives crashes, restarts and wrongly forgotten ends; null for none.
--- a/tests/job_world.h
+++ b/tests/job_world.h
@@ -192,8 +192,10 @@
 /** The simulation: nodes, log, boxes and the jobs of the callers. */
 class JobWorld {
 public:
-	explicit JobWorld(size_t count = 3)
+	/** @param count Number of nodes. @param reports_starts Whether the reports of boxes have start times. */
+	explicit JobWorld(size_t count = 3, bool reports_starts = true)
 	{
+		this->site.reports_starts = reports_starts;
 		this->config.version = 1;
 		this->config.routes = {MakeRoute("r-calc", "calc", 0), MakeRoute("r-grid", "grid", 1)};
 		this->config.services = {JobService{ServiceName("calc"), true, false},
--- a/tests/test_held_runs.cpp
+++ b/tests/test_held_runs.cpp
@@ -118,3 +118,25 @@
 	CHECK(world.site.Running(job.spec.id) == 1);
 	CHECK(world.site.violations == std::vector<std::string>{});
 }
+
+/* Guards against the failure of review/8: the first start order has no answer, its repeat has, and the box is lost. */
+TEST_CASE("a long-running task runs elsewhere soon after its box was lost, if no other agent can have the box's id")
+{
+	JobWorld world(3, false);
+	world.site.restart_delay = NEVER;
+	const WorldJob &job = world.Plan(Millis(4000), "calc", JobWorld::Lasting(1));
+	bool late = false;
+	world.site.choose_transit = [&](const OutgoingOrder &it) -> std::optional<OrderTransit> {
+		if (it.kind != OrderKind::OK_START || std::exchange(late, true)) {
+			return std::nullopt;
+		}
+		return OrderTransit{Millis(2000), false, false};
+	};
+	world.clock.RunUntil(Millis(7000));
+	REQUIRE(world.site.Running(job.spec.id) == 1);
+	world.site.Crash(BoxOf(world, job));
+	world.clock.After(LISTED_AS_DOWN_AFTER, [&world] { world.ReportEndedIncarnations(); });
+	world.clock.RunUntil(world.clock.Now() + RESTARTED_BY);
+	CHECK(world.site.Running(job.spec.id) == 1);
+	CHECK(world.site.violations == std::vector<std::string>{});
+}
