--- a/src/jobs/job_codec.cpp
+++ b/src/jobs/job_codec.cpp
@@ -75,6 +75,13 @@
 	return !spec.id.Empty() && tasks > 0 && tasks * spec.Occurrences() <= STORED_TASKS_MAX;
 }
 
+/** @return Whether the stored state of a task shows that a box has started a run of it. @param task The task. */
+bool ShowsRun(const StoredTask &task)
+{
+	return task.phase == TaskPhase::TP_DONE || task.failures > 0 || task.crashes > 0 || !task.saved.empty() ||
+		   task.gave_way || task.run_age != RunAge::RA_NEW;
+}
+
 constexpr char CANCEL_PREFIX = 'x';     ///< Prefix of the key of a cancellation, before the id of the job.
 constexpr char ACCOUNT_SEPARATOR = '/'; ///< Separates the id of the job from the account.
 
@@ -158,12 +165,6 @@
 	return IsValid(spec) ? std::optional(std::move(spec)) : std::nullopt;
 }
 
-bool ShowsRun(const StoredTask &task)
-{
-	return task.phase == TaskPhase::TP_DONE || task.failures > 0 || task.crashes > 0 || !task.saved.empty() ||
-		   task.gave_way || task.run_age != RunAge::RA_NEW;
-}
-
 bool StoredProgress::HasBegun() const
 {
 	return this->begun ? *this->begun : std::ranges::any_of(this->tasks, ShowsRun);
--- a/src/jobs/job_codec.h
+++ b/src/jobs/job_codec.h
@@ -44,9 +44,6 @@
 	bool operator==(const StoredTask &) const = default;
 };
 
-/** @return Whether the stored state of a task shows that a box has started a run of it. @param task The task. */
-[[nodiscard]] bool ShowsRun(const StoredTask &task);
-
 /** Stored progress of a job. */
 struct StoredProgress {
 	JobPhase phase = JobPhase::JP_QUEUED; ///< Phase of the job.
--- a/tests/test_odd_answers.cpp
+++ b/tests/test_odd_answers.cpp
@@ -1,5 +1,6 @@
 /** @file test_odd_answers.cpp Answers of boxes that are nested too deeply, have odd numbers, or are none. */
 #include "../platform/box_answer.h"
+#include "odd_bytes.h"
 
 #include <doctest/doctest.h>
 
@@ -8,16 +9,6 @@
 const BoxIncarnation INCARNATION{BoxId("i-1"), Millis(1700000000000)};
 constexpr size_t DEEP = 1'000'000; ///< Depth of a nested list.
 
-/** @return Answer of a box with a status of 200. @param body Its body. */
-HttpReply ReplyOf(const std::string &body)
-{
-	HttpReply reply;
-	reply.result = CallResult::CR_ANSWERED;
-	reply.status = 200;
-	reply.body = body;
-	return reply;
-}
-
 LeaseAnswer LeaseOf(const std::string &body)
 {
 	return ReadLeaseAnswer(ReplyOf(body), INCARNATION);
--- a/tests/test_odd_inputs.cpp
+++ b/tests/test_odd_inputs.cpp
@@ -3,10 +3,10 @@
 #include "../platform/job_parser.h"
 #include "../platform/platform_feed.h"
 #include "../platform/record_frame.h"
-#include "job_world.h"
 #include "jobs/progress_records.h"
 #include "jobs/route_codec.h"
 #include "net/address_func.h"
+#include "odd_bytes.h"
 #include "store/owner_record.h"
 
 #include <doctest/doctest.h>
@@ -17,42 +17,21 @@
 
 namespace {
 
+/** A valid configuration. */
+const std::string CONFIG_BYTES =
+		R"({"version":7,"routes":[{"name":"r","host":"h","path-prefix":"/p/","service":"s","priority":0,)"
+		R"("max-attempts":4,"stretch":2.2,"target-latency-ms":600}],"services":[{"name":"s"}],"tenants":[]})";
+/** A valid answer to a lease order. */
+const std::string LEASE_BYTES =
+		R"({"clock-ms":482113,"born":1700000000000,"running":[["5c0e7a21d94b36f8.0.1.17",2,"00ff",41,250]],)"
+		R"("finished":[[58,"5c0e7a21d94b36f8.3.1.9",1,"done",""]]})";
 const BoxIncarnation INCARNATION{BoxId("i-1"), Millis(1700000000000)};
 
-/** @return A valid report with one more member. @param member The member, or none. */
-std::string ReportBytes(const std::string &member = "", const std::string &address = "10.0.0.1:80")
-{
-	return R"({"service":"s","address":")" + address +
-		   R"(","zone":"z","state":"ready","machine":"m-1","labels":["a","r1"],)" +
-		   (member.find("capacity") == std::string::npos ? R"("capacity":{"cpu":16000,"mem-mb":32768},)" : "") +
-		   (member.empty() ? "" : member + ",") + R"("call-seq":4})";
-}
-
-/** @return Answer of a box with a status of 200. @param body Its body. */
-HttpReply ReplyOf(const std::string &body)
-{
-	HttpReply reply;
-	reply.result = CallResult::CR_ANSWERED;
-	reply.status = 200;
-	reply.body = body;
-	return reply;
-}
-
 LeaseAnswer LeaseOf(const std::string &body)
 {
 	return ReadLeaseAnswer(ReplyOf(body), INCARNATION);
 }
 
-/** @return A valid submission. */
-JobSpec MakeJob()
-{
-	JobSpec spec;
-	spec.id = JobId("aaaaaaaaaaaaaaa1");
-	spec.route = RouteName("r-calc");
-	spec.steps = JobWorld::Chain(2);
-	return spec;
-}
-
 /** Feeds changed samples to all decoders. The same inputs on each run. */
 class OddInputs {
 public:
@@ -90,11 +69,9 @@
 	boost::random::mt19937_64 random{76}; ///< Random source.
 	std::vector<std::string> samples{
 			ReportBytes(R"("born":1700000000123,"remaining-ms":900,"cold-remaining-ms":5)"),
-			R"({"version":7,"routes":[{"name":"r","host":"h","path-prefix":"/p/","service":"s","priority":0,)"
-			R"("max-attempts":4,"stretch":2.2,"target-latency-ms":600}],"services":[{"name":"s"}],"tenants":[]})",
+			CONFIG_BYTES,
 			R"({"wave":2,"machines":["m-1"],"duration-s":20,"maximum":3})",
-			R"({"clock-ms":482113,"born":1700000000000,"running":[["5c0e7a21d94b36f8.0.1.17",2,"00ff",41,250]],)"
-			R"("finished":[[58,"5c0e7a21d94b36f8.3.1.9",1,"done",""]]})",
+			LEASE_BYTES,
 			R"({"spec":"x","steps":[{"count":4,"cpu":500,"est-runtime-ms":900},{"count":2,"after":[0]}],"interval-ms":5})",
 			EncodeSubmission(MakeJob()),
 			EncodeProgress(
--- a/tests/test_odd_records.cpp
+++ b/tests/test_odd_records.cpp
@@ -1,5 +1,5 @@
 /** @file test_odd_records.cpp Odd records in the partitions of a shard: its owner passes them over. */
-#include "job_world.h"
+#include "odd_bytes.h"
 
 #include <doctest/doctest.h>
 
@@ -7,16 +7,6 @@
 
 const ServiceName CALC("calc");
 
-/** @return A valid submission. */
-JobSpec MakeJob()
-{
-	JobSpec spec;
-	spec.id = JobId("aaaaaaaaaaaaaaa1");
-	spec.route = RouteName("r-calc");
-	spec.steps = JobWorld::Chain(2);
-	return spec;
-}
-
 /** @return Whether a submission is accepted after a change. */
 bool IsAccepted(const std::function<void(JobSpec &)> &change)
 {
--- a/tests/test_odd_reports.cpp
+++ b/tests/test_odd_reports.cpp
@@ -4,7 +4,7 @@
  * Guards against processes that end, or stop following the list, because of one entry that is nested very deeply, has a
  * number too large or a port out of range. */
 #include "../platform/platform_feed.h"
-#include "job_world.h"
+#include "odd_bytes.h"
 
 #include <doctest/doctest.h>
 
@@ -14,15 +14,6 @@
 
 constexpr size_t DEEP = 1'000'000; ///< Depth of a nested list.
 
-/** @return A valid report with one more member. @param member The member, or none. */
-std::string ReportBytes(const std::string &member = "", const std::string &address = "10.0.0.1:80")
-{
-	return R"({"service":"s","address":")" + address +
-		   R"(","zone":"z","state":"ready","machine":"m-1","labels":["a","r1"],)" +
-		   (member.find("capacity") == std::string::npos ? R"("capacity":{"cpu":16000,"mem-mb":32768},)" : "") +
-		   (member.empty() ? "" : member + ",") + R"("call-seq":4})";
-}
-
 /** @return Name of the field for which a report is rejected; empty if it is accepted. */
 std::string FaultOf(const std::string &bytes, const std::string &id = "i-1")
 {
